--- /dev/null
+++ b/packages/amaranthflow-cli/src/amaranthflow_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of operators and callers."""
--- /dev/null
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The process that runs on every entry instance."""
--- /dev/null
+++ b/packages/amaranthflow-schema/src/amaranthflow_schema/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and services of amaranthflow, generated from the schema files."""
--- /dev/null
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, for tests and the demo."""
--- /dev/null
+++ b/packages/amaranthflow/src/amaranthflow/ids.py
@@ -0,0 +1,49 @@
+"""Identifiers. Each is a distinct type to a type checker."""
+
+import typing as t
+
+InstanceId = t.NewType('InstanceId', str)
+WorkerId = t.NewType('WorkerId', str)
+RackId = t.NewType('RackId', str)
+ZoneId = t.NewType('ZoneId', str)
+TenantId = t.NewType('TenantId', str)
+ServiceId = t.NewType('ServiceId', str)
+JobId = t.NewType('JobId', str)
+RequestId = t.NewType('RequestId', str)
+TaskId = t.NewType('TaskId', str)
+TaskClass = t.NewType('TaskClass', str)
+Offset = t.NewType('Offset', int)
+Epoch = t.NewType('Epoch', int)
+Incarnation = t.NewType('Incarnation', int)
+
+
+class Member(t.NamedTuple):
+    """One process: an instance and the incarnation that runs on it.
+
+    A restarted process has a higher incarnation and is another member.
+    """
+
+    instance: InstanceId
+    incarnation: Incarnation
+
+    def __str__(self):
+        return f'{self.instance}#{self.incarnation}'
+
+
+def batch_task_id(job_id: JobId, attempt: int) -> TaskId:
+    """Names the task that runs one attempt of a batch job."""
+    return TaskId(f'job:{job_id}:{attempt}')
+
+
+def split_batch_task_id(task_id: TaskId) -> tuple[JobId, int] | None:
+    """Returns (job, attempt) of a batch task's id, None for other tasks."""
+    kind, _, rest = task_id.partition(':')
+    job_id, _, attempt = rest.rpartition(':')
+    if kind != 'job' or not job_id or not attempt.isdigit():
+        return None
+    return JobId(job_id), int(attempt)
+
+
+def request_task_id(request_id: RequestId, attempt: int) -> TaskId:
+    """Names the task that runs one attempt of a latency-critical request."""
+    return TaskId(f'req:{request_id}:{attempt}')
--- /dev/null
+++ b/tests/amaranthflow/ids.feature
@@ -0,0 +1,9 @@
+Feature: ids
+
+  Scenario: the id of a batch task names its job and attempt
+    Given the batch task id of job "a:b" and attempt 3
+    Then splitting the id gives job "a:b" and attempt 3
+
+  Scenario: the id of a request is not taken for a batch task
+    Given the task id of request "job:1" and attempt 1
+    Then splitting the id gives no job
