--- /dev/null
+++ b/packages/amaranthflow/src/amaranthflow/world.py
@@ -0,0 +1,235 @@
+"""Objects of the world: sizes, tasks, workers and what runs on them."""
+
+import dataclasses
+import enum
+import typing as t
+
+from amaranthflow_schema.v1 import world_pb2
+
+from . import ids
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Size:
+    """Processor cores, memory in MB and accelerators."""
+
+    cores: float = 0.0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    @classmethod
+    def from_message(cls, message: world_pb2.Size) -> 'Size':
+        """Copies a schema message."""
+        return cls(
+            cores=message.cores,
+            memory_mb=message.memory_mb,
+            accelerators=message.accelerators,
+        )
+
+    def plus(self, other: 'Size') -> 'Size':
+        """Returns the sum."""
+        return Size(
+            cores=self.cores + other.cores,
+            memory_mb=self.memory_mb + other.memory_mb,
+            accelerators=self.accelerators + other.accelerators,
+        )
+
+    def minus(self, other: 'Size') -> 'Size':
+        """Returns the difference, which may be negative."""
+        return Size(
+            cores=self.cores - other.cores,
+            memory_mb=self.memory_mb - other.memory_mb,
+            accelerators=self.accelerators - other.accelerators,
+        )
+
+    def fits(self, room: 'Size') -> bool:
+        """Tells whether this size fits in a room."""
+        # Sums of cores that were added and removed again differ by rounding.
+        return (
+            self.cores <= room.cores + _CORES_ROUNDING
+            and self.memory_mb <= room.memory_mb
+            and self.accelerators <= room.accelerators
+        )
+
+    def dominant_share(self, total: 'Size') -> float:
+        """Returns the largest of the shares of each resource of a total."""
+        shares = [0.0]
+        if total.cores > 0:
+            shares.append(self.cores / total.cores)
+        if total.memory_mb > 0:
+            shares.append(self.memory_mb / total.memory_mb)
+        if total.accelerators > 0:
+            shares.append(self.accelerators / total.accelerators)
+        return max(shares)
+
+
+_CORES_ROUNDING = 1e-6
+
+NOTHING = Size()
+
+
+class TaskKind(enum.Enum):
+    """Latency-critical tasks answer a waiting caller, batch tasks do not."""
+
+    LATENCY = 'latency'
+    BATCH = 'batch'
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Task:
+    """A task that waits for a worker or runs on one.
+
+    :ivar size: what is reserved for it: declared, or learned where known.
+    :ivar evictions: how often the job of this task was evicted before.
+    """
+
+    task_id: ids.TaskId
+    tenant_id: ids.TenantId
+    task_class: ids.TaskClass
+    kind: TaskKind
+    size: Size
+    urgent: bool = False
+    evictions: int = 0
+    started_at_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Worker:
+    """A machine that runs backend servers and batch tasks."""
+
+    worker_id: ids.WorkerId
+    address: str
+    rack_id: ids.RackId
+    zone_id: ids.ZoneId
+    region_id: str = ''
+    capacity: Size
+    slots: int
+    connections: int
+
+    @classmethod
+    def from_message(cls, message: world_pb2.Worker) -> 'Worker':
+        """Copies a schema message."""
+        return cls(
+            worker_id=ids.WorkerId(message.worker_id),
+            address=message.address,
+            rack_id=ids.RackId(message.rack_id),
+            zone_id=ids.ZoneId(message.zone_id),
+            region_id=message.region_id,
+            capacity=Size.from_message(message.capacity),
+            slots=message.slots,
+            connections=message.connections,
+        )
+
+
+class WorkerLedger:
+    """What one worker has been given; refuses what would not fit.
+
+    Only the worker's owner keeps a ledger. A reservation is made before a
+    task is started and released once the task surely no longer runs.
+
+    :ivar reserved_slots: slots that batch tasks leave free for
+        latency-critical requests. Lowered or raised by configuration.
+    :ivar accepting_batch: cleared by relief and by drains.
+    :ivar leaving: no new task of any kind.
+    """
+
+    def __init__(self, *, worker: Worker, reserved_slots: int = 0):
+        self.worker = worker
+        self.reserved_slots = reserved_slots
+        self.accepting_batch = True
+        self.leaving = False
+        self.tasks: dict[ids.TaskId, Task] = {}
+        self.used = NOTHING
+        self._batch_count = 0
+
+    @property
+    def free(self) -> Size:
+        """Capacity not reserved by any task."""
+        return self.worker.capacity.minus(self.used)
+
+    @property
+    def free_slots(self) -> int:
+        """Slots not taken by any task."""
+        return self.worker.slots - len(self.tasks)
+
+    @property
+    def batch_count(self) -> int:
+        """Batch tasks on the worker."""
+        return self._batch_count
+
+    @property
+    def free_batch_slots(self) -> int:
+        """Slots that a batch task may take now."""
+        ceiling = self.worker.slots - self.reserved_slots
+        return min(self.free_slots, ceiling - self._batch_count)
+
+    def has_room(self, task: Task) -> bool:
+        """Tells whether ``reserve`` would succeed."""
+        if self.leaving or task.task_id in self.tasks:
+            return False
+        if task.kind is TaskKind.BATCH:
+            if not self.accepting_batch or self.free_batch_slots < 1:
+                return False
+        elif self.free_slots < 1:
+            return False
+        return task.size.fits(self.free)
+
+    def reserve(self, task: Task) -> bool:
+        """Reserves a slot and the task's size; False where it cannot."""
+        if not self.has_room(task):
+            return False
+        self._add(task)
+        return True
+
+    def adopt(self, task: Task) -> None:
+        """Records a task that runs already, whether it fits or not."""
+        if task.task_id not in self.tasks:
+            self._add(task)
+
+    def release(self, task_id: ids.TaskId) -> Task | None:
+        """Removes a task that surely no longer runs."""
+        task = self.tasks.pop(task_id, None)
+        if task is None:
+            return None
+        self.used = self.used.minus(task.size) if self.tasks else NOTHING
+        if task.kind is TaskKind.BATCH:
+            self._batch_count -= 1
+        return task
+
+    def resize(self, task_id: ids.TaskId, size: Size) -> None:
+        """Replaces the reserved size of a running task by a measured one."""
+        task = self.tasks[task_id]
+        self.used = self.used.minus(task.size).plus(size)
+        task.size = size
+
+    def _add(self, task: Task) -> None:
+        self.tasks[task.task_id] = task
+        self.used = self.used.plus(task.size)
+        if task.kind is TaskKind.BATCH:
+            self._batch_count += 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Placement:
+    """A decision to run a task on a worker, with its reason."""
+
+    worker_id: ids.WorkerId
+    reason: str
+
+
+class Placer(t.Protocol):
+    """Chooses workers. Told of every change to a ledger it was given."""
+
+    def add(self, ledger: WorkerLedger) -> None:
+        """Makes a worker available."""
+
+    def remove(self, worker_id: ids.WorkerId) -> None:
+        """Takes a worker away."""
+
+    def changed(self, worker_id: ids.WorkerId) -> None:
+        """Refreshes what depends on the worker's ledger."""
+
+    def choose(
+        self, task: Task, avoid: t.Collection[ids.WorkerId] = ()
+    ) -> Placement | None:
+        """Returns the best worker with room, or None. Reserves nothing."""
