--- /dev/null
+++ b/packages/amaranthflow/src/amaranthflow/placement.py
@@ -0,0 +1,399 @@
+"""Placement by predicted interference, spread and reserved room."""
+
+import collections
+import dataclasses
+import math
+import typing as t
+
+from . import ids
+from . import interference
+from . import rooms
+from . import world
+
+_RUNS = 4
+_CURSOR_STEP = 7
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PlacementWeights:
+    """What a candidate's cost is made of. Lower cost is better.
+
+    :ivar spread: cost of having all of a class in one rack or zone.
+    :ivar batch: cost of slowing one batch neighbour, 1.0 is as much as a
+        latency-critical one.
+    :ivar expected: weight of latency-critical tasks that may still come.
+    """
+
+    spread: float = 0.5
+    batch: float = 0.2
+    expected: float = 0.5
+
+
+@dataclasses.dataclass(slots=True)
+class _Site:
+    """What the placer remembers of one worker's ledger.
+
+    :ivar slowdowns: predicted for each latency-critical class on it.
+    :ivar disturbance: mean slowdown of any latency-critical class there.
+    """
+
+    ledger: world.WorkerLedger
+    position: int
+    reserve: world.Size
+    latency: dict[ids.TaskClass, int] = dataclasses.field(default_factory=dict)
+    batch: dict[ids.TaskClass, int] = dataclasses.field(default_factory=dict)
+    slowdowns: dict[ids.TaskClass, float] = dataclasses.field(
+        default_factory=dict
+    )
+    disturbance: float = 1.0
+
+
+class InterferencePlacer:
+    """Chooses the worker where a task and its neighbours suffer least.
+
+    A bounded number of workers with room is compared for each choice, so its
+    cost hardly depends on the size of the fleet. A latency-critical task
+    goes where it is slowed least, away from the racks and availability zones
+    that already run its class. A batch task goes where it slows
+    latency-critical tasks least, and waits where every candidate would pass
+    the limit; an urgent one does not wait for that.
+
+    :param slowdown_limit: predicted slowdown of a latency-critical class
+        that a batch task may not cause.
+    :param all_compared: fleets up to this size are compared as a whole.
+    :param candidates: workers compared for one choice in a larger fleet.
+    """
+
+    def __init__(
+        self,
+        *,
+        model: interference.InterferenceModel,
+        slowdown_limit: float = 1.5,
+        weights: PlacementWeights | None = None,
+        all_compared: int = 36,
+        candidates: int = 20,
+    ):
+        self.slowdown_limit = slowdown_limit
+        self._model = model
+        self._weights = weights or PlacementWeights()
+        self._all_compared = all_compared
+        self._candidates = candidates
+        self._sites: dict[ids.WorkerId, _Site] = {}
+        self._at: list[_Site | None] = []
+        self._vacant: list[int] = []
+        self._cursor = 0
+        self._latency_rooms = rooms.RoomIndex()
+        self._batch_rooms = rooms.RoomIndex()
+        self._spread = _Spread()
+
+    def add(
+        self,
+        ledger: world.WorkerLedger,
+        reserve: world.Size = world.NOTHING,
+    ) -> None:
+        """Makes a worker available.
+
+        :param reserve: size that batch tasks leave free for booked growth.
+        """
+        self.remove(ledger.worker.worker_id)
+        position = self._new_position()
+        site = _Site(ledger, position, reserve)
+        self._at[position] = site
+        self._sites[ledger.worker.worker_id] = site
+        self._spread.add(ledger.worker)
+        self._refresh(site)
+
+    def remove(self, worker_id: ids.WorkerId) -> None:
+        """Takes a worker away."""
+        site = self._sites.pop(worker_id, None)
+        if site is None:
+            return
+        self._spread.move(site.ledger.worker, site.latency, {})
+        self._spread.remove(site.ledger.worker)
+        self._at[site.position] = None
+        self._vacant.append(site.position)
+        self._latency_rooms.clear(site.position)
+        self._batch_rooms.clear(site.position)
+
+    def changed(self, worker_id: ids.WorkerId) -> None:
+        """Refreshes what depends on the worker's ledger."""
+        site = self._sites.get(worker_id)
+        if site is not None:
+            self._refresh(site)
+
+    def set_reserve(self, worker_id: ids.WorkerId, size: world.Size) -> None:
+        """Replaces the size that batch tasks leave free on a worker."""
+        site = self._sites.get(worker_id)
+        if site is not None:
+            site.reserve = size
+            self._refresh(site)
+
+    def choose(
+        self, task: world.Task, avoid: t.Collection[ids.WorkerId] = ()
+    ) -> world.Placement | None:
+        """Returns the best worker with room, or None. Reserves nothing."""
+        if task.kind is world.TaskKind.LATENCY:
+            index = self._latency_rooms
+            cost = _LatencyCost(self._model, self._weights, self._spread, task)
+        else:
+            index = self._batch_rooms
+            cost = self._batch_cost(task)
+        best = None
+        best_cost = math.inf
+        for site in self._comparable(index, task, avoid):
+            value = cost.of(site)
+            if value < best_cost:
+                best, best_cost = site, value
+        if best is None:
+            return None
+        return world.Placement(
+            worker_id=best.ledger.worker.worker_id,
+            reason=self._explain(task, best),
+        )
+
+    def _batch_cost(self, task: world.Task) -> '_BatchCost':
+        limit = math.inf if task.urgent else self.slowdown_limit
+        return _BatchCost(
+            self._model, self._weights, self._spread, task, limit
+        )
+
+    def _comparable(
+        self,
+        index: rooms.RoomIndex,
+        task: world.Task,
+        avoid: t.Collection[ids.WorkerId],
+    ) -> t.Iterator[_Site]:
+        """Yields sites with room, from a few places around the fleet."""
+        count = len(index)
+        if not count:
+            return
+        runs, length = 1, count
+        if count > self._all_compared:
+            runs, length = _RUNS, self._candidates // _RUNS
+        self._cursor = (self._cursor + _CURSOR_STEP) % count
+        seen = set()
+        for run in range(runs):
+            start = (self._cursor + run * count // runs) % count
+            left = length
+            for position in index.find(task.size, start):
+                if position in seen:
+                    break
+                seen.add(position)
+                site = self._at[position]
+                if site.ledger.worker.worker_id in avoid:
+                    continue
+                if task.task_id in site.ledger.tasks:
+                    continue
+                yield site
+                left -= 1
+                if not left:
+                    break
+
+    def _explain(self, task: world.Task, site: _Site) -> str:
+        if task.kind is world.TaskKind.LATENCY:
+            slowdown = self._model.predict(task.task_class, site.batch)
+            return (
+                f'least predicted slowdown {slowdown:.2f} and spread'
+                f' over racks and availability zones'
+            )
+        worst = max(
+            (
+                slowdown + self._model.excess(victim, task.task_class)
+                for victim, slowdown in site.slowdowns.items()
+            ),
+            default=1.0,
+        )
+        return (
+            f'slows latency-critical neighbours least, to {worst:.2f}'
+            f' of limit {self.slowdown_limit:.2f}'
+        )
+
+    def _new_position(self) -> int:
+        if self._vacant:
+            return self._vacant.pop()
+        self._at.append(None)
+        self._latency_rooms.append()
+        return self._batch_rooms.append()
+
+    def _refresh(self, site: _Site) -> None:
+        ledger = site.ledger
+        latency, batch = _mix(ledger)
+        if latency != site.latency:
+            self._spread.move(ledger.worker, site.latency, latency)
+            site.latency = latency
+        site.batch = batch
+        self._predict(site)
+        free = ledger.free
+        open_slots = 0 if ledger.leaving else ledger.free_slots
+        self._latency_rooms.update(
+            site.position, rooms.Room(slots=open_slots, size=free)
+        )
+        batch_slots = ledger.free_batch_slots
+        if ledger.leaving or not ledger.accepting_batch:
+            batch_slots = 0
+        self._batch_rooms.update(
+            site.position,
+            rooms.Room(slots=batch_slots, size=free.minus(site.reserve)),
+        )
+
+    def _predict(self, site: _Site) -> None:
+        site.slowdowns = {
+            victim: self._model.predict(victim, site.batch)
+            for victim in site.latency
+        }
+        fleet = self._spread.fleet
+        site.disturbance = 1.0
+        if fleet:
+            site.disturbance = sum(
+                self._model.predict(victim, site.batch) for victim in fleet
+            ) / len(fleet)
+
+
+class _LatencyCost:
+    """Cost of running one latency-critical task on a site."""
+
+    def __init__(self, model, weights, spread: '_Spread', task: world.Task):
+        self._model = model
+        self._task_class = task.task_class
+        self._spread = spread
+        self._spread_weight = weights.spread
+        self._own: dict[ids.TaskClass, float] = {}
+
+    def of(self, site: _Site) -> float:
+        share = self._spread.share(self._task_class, site.ledger.worker)
+        cost = self._spread_weight * share
+        own = self._own
+        for mix in (site.batch, site.latency):
+            for neighbour, count in mix.items():
+                excess = own.get(neighbour)
+                if excess is None:
+                    excess = self._model.excess(self._task_class, neighbour)
+                    own[neighbour] = excess
+                cost += count * excess
+        return cost
+
+
+class _BatchCost:
+    """Cost of running one batch task on a site; infinite past the limit."""
+
+    def __init__(
+        self,
+        model,
+        weights,
+        spread: '_Spread',
+        task: world.Task,
+        limit: float,
+    ):
+        self._model = model
+        self._task_class = task.task_class
+        self._limit = limit
+        self._batch_weight = weights.batch
+        self._added: dict[ids.TaskClass, float] = {}
+        self._mutual: dict[ids.TaskClass, float] = {}
+        self._expected = weights.expected * sum(
+            tasks * self._add(victim)
+            for victim, tasks in spread.tasks_per_worker()
+        )
+
+    def of(self, site: _Site) -> float:
+        cost = self._expected / (site.disturbance * site.disturbance)
+        added_to = self._added
+        for victim, count in site.latency.items():
+            added = added_to[victim]
+            if site.slowdowns[victim] + added > self._limit:
+                return math.inf
+            cost += count * added
+        slowed = 0.0
+        mutual = self._mutual
+        for neighbour, count in site.batch.items():
+            excess = mutual.get(neighbour)
+            if excess is None:
+                excess = self._mutually(neighbour)
+            slowed += count * excess
+        return cost + self._batch_weight * slowed
+
+    def _add(self, victim: ids.TaskClass) -> float:
+        added = self._model.excess(victim, self._task_class)
+        self._added[victim] = added
+        return added
+
+    def _mutually(self, neighbour: ids.TaskClass) -> float:
+        excess = self._model.excess(neighbour, self._task_class)
+        excess += self._model.excess(self._task_class, neighbour)
+        self._mutual[neighbour] = excess
+        return excess
+
+
+class _Spread:
+    """Counts of running latency-critical tasks by rack and zone."""
+
+    def __init__(self):
+        self.fleet: collections.Counter[ids.TaskClass] = collections.Counter()
+        self._racks: collections.Counter = collections.Counter()
+        self._zones: collections.Counter = collections.Counter()
+        self._rack_workers: collections.Counter = collections.Counter()
+        self._zone_workers: collections.Counter = collections.Counter()
+
+    def tasks_per_worker(self) -> t.Iterator[tuple[ids.TaskClass, float]]:
+        """Yields each class with its mean number of tasks on a worker."""
+        workers = self._zone_workers.total()
+        for task_class, count in self.fleet.items():
+            yield task_class, count / workers
+
+    def add(self, worker: world.Worker) -> None:
+        self._rack_workers[worker.rack_id] += 1
+        self._zone_workers[worker.zone_id] += 1
+
+    def remove(self, worker: world.Worker) -> None:
+        _subtract(self._rack_workers, worker.rack_id, 1)
+        _subtract(self._zone_workers, worker.zone_id, 1)
+
+    def move(
+        self,
+        worker: world.Worker,
+        old: dict[ids.TaskClass, int],
+        new: dict[ids.TaskClass, int],
+    ) -> None:
+        """Replaces the counts that one worker contributes."""
+        for task_class, count in old.items():
+            _subtract(self.fleet, task_class, count)
+            _subtract(self._racks, (task_class, worker.rack_id), count)
+            _subtract(self._zones, (task_class, worker.zone_id), count)
+        for task_class, count in new.items():
+            self.fleet[task_class] += count
+            self._racks[(task_class, worker.rack_id)] += count
+            self._zones[(task_class, worker.zone_id)] += count
+
+    def share(self, task_class: ids.TaskClass, worker: world.Worker) -> float:
+        """Share of the class's tasks in the worker's rack and zone, 0 to 1.
+
+        Racks and zones count by their workers, so a small rack fills as
+        evenly as a large one.
+        """
+        total = self.fleet.get(task_class, 0)
+        if not total:
+            return 0.0
+        rack = self._racks.get((task_class, worker.rack_id), 0)
+        zone = self._zones.get((task_class, worker.zone_id), 0)
+        rack_mean = rack / self._rack_workers[worker.rack_id]
+        zone_mean = zone / self._zone_workers[worker.zone_id]
+        return (rack_mean + zone_mean) / 2.0
+
+
+def _subtract(counter: collections.Counter, key, count: int) -> None:
+    left = counter[key] - count
+    if left > 0:
+        counter[key] = left
+    else:
+        del counter[key]
+
+
+def _mix(ledger: world.WorkerLedger):
+    """Returns the counts of latency-critical and of batch classes."""
+    latency: dict[ids.TaskClass, int] = {}
+    batch: dict[ids.TaskClass, int] = {}
+    for task in ledger.tasks.values():
+        latency_task = task.kind is world.TaskKind.LATENCY
+        mix = latency if latency_task else batch
+        mix[task.task_class] = mix.get(task.task_class, 0) + 1
+    return latency, batch
--- /dev/null
+++ b/packages/amaranthflow/src/amaranthflow/sizes.py
@@ -0,0 +1,123 @@
+"""Learned sizes of tasks, which replace what submitters declare."""
+
+import dataclasses
+import math
+
+from . import ids
+from . import platform
+from . import world
+
+_MEMORY_MARGIN = 1.1
+_CORES_FLOOR = 0.1
+_LEAST_GAIN = 0.02
+
+
+@dataclasses.dataclass(slots=True)
+class _Usage:
+    """Use of one tenant's class. Peaks are kept for two windows."""
+
+    window_start_ms: int
+    tasks: set[ids.TaskId] = dataclasses.field(default_factory=set)
+    cores_mean: float = 0.0
+    cores_square: float = 0.0
+    cores_at_ms: int = -(2**62)
+    peak_mb: int = 0
+    previous_peak_mb: int = 0
+
+    @property
+    def memory_mb(self) -> int:
+        """Largest peak of both windows."""
+        return max(self.peak_mb, self.previous_peak_mb)
+
+    @property
+    def cores(self) -> float:
+        """Mean and one standard deviation of the measured cores."""
+        variance = self.cores_square - self.cores_mean**2
+        return self.cores_mean + math.sqrt(max(0.0, variance))
+
+
+class SizeModel:
+    """Learns the cores and the peak memory of each tenant's task classes.
+
+    Memory goes up at once with a measured peak, plus a margin, and comes
+    down below the declaration only after reports of several tasks. A peak is
+    remembered for one to two windows. Cores follow a mean that ages.
+
+    :param tasks_needed: tasks measured before the declaration is replaced.
+    :param half_life_ms: time in which measured cores lose half their weight.
+    :param window_ms: how long a measured peak counts at least.
+    :param max_entries: classes kept; the least recently measured is dropped.
+    """
+
+    def __init__(
+        self,
+        *,
+        tasks_needed: int = 3,
+        half_life_ms: int = 600_000,
+        window_ms: int = 86_400_000,
+        max_entries: int = 4096,
+    ):
+        self._tasks_needed = tasks_needed
+        self._decay_per_ms = math.log(2) / half_life_ms
+        self._window_ms = window_ms
+        self._max_entries = max_entries
+        self._usages: dict[tuple[ids.TenantId, ids.TaskClass], _Usage] = {}
+
+    def observe(
+        self, tenant_id: ids.TenantId, report: platform.UsageReport
+    ) -> None:
+        """Learns from one report of one of the tenant's tasks."""
+        key = (tenant_id, report.task_class)
+        usage = self._usages.pop(key, None)
+        if usage is None:
+            usage = _Usage(report.measured_at_ms)
+        self._usages[key] = usage
+        self._turn_window(usage, report.measured_at_ms)
+        peak_mb = max(report.memory_mb, report.peak_memory_mb)
+        usage.peak_mb = max(usage.peak_mb, peak_mb)
+        if len(usage.tasks) < self._tasks_needed:
+            usage.tasks.add(report.task_id)
+        self._average_cores(usage, report)
+        if len(self._usages) > self._max_entries:
+            del self._usages[next(iter(self._usages))]
+
+    def size_for(
+        self,
+        tenant_id: ids.TenantId,
+        task_class: ids.TaskClass,
+        declared: world.Size,
+    ) -> world.Size:
+        """Returns what to reserve for a task; accelerators as declared."""
+        usage = self._usages.get((tenant_id, task_class))
+        if usage is None:
+            return declared
+        memory_mb = math.ceil(usage.memory_mb * _MEMORY_MARGIN)
+        known = len(usage.tasks) / self._tasks_needed
+        if known < 1.0:
+            memory_mb = max(memory_mb, declared.memory_mb)
+        cores = known * usage.cores + (1.0 - known) * declared.cores
+        return world.Size(
+            cores=max(cores, _CORES_FLOOR),
+            memory_mb=memory_mb,
+            accelerators=declared.accelerators,
+        )
+
+    def _turn_window(self, usage: _Usage, at_ms: int) -> None:
+        elapsed_ms = at_ms - usage.window_start_ms
+        if elapsed_ms < self._window_ms:
+            return
+        recent = elapsed_ms < 2 * self._window_ms
+        usage.previous_peak_mb = usage.peak_mb if recent else 0
+        usage.peak_mb = 0
+        usage.window_start_ms = at_ms
+
+    def _average_cores(
+        self, usage: _Usage, report: platform.UsageReport
+    ) -> None:
+        elapsed_ms = max(0, report.measured_at_ms - usage.cores_at_ms)
+        kept = math.exp(-elapsed_ms * self._decay_per_ms)
+        gain = max(1.0 - kept, _LEAST_GAIN)
+        usage.cores_mean += gain * (report.cores - usage.cores_mean)
+        square = report.cores**2
+        usage.cores_square += gain * (square - usage.cores_square)
+        usage.cores_at_ms = max(usage.cores_at_ms, report.measured_at_ms)
--- /dev/null
+++ b/tests/amaranthflow/placement.feature
@@ -0,0 +1,43 @@
+Feature: placement
+
+  Scenario: the indexed placement equals a plain search of the whole fleet
+    Then an indexed placement costs as little as the plain best one
+
+  Scenario: placement only names workers that have room
+    Then a placement in a large fleet always has room
+
+  Scenario: placement keeps a latency-critical task from a noisy neighbour
+    Given a placement fleet of 4 workers
+    And placement knows that "noisy" slows "quote" by 0.8
+    And placement has batch "noisy" on worker 0
+    When placement chooses for latency-critical "quote" 3 times
+    Then placement has used workers "1,2,3"
+
+  Scenario: placement keeps batch tasks from workers past the limit
+    Given a placement fleet of 1 workers
+    And placement knows that "noisy" slows "quote" by 0.8
+    When placement chooses for latency-critical "quote" 1 times
+    Then placement has no worker for batch "noisy"
+    And placement has worker 0 for urgent batch "noisy"
+
+  Scenario: placement spreads a service over racks and availability zones
+    Given a placement fleet of 16 workers
+    When placement chooses for latency-critical "quote" 4 times
+    Then placement has used 4 racks and 2 availability zones
+
+  Scenario: placement leaves room for booked growth
+    Given a placement fleet of 1 workers
+    When placement reserves 30 cores of worker 0 for growth
+    Then placement has no worker for batch "sort"
+    And placement has worker 0 for latency-critical "quote"
+
+  Scenario: a placement gives its reason
+    Given a placement fleet of 2 workers
+    When placement chooses for latency-critical "quote" 1 times
+    Then the placement reason tells "least predicted slowdown 1.00"
+
+  Scenario: placement forgets a removed worker
+    Given a placement fleet of 2 workers
+    When placement loses worker 0
+    And placement chooses for latency-critical "quote" 2 times
+    Then placement has used workers "1"
