--- /dev/null
+++ b/tests/steps/guards_steps.py
@@ -0,0 +1,116 @@
+"""Steps for guards.feature."""
+
+import os
+import pathlib
+import tempfile
+
+import behave
+
+from amaranthflow_daemon import guards
+
+_PID = 77
+_MAP = '7f0000000000-7f0000001000 {} 00000000 00:00 0     {}\n'
+
+
+def _table(context):
+    """Makes a proc file system of one process in a temporary folder."""
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    proc = pathlib.Path(folder.name)
+    for name in ('fd', 'fdinfo'):
+        (proc / str(_PID) / name).mkdir(parents=True)
+    (proc / str(_PID) / 'stat').write_text(f'{_PID} (self) S 1 0')
+    maps = _MAP.format('rw-p', '[heap]') + _MAP.format('rw-p', '')
+    (proc / str(_PID) / 'maps').write_text(maps)
+    return proc
+
+
+def _open(proc, number, target, flags):
+    (proc / str(_PID) / 'fd' / number).symlink_to(target)
+    info = proc / str(_PID) / 'fdinfo' / number
+    info.write_text(f'pos:\t0\nflags:\t{flags:o}\n')
+
+
+def _open_file(proc, number, flags):
+    path = proc / 'file'
+    path.write_text('')
+    _open(proc, number, path, flags)
+
+
+def _map(proc, permissions, path):
+    with (proc / str(_PID) / 'maps').open('a') as maps:
+        maps.write(_MAP.format(permissions, path))
+
+
+def _process(proc, pid, parent):
+    (proc / str(pid)).mkdir()
+    text = f'{pid} (some (odd) name) S {parent} 0'
+    (proc / str(pid) / 'stat').write_text(text)
+
+
+# A link to a name that does not exist reads as such, as the kernel's do.
+_RESOURCES = {
+    'an io_uring': lambda p: _open(p, '9', 'anon_inode:[io_uring]', 0),
+    'a ring mapping': lambda p: _map(p, 'rw-s', 'anon_inode:[io_uring]'),
+    'a memfd': lambda p: _open(p, '9', '/memfd:x', os.O_RDWR),
+    'a shm mapping': lambda p: _map(p, 'rw-s', '/dev/shm/x'),
+    'a shared mapping': lambda p: _map(p, 'rw-s', '/dev/zero (deleted)'),
+    'a file for writing': lambda p: _open_file(p, '9', os.O_WRONLY),
+    'a child': lambda p: _process(p, 78, _PID),
+    'a file for reading': lambda p: _open_file(p, '9', os.O_RDONLY),
+    'a file as stdout': lambda p: _open_file(p, '1', os.O_WRONLY),
+    'a private mapping': lambda p: _map(p, 'rw-p', '/lib/libc.so.6'),
+    'another process child': lambda p: _process(p, 78, _PID + 2),
+}
+
+
+@behave.given('a guards process table')
+def step_table(context):
+    context.proc = _table(context)
+
+
+@behave.given('the guards process holds {resource}')
+def step_resource(context, resource):
+    _RESOURCES[resource](context.proc)
+
+
+@behave.when('guards look at the process')
+def step_look(context):
+    _look(context, proc=context.proc, pid=_PID)
+
+
+def _look(context, **where):
+    context.findings = ()
+    try:
+        guards.check_process(**where)
+    except guards.ForbiddenResource as exc:
+        assert '\n' not in str(exc)
+        context.findings = exc.findings
+
+
+@behave.then('guards find nothing')
+def step_nothing(context):
+    assert context.findings == (), context.findings
+
+
+@behave.then('guards find only "{finding}"')
+def step_found(context, finding):
+    (line,) = context.findings
+    assert finding in line, line
+
+
+@behave.given('a guards descriptor for writing in this process')
+def step_descriptor(context):
+    context.file = tempfile.TemporaryFile()
+    context.add_cleanup(context.file.close)
+
+
+@behave.when('guards look at this process')
+def step_look_here(context):
+    _look(context)
+
+
+@behave.then('guards name that descriptor')
+def step_named(context):
+    wanted = f'descriptor {context.file.fileno()} writes to file'
+    assert any(wanted in f for f in context.findings), context.findings
