--- /dev/null
+++ b/packages/amaranthflow/src/amaranthflow/racks.py
@@ -0,0 +1,115 @@
+"""Ownership of racks as the log orders it."""
+
+import dataclasses
+
+from amaranthflow_schema.v1 import records_pb2
+
+from . import ids
+from . import results
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class RackHolding:
+    """Who owns a rack.
+
+    :ivar epoch: counts the claims; a record that names an old one is void.
+    :ivar released: the owner gave the rack up and admits nothing there.
+    :ivar handed_over: the owner before this one released the rack, so that
+        its successor has no old right to wait out.
+    """
+
+    rack_id: ids.RackId
+    owner: ids.Member
+    epoch: ids.Epoch
+    claim_offset: ids.Offset
+    released: bool = False
+    handed_over: bool = False
+
+
+class RackTable:
+    """Replicated table of owners. Changed by records of the log only."""
+
+    def __init__(self):
+        self.holdings: dict[ids.RackId, RackHolding] = {}
+
+    def epoch(self, rack_id: ids.RackId) -> ids.Epoch:
+        """Returns the rack's epoch, 0 where it never had an owner."""
+        holding = self.holdings.get(rack_id)
+        return holding.epoch if holding else ids.Epoch(0)
+
+    def is_owner(
+        self, rack_id: ids.RackId, member: ids.Member, epoch: int
+    ) -> bool:
+        """Tells whether the member owns the rack under this epoch."""
+        holding = self.holdings.get(rack_id)
+        return (
+            holding is not None
+            and holding.owner == member
+            and holding.epoch == epoch
+        )
+
+    def claim(
+        self, record, member: ids.Member, offset: ids.Offset
+    ) -> results.Result:
+        """Gives a rack to a member if the epoch is the one it names."""
+        rack_id = ids.RackId(record.rack_id)
+        holding = self.holdings.get(rack_id)
+        if record.after_epoch != self.epoch(rack_id):
+            return results.refused(f'rack is at epoch {self.epoch(rack_id)}')
+        if holding and holding.owner == member and not holding.released:
+            return results.refused('the member owns the rack already')
+        self.holdings[rack_id] = RackHolding(
+            rack_id=rack_id,
+            owner=member,
+            epoch=ids.Epoch(record.after_epoch + 1),
+            claim_offset=offset,
+            handed_over=holding is None or holding.released,
+        )
+        return results.ACCEPTED
+
+    def release(self, record, member: ids.Member) -> results.Result:
+        """Marks a rack as given up by its owner."""
+        rack_id = ids.RackId(record.rack_id)
+        if not self.is_owner(rack_id, member, record.epoch):
+            return results.refused('the member does not own the rack')
+        self.holdings[rack_id].released = True
+        return results.ACCEPTED
+
+    def owned_by(self, member: ids.Member) -> tuple[RackHolding, ...]:
+        """Returns the member's racks that it has not released."""
+        return tuple(
+            h
+            for h in self.holdings.values()
+            if h.owner == member and not h.released
+        )
+
+    def dump(self, snapshot: records_pb2.Snapshot) -> None:
+        """Adds all holdings to a snapshot."""
+        for rack_id in sorted(self.holdings):
+            holding = self.holdings[rack_id]
+            snapshot.racks.add(
+                rack_id=rack_id,
+                instance_id=holding.owner.instance,
+                incarnation=holding.owner.incarnation,
+                epoch=holding.epoch,
+                released=holding.released,
+                claim_offset=holding.claim_offset,
+                handed_over=holding.handed_over,
+            )
+
+    def load(self, snapshot: records_pb2.Snapshot) -> None:
+        """Replaces the content by a snapshot's."""
+        self.holdings = {}
+        for state in snapshot.racks:
+            owner = ids.Member(
+                ids.InstanceId(state.instance_id),
+                ids.Incarnation(state.incarnation),
+            )
+            self.holdings[ids.RackId(state.rack_id)] = RackHolding(
+                rack_id=ids.RackId(state.rack_id),
+                owner=owner,
+                epoch=ids.Epoch(state.epoch),
+                claim_offset=ids.Offset(state.claim_offset),
+                released=state.released,
+                handed_over=state.handed_over,
+            )
--- /dev/null
+++ b/packages/amaranthflow/src/amaranthflow/state.py
@@ -0,0 +1,235 @@
+"""The state that every instance derives from the platform's log."""
+
+import dataclasses
+import hashlib
+
+from google.protobuf import message as protobuf_message
+
+from amaranthflow_schema.v1 import records_pb2
+
+from . import claims
+from . import configuration
+from . import exceptions
+from . import ids
+from . import jobs
+from . import membership
+from . import racks
+from . import results
+
+# A writer that was silent for this long has no append under way any more.
+KEEP_WRITERS_MS = 24 * 3600 * 1000
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class WriterPosition:
+    """Newest append of one writer that took effect."""
+
+    incarnation: int
+    sequence: int
+    last_seen_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Applied:
+    """A batch with the result of each record.
+
+    :ivar results: empty for a duplicate of a batch applied before.
+    """
+
+    offset: ids.Offset
+    batch: records_pb2.Batch
+    results: tuple[results.Result, ...]
+
+
+class State:
+    """Result of applying the log's entries in order.
+
+    Two instances that applied the same entries hold equal states, whether
+    they started from the log's beginning or from a snapshot.
+
+    :ivar next_offset: offset of the next entry to apply.
+    :ivar log_time_ms: newest time that any writer put into a batch.
+    :ivar view_offset: offset of the newest entry that changed members or
+        owners.
+    """
+
+    def __init__(self):
+        self.next_offset = ids.Offset(0)
+        self.log_time_ms = 0
+        self.view_offset = ids.Offset(0)
+        self.members = membership.Membership()
+        self.racks = racks.RackTable()
+        self.jobs = jobs.JobTable()
+        self.claims = claims.ClaimTable()
+        self.config = configuration.Configuration()
+        self.writers: dict[str, WriterPosition] = {}
+
+    def apply(self, offset: ids.Offset, data: bytes) -> Applied:
+        """Applies one entry.
+
+        :raises InvalidRecord: it cannot be decoded; it counts as applied
+            and has no effect.
+        """
+        self.next_offset = ids.Offset(offset + 1)
+        batch = records_pb2.Batch()
+        try:
+            batch.ParseFromString(data)
+        except protobuf_message.DecodeError as exc:
+            raise exceptions.InvalidRecord(
+                f'entry at offset {offset} is not a batch'
+            ) from exc
+        if not self._is_new(batch):
+            return Applied(offset=offset, batch=batch, results=())
+        self.log_time_ms = max(self.log_time_ms, batch.written_at_ms)
+        self.jobs.expire(self.log_time_ms)
+        self.claims.expire(self.log_time_ms)
+        found = tuple(
+            self._apply_record(record, batch, offset)
+            for record in batch.records
+        )
+        return Applied(offset=offset, batch=batch, results=found)
+
+    def now_ms(self, wall_ms: int) -> int:
+        """Returns the time by which configuration is read.
+
+        It is never before the log's time, so that an instance whose clock
+        is behind does not go back to an older configuration.
+        """
+        return max(wall_ms, self.log_time_ms)
+
+    def snapshot(self) -> records_pb2.Snapshot:
+        """Copies the whole state into a message."""
+        snapshot = records_pb2.Snapshot(
+            at_offset=self.next_offset,
+            log_time_ms=self.log_time_ms,
+            view_offset=self.view_offset,
+        )
+        for writer in sorted(self.writers):
+            position = self.writers[writer]
+            snapshot.writers.add(
+                writer=writer,
+                incarnation=position.incarnation,
+                sequence=position.sequence,
+                last_seen_ms=position.last_seen_ms,
+            )
+        for table in self._tables():
+            table.dump(snapshot)
+        return snapshot
+
+    def load(self, snapshot: records_pb2.Snapshot) -> None:
+        """Replaces the whole state by a snapshot's."""
+        self.next_offset = ids.Offset(snapshot.at_offset)
+        self.log_time_ms = snapshot.log_time_ms
+        self.view_offset = ids.Offset(snapshot.view_offset)
+        self.writers = {
+            state.writer: WriterPosition(
+                incarnation=state.incarnation,
+                sequence=state.sequence,
+                last_seen_ms=state.last_seen_ms,
+            )
+            for state in snapshot.writers
+        }
+        for table in self._tables():
+            table.load(snapshot)
+
+    def digest(self) -> str:
+        """SHA-256 of the whole state, equal on equal states."""
+        data = self.snapshot().SerializeToString(deterministic=True)
+        return hashlib.sha256(data).hexdigest()
+
+    def _tables(self):
+        return (self.members, self.racks, self.jobs, self.claims, self.config)
+
+    def _is_new(self, batch: records_pb2.Batch) -> bool:
+        """Notes the batch's position; False for a duplicate or stale one."""
+        seen = self.writers.get(batch.writer)
+        position = (batch.incarnation, batch.sequence)
+        if seen and position <= (seen.incarnation, seen.sequence):
+            return False
+        self.writers[batch.writer] = WriterPosition(
+            incarnation=batch.incarnation,
+            sequence=batch.sequence,
+            last_seen_ms=batch.written_at_ms,
+        )
+        return True
+
+    def _apply_record(self, record, batch, offset) -> results.Result:
+        kind = record.WhichOneof('kind')
+        writer = ids.Member(
+            ids.InstanceId(batch.writer), ids.Incarnation(batch.incarnation)
+        )
+        if kind is None:
+            return results.refused('unknown kind of record')
+        handler = getattr(self, f'_apply_{kind}', None)
+        if handler is None:
+            return results.ACCEPTED
+        return handler(getattr(record, kind), writer, offset)
+
+    def _apply_member_joined(self, record, writer, offset):
+        self._forget_silent_writers()
+        return self._viewed(self.members.join(record, offset), offset)
+
+    def _apply_member_left(self, record, writer, offset):
+        return self._viewed(self.members.leave(record, offset), offset)
+
+    def _apply_views_closed(self, record, writer, offset):
+        return self.members.close_views(ids.Offset(record.through_offset))
+
+    def _apply_rack_claimed(self, record, writer, offset):
+        if self.members.current(writer.instance) != writer:
+            return results.refused('the claimant is not a member')
+        result = self.racks.claim(record, writer, offset)
+        return self._viewed(result, offset)
+
+    def _apply_rack_released(self, record, writer, offset):
+        return self._viewed(self.racks.release(record, writer), offset)
+
+    def _apply_change(self, record, writer, offset):
+        return self.config.apply(record, self.log_time_ms)
+
+    def _apply_job_submitted(self, record, writer, offset):
+        return self.jobs.submit(record.job, self.log_time_ms)
+
+    def _apply_job_cancelled(self, record, writer, offset):
+        return self.jobs.cancel(record, self.log_time_ms)
+
+    def _apply_attempt_started(self, record, writer, offset):
+        rack_id = ids.RackId(record.rack_id)
+        if not self.racks.is_owner(rack_id, writer, record.rack_epoch):
+            return results.refused('the writer does not own the rack')
+        return self.jobs.start(record, self.log_time_ms)
+
+    def _apply_attempt_checkpointed(self, record, writer, offset):
+        if not self._owns_attempt(record, writer):
+            return results.refused('the writer does not own the attempt')
+        return self.jobs.checkpoint(record)
+
+    def _apply_attempt_ended(self, record, writer, offset):
+        if not self._owns_attempt(record, writer):
+            return results.refused('the writer does not own the attempt')
+        return self.jobs.end(record, self.log_time_ms)
+
+    def _apply_request_claimed(self, record, writer, offset):
+        return self.claims.claim(record, writer, self.log_time_ms)
+
+    def _apply_request_released(self, record, writer, offset):
+        return self.claims.release(record, writer)
+
+    def _forget_silent_writers(self) -> None:
+        limit_ms = self.log_time_ms - KEEP_WRITERS_MS
+        self.writers = {
+            writer: position
+            for writer, position in self.writers.items()
+            if position.last_seen_ms >= limit_ms
+        }
+
+    def _owns_attempt(self, record, writer: ids.Member) -> bool:
+        entry = self.jobs.running.get(jobs.JobKey.parse(record.job_id))
+        if entry is None:
+            return False
+        return self.racks.is_owner(entry.rack_id, writer, record.rack_epoch)
+
+    def _viewed(self, result: results.Result, offset) -> results.Result:
+        if result.accepted:
+            self.view_offset = offset
+        return result
