--- /dev/null
+++ b/tests/amaranthflow_daemon/logs.feature
@@ -0,0 +1,37 @@
+Feature: Log of the daemon
+
+  Scenario: The lines of a request carry its id on every instance
+    Given a logs stream at level "info" for instance "i1"
+    When logs write request "r@1" with an event inside attempt 2
+    And logs switch to instance "i2" and write job "j1"
+    Then logs have 6 lines
+    And logs lines 1 to 5 are of task "r%401" on "i1"
+    And logs line 6 is of task "j1" on "i2"
+    And logs place the lines of attempt 2 below those of the request
+
+  Scenario: An error that leaves an action is logged and passed on
+    Given a logs stream at level "info" for instance "i1"
+    When logs write request "r1" that fails with "no room"
+    Then logs line 2 has "reason" as "no room"
+
+  Scenario Outline: Lines below the level are left out
+    Given a logs stream at level "<level>" for instance "i1"
+    When logs write one event and one action of each level
+    Then logs have <count> lines
+
+    Examples:
+      | level   | count |
+      | debug   | 12    |
+      | info    | 9     |
+      | warning | 6     |
+      | error   | 3     |
+
+  Scenario: A reader that stalls loses lines and delays nobody
+    Given a logs writer for 10 lines whose reader stalls
+    When logs queue 25 lines and the reader goes on
+    Then logs have the first 10 lines and the count of 15 dropped
+
+  Scenario: A reader that is gone is no error
+    Given a logs writer whose reader is gone
+    When logs queue 25 lines and the reader goes on
+    Then logs have 0 lines
