Daemon: node, worker sites and batch runner (not wired yet)

Cause: the owner's side of a job's way. Change: sites poll workers and renew leases, the runner records attempts before it starts them and ends them by reports or lapsed leases.

--- /dev/null
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/batch.py
@@ -0,0 +1,468 @@
+"""Runs batch jobs on the workers of this instance."""
+
+import asyncio
+import typing as t
+import zlib
+
+from amaranthflow import decisions
+from amaranthflow import exceptions
+from amaranthflow import ids
+from amaranthflow import jobs
+from amaranthflow import platform
+from amaranthflow import state as state_lib
+from amaranthflow import world
+from amaranthflow_schema.v1 import records_pb2
+
+from . import logs
+from . import metrics
+from . import node as node_lib
+from . import sites as sites_lib
+
+_TICK_S = 0.05
+_STEAL_MS = 500
+_RECORD_TIMEOUT_S = 2.0
+_END_RETRY_S = 0.5
+_MAX_LAUNCHES = 256
+_CHECKPOINT_S = 5.0
+_CHECKPOINTS_PER_S = 20
+_OUTCOMES = {
+    platform.TaskPhase.COMPLETED: jobs.Outcome.OUTCOME_COMPLETED,
+    platform.TaskPhase.FAILED: jobs.Outcome.OUTCOME_FAILED,
+    platform.TaskPhase.STOPPED: jobs.Outcome.OUTCOME_EVICTED,
+}
+
+
+def task_id_of(entry: jobs.JobEntry, attempt: int) -> ids.TaskId:
+    """Names the task of one attempt; unique over all tenants."""
+    return ids.batch_task_id(ids.JobId(str(entry.key)), attempt)
+
+
+def _task_of(entry: jobs.JobEntry, attempt: int) -> world.Task:
+    return world.Task(
+        task_id=task_id_of(entry, attempt),
+        tenant_id=entry.key.tenant_id,
+        task_class=ids.TaskClass(entry.job.task_class),
+        kind=world.TaskKind.BATCH,
+        size=world.Size.from_message(entry.job.declared),
+        urgent=entry.job.urgent,
+        evictions=entry.evictions,
+    )
+
+
+class BatchRunner:
+    """Starts attempts, follows them through reports and records their end.
+
+    A job's attempt is recorded before it is started. An attempt's end is
+    recorded once the worker says so, or once its lease has surely ended.
+    """
+
+    def __init__(self, *, node: node_lib.Node, placer: world.Placer):
+        self._node = node
+        self._placer = placer
+        self._launching: set[jobs.JobKey] = set()
+        self._ending: set[ids.TaskId] = set()
+        self._sent_at: dict[ids.TaskId, float] = {}
+        self._unsent: set[ids.TaskId] = set()
+        self._checkpointed_at: dict[ids.TaskId, float] = {}
+        self._wakeup = asyncio.Event()
+        self.sites: sites_lib.Sites | None = None
+
+    def on_applied(self, applied: state_lib.Applied) -> None:
+        """Looks for waiting jobs after each batch of records."""
+        self._wakeup.set()
+
+    def on_loaded(self) -> None:
+        """Looks for waiting jobs in the replaced state."""
+        self._wakeup.set()
+
+    async def run(self) -> t.NoReturn:
+        """Places waiting jobs until cancelled."""
+        while True:
+            self.place_waiting()
+            self._wakeup.clear()
+            timer = asyncio.ensure_future(self._node.clock.sleep(_TICK_S))
+            woken = asyncio.ensure_future(self._wakeup.wait())
+            try:
+                await asyncio.wait(
+                    {timer, woken}, return_when=asyncio.FIRST_COMPLETED
+                )
+            finally:
+                timer.cancel()
+                woken.cancel()
+
+    def place_waiting(self) -> None:
+        """Begins the launch of each waiting job that has room here."""
+        if self._node.draining or not self._node.journal.reachable:
+            return
+        for entry in self._candidates():
+            if len(self._launching) >= _MAX_LAUNCHES:
+                return
+            task = _task_of(entry, entry.attempt + 1)
+            placement = self._placer.choose(task, entry.failed_workers)
+            if placement is None:
+                continue
+            site = self.sites.by_id[placement.worker_id]
+            if site.admits and site.ledger.reserve(task):
+                self._placer.changed(placement.worker_id)
+                self._launching.add(entry.key)
+                self._explain(
+                    entry, decisions.DecisionKind.PLACED, placement.reason
+                )
+                self._node.spawn(
+                    self._launch(entry, task, site), f'launch {entry.key}'
+                )
+
+    async def reconcile(
+        self,
+        site: sites_lib.WorkerSite,
+        reports: tuple[platform.TaskReport, ...],
+        asked_at: float,
+    ) -> tuple[ids.TaskId, ...]:
+        """Compares a worker's tasks with the recorded attempts."""
+        reported = {r.task_id: r for r in reports}
+        recorded = self._recorded(site)
+        keep = []
+        for report in reports:
+            if ids.split_batch_task_id(report.task_id) is None:
+                continue
+            entry = recorded.get(report.task_id)
+            if report.phase is not platform.TaskPhase.RUNNING:
+                self._note_end(site, entry, report)
+            elif entry is None:
+                self._stop_stale(site, report, asked_at)
+            else:
+                self._sent_at.pop(report.task_id, None)
+                self._adopt(site, _task_of(entry, entry.attempt))
+                self._follow(site, entry, report)
+                keep.append(report.task_id)
+        for task_id in self._missing(site, recorded, reported, asked_at):
+            self._note_missing(site, recorded.get(task_id), task_id)
+        return tuple(keep)
+
+    async def lapsed(self, site: sites_lib.WorkerSite) -> None:
+        """Ends all attempts on a worker whose leases have surely ended."""
+        for task_id, entry in self._recorded(site).items():
+            if entry.key not in self._launching:
+                self._note_lost(site, entry, task_id, 'worker is silent')
+        for task_id, task in list(site.ledger.tasks.items()):
+            if task.kind is world.TaskKind.BATCH:
+                if not self._is_launching(task_id):
+                    self._release(site, task_id)
+
+    def _candidates(self) -> t.Iterator[jobs.JobEntry]:
+        """Waiting jobs that this instance may place, in order.
+
+        A job has one home among the owners, which spares contention for
+        its next attempt; another owner takes it after a while.
+        """
+        owners = sorted(
+            {
+                h.owner.instance
+                for h in self._node.state.racks.holdings.values()
+                if not h.released
+            }
+        )
+        now_ms = self._node.clock.wall_ms()
+        for entry in list(self._node.state.jobs.waiting.values()):
+            if entry.key in self._launching or not owners:
+                continue
+            home = owners[zlib.crc32(str(entry.key).encode()) % len(owners)]
+            waited_ms = now_ms - entry.changed_at_ms
+            if home == self._node.member.instance or waited_ms > _STEAL_MS:
+                yield entry
+
+    async def _launch(
+        self,
+        entry: jobs.JobEntry,
+        task: world.Task,
+        site: sites_lib.WorkerSite,
+    ) -> None:
+        attempt = entry.attempt + 1
+        with logs.job_action(str(entry.key), attempt=attempt):
+            try:
+                recorded = await self._record_start(entry, attempt, site)
+                if recorded:
+                    await self._start(entry, task, site)
+                else:
+                    self._release(site, task.task_id)
+                    self._unsent.add(task.task_id)
+            finally:
+                self._launching.discard(entry.key)
+
+    async def _record_start(
+        self, entry: jobs.JobEntry, attempt: int, site: sites_lib.WorkerSite
+    ) -> bool:
+        started = records_pb2.AttemptStarted(
+            job_id=str(entry.key),
+            attempt=attempt,
+            worker_id=site.worker.worker_id,
+            rack_id=site.worker.rack_id,
+            rack_epoch=site.epoch,
+        )
+        record = records_pb2.Record(attempt_started=started)
+        try:
+            result = await self._node.journal.write(record, _RECORD_TIMEOUT_S)
+        except exceptions.AmaranthflowError as exc:
+            # If the record lands after all, the next report of the worker
+            # shows that the attempt was never started.
+            logs.log_event('start not recorded', reason=exc.reason)
+            return False
+        return result.accepted
+
+    async def _start(
+        self,
+        entry: jobs.JobEntry,
+        task: world.Task,
+        site: sites_lib.WorkerSite,
+    ) -> None:
+        cfg = self._node.cfg
+        lease_ms = int(cfg.task_lease_s * 1000)
+        start = platform.TaskStart(
+            task_id=task.task_id,
+            task_class=task.task_class,
+            tenant_id=task.tenant_id,
+            lease_ms=lease_ms,
+            not_after_ms=self._node.clock.wall_ms() + lease_ms,
+            cores=task.size.cores,
+            memory_mb=task.size.memory_mb,
+            payload=entry.job.payload,
+            checkpoint=entry.checkpoint,
+        )
+        if not site.admits:
+            self._end_not_run(site, entry, task, 'the right has lapsed')
+            return
+        self._sent_at[task.task_id] = self._node.clock.monotonic()
+        try:
+            await site.link.start(start)
+        except exceptions.PlatformUncertain as exc:
+            # The worker's next report tells whether it runs.
+            logs.log_event('start uncertain', reason=exc.reason)
+        except exceptions.PlatformError as exc:
+            del self._sent_at[task.task_id]
+            self._end_not_run(site, entry, task, exc.reason)
+            return
+        self._explain(
+            entry,
+            decisions.DecisionKind.STARTED,
+            f'attempt {entry.attempt} on {site.worker.worker_id}',
+        )
+
+    def _end_not_run(self, site, entry, task: world.Task, reason: str):
+        self._release(site, task.task_id)
+        self._end(
+            site, entry, task.task_id, jobs.Outcome.OUTCOME_NOT_RUN, reason
+        )
+
+    def _recorded(self, site) -> dict[ids.TaskId, jobs.JobEntry]:
+        there = self._node.state.jobs.on_worker.get(site.worker.worker_id, {})
+        return {task_id_of(e, e.attempt): e for e in there.values()}
+
+    def _missing(self, site, recorded, reported, asked_at: float):
+        """Tasks of ours that the worker does not report.
+
+        A start under way when the worker was asked may be missing.
+        """
+        ours = set(recorded)
+        ours.update(
+            task_id
+            for task_id, task in site.ledger.tasks.items()
+            if task.kind is world.TaskKind.BATCH
+        )
+        for task_id in ours - set(reported):
+            if self._is_launching(task_id):
+                continue
+            if not self._may_still_arrive(task_id, asked_at):
+                yield task_id
+
+    def _is_launching(self, task_id: ids.TaskId) -> bool:
+        job_id, _ = ids.split_batch_task_id(task_id)
+        return jobs.JobKey.parse(job_id) in self._launching
+
+    def _may_still_arrive(self, task_id: ids.TaskId, asked_at: float) -> bool:
+        """Tells whether a start sent before may reach the worker yet."""
+        sent_at = self._sent_at.get(task_id)
+        if sent_at is None:
+            return False
+        cfg = self._node.cfg
+        return asked_at < sent_at + cfg.task_lease_s + cfg.clock_margin_s
+
+    def _note_missing(self, site, entry, task_id: ids.TaskId) -> None:
+        if entry is None:
+            self._release(site, task_id)
+        else:
+            self._note_lost(site, entry, task_id, 'worker does not run it')
+
+    def _note_lost(self, site, entry, task_id: ids.TaskId, reason: str):
+        """Ends an attempt that no longer runs and left no outcome."""
+        self._release(site, task_id)
+        outcome = jobs.Outcome.OUTCOME_LOST
+        if task_id in self._unsent:
+            outcome = jobs.Outcome.OUTCOME_NOT_RUN
+        if entry.cancel_requested:
+            outcome = jobs.Outcome.OUTCOME_CANCELLED
+        self._end(site, entry, task_id, outcome, reason)
+
+    def _note_end(self, site, entry, report: platform.TaskReport) -> None:
+        self._release(site, report.task_id)
+        if entry is None:
+            return
+        self._end(
+            site,
+            entry,
+            report.task_id,
+            _OUTCOMES[report.phase],
+            report.reason,
+            report,
+        )
+
+    def _adopt(self, site, task: world.Task) -> None:
+        if task.task_id not in site.ledger.tasks:
+            site.ledger.adopt(task)
+            self._placer.changed(site.worker.worker_id)
+
+    def _follow(self, site, entry, report: platform.TaskReport) -> None:
+        """Cancels a running task, or has it checkpointed now and then."""
+        if entry.cancel_requested:
+            self._node.spawn(
+                self._stop(site, report.task_id), f'stop {report.task_id}'
+            )
+            return
+        if report.checkpoint and report.checkpoint != entry.checkpoint:
+            self._record_checkpoint(site, entry, report.checkpoint)
+        now = self._node.clock.monotonic()
+        last = self._checkpointed_at.setdefault(report.task_id, now)
+        running = len(self._node.state.jobs.running)
+        pause_s = max(_CHECKPOINT_S, running / _CHECKPOINTS_PER_S)
+        if now - last >= pause_s and self._node.journal.reachable:
+            self._checkpointed_at[report.task_id] = now
+            self._node.spawn(
+                self._checkpoint(site, entry, report.task_id),
+                f'checkpoint {report.task_id}',
+            )
+
+    async def _checkpoint(self, site, entry, task_id: ids.TaskId) -> None:
+        try:
+            checkpoint = await site.link.checkpoint(task_id)
+        except exceptions.AmaranthflowError as exc:
+            logs.log_event('checkpoint failed', reason=exc.reason)
+            return
+        self._record_checkpoint(site, entry, checkpoint)
+
+    def _record_checkpoint(self, site, entry, checkpoint: str) -> None:
+        made = records_pb2.AttemptCheckpointed(
+            job_id=str(entry.key),
+            attempt=entry.attempt,
+            checkpoint=checkpoint,
+            rack_epoch=site.epoch,
+        )
+        record = records_pb2.Record(attempt_checkpointed=made)
+        self._node.spawn(self._write_once(record), f'record {entry.key}')
+
+    async def _write_once(self, record: records_pb2.Record) -> None:
+        try:
+            await self._node.journal.write(record, _RECORD_TIMEOUT_S)
+        except exceptions.AmaranthflowError as exc:
+            logs.log_event('checkpoint not recorded', reason=exc.reason)
+
+    def _stop_stale(self, site, report: platform.TaskReport, asked_at):
+        """Stops a task whose attempt the log does not name as running."""
+        if report.task_id in self._ending or self._is_launching(
+            report.task_id
+        ):
+            return
+        self._adopt(site, self._stale_task(report.task_id))
+        self._node.spawn(
+            self._stop(site, report.task_id), f'stop {report.task_id}'
+        )
+
+    def _stale_task(self, task_id: ids.TaskId) -> world.Task:
+        """Describes a task whose attempt has ended, for the ledger."""
+        job_id, attempt = ids.split_batch_task_id(task_id)
+        entry = self._node.state.jobs.jobs.get(jobs.JobKey.parse(job_id))
+        if entry is not None:
+            return _task_of(entry, attempt)
+        return world.Task(
+            task_id=task_id,
+            tenant_id=ids.TenantId(''),
+            task_class=ids.TaskClass(''),
+            kind=world.TaskKind.BATCH,
+            size=world.NOTHING,
+        )
+
+    async def _stop(self, site, task_id: ids.TaskId) -> None:
+        try:
+            await site.link.stop(task_id)
+        except exceptions.AmaranthflowError as exc:
+            logs.log_event('stop failed', reason=exc.reason)
+
+    def _release(self, site, task_id: ids.TaskId) -> None:
+        self._sent_at.pop(task_id, None)
+        self._checkpointed_at.pop(task_id, None)
+        if site.ledger.release(task_id) is not None:
+            self._placer.changed(site.worker.worker_id)
+            self._wakeup.set()
+
+    def _end(self, site, entry, task_id, outcome, reason, report=None):
+        if task_id in self._ending:
+            return
+        self._ending.add(task_id)
+        ended = records_pb2.AttemptEnded(
+            job_id=str(entry.key),
+            attempt=entry.attempt,
+            outcome=outcome,
+            reason=reason,
+            rack_epoch=site.epoch,
+            result=report.result if report else b'',
+            checkpoint=report.checkpoint if report else '',
+        )
+        self._node.spawn(
+            self._record_end(site, entry, task_id, ended), f'end {task_id}'
+        )
+
+    async def _record_end(self, site, entry, task_id, ended) -> None:
+        """Records an end; repeated until the log has an answer."""
+        record = records_pb2.Record(attempt_ended=ended)
+        right = self._node.ownership
+        try:
+            while right.holds(site.worker.rack_id, site.epoch):
+                try:
+                    result = await self._node.journal.write(
+                        record, _RECORD_TIMEOUT_S
+                    )
+                except exceptions.AmaranthflowError:
+                    await self._node.clock.sleep(_END_RETRY_S)
+                    continue
+                if result.accepted:
+                    self._note_recorded(entry, ended)
+                return
+        finally:
+            self._ending.discard(task_id)
+            self._unsent.discard(task_id)
+
+    def _note_recorded(self, entry: jobs.JobEntry, ended) -> None:
+        name = jobs.Outcome.Name(ended.outcome)
+        labels = {
+            'tenant_id': entry.key.tenant_id,
+            'task_class': entry.job.task_class,
+        }
+        if ended.outcome == jobs.Outcome.OUTCOME_EVICTED:
+            self._node.metrics.count(metrics.Metric.EVICTIONS, **labels)
+        if entry.phase is jobs.JobPhase.COMPLETED:
+            self._node.metrics.count(metrics.Metric.JOBS_COMPLETED, **labels)
+        if entry.phase is jobs.JobPhase.SET_ASIDE:
+            self._node.metrics.count(metrics.Metric.JOBS_SET_ASIDE, **labels)
+        kind = _DECISIONS.get(entry.phase, decisions.DecisionKind.QUEUED)
+        short = name.removeprefix('OUTCOME_').lower().replace('_', ' ')
+        self._explain(
+            entry, kind, f'attempt {ended.attempt} {short}: {ended.reason}'
+        )
+
+    def _explain(self, entry: jobs.JobEntry, kind, reason: str) -> None:
+        self._node.explain(entry.key.job_id, kind, reason, entry.key.tenant_id)
+
+
+_DECISIONS = {
+    jobs.JobPhase.COMPLETED: decisions.DecisionKind.COMPLETED,
+    jobs.JobPhase.CANCELLED: decisions.DecisionKind.CANCELLED,
+    jobs.JobPhase.SET_ASIDE: decisions.DecisionKind.SET_ASIDE,
+}
--- /dev/null
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/node.py
@@ -0,0 +1,190 @@
+"""The parts of one daemon process and what they share."""
+
+import asyncio
+import dataclasses
+import random
+import typing as t
+
+from amaranthflow import clock as clock_lib
+from amaranthflow import decisions
+from amaranthflow import exceptions
+from amaranthflow import follower
+from amaranthflow import ids
+from amaranthflow import journal
+from amaranthflow import latency
+from amaranthflow import ownership
+from amaranthflow import platform
+from amaranthflow import state as state_lib
+from amaranthflow import world
+
+from . import logs
+from . import metrics
+from . import settings
+
+_MS_PER_S = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PlatformLinks:
+    """Connections to the platform.
+
+    :ivar connect: makes the link to a worker.
+    """
+
+    log: platform.LogService
+    instances: platform.InstanceList
+    connect: t.Callable[[world.Worker], platform.WorkerLink]
+
+
+class AppliedListener(t.Protocol):
+    """Is told of each batch that took effect on the state."""
+
+    def on_applied(self, applied: state_lib.Applied) -> None:
+        """A batch was applied."""
+
+    def on_loaded(self) -> None:
+        """The whole state was replaced."""
+
+
+class Node:
+    """What all parts of the process share. One for each process.
+
+    :ivar draining: set by the graceful shutdown, never cleared.
+    """
+
+    def __init__(
+        self,
+        *,
+        cfg: settings.Settings,
+        clock: clock_lib.Clock,
+        links: PlatformLinks,
+        rng: random.Random,
+    ):
+        self.cfg = cfg
+        self.clock = clock
+        self.links = links
+        self.rng = rng
+        self.member = ids.Member(
+            cfg.instance_id, ids.Incarnation(clock.wall_ms())
+        )
+        self.state = state_lib.State()
+        self.metrics = metrics.Metrics(address=cfg.statsd_address)
+        self.latency = latency.LatencyBook()
+        self.decisions = decisions.DecisionLog()
+        self.draining = False
+        self.listeners: list[AppliedListener] = []
+        self._tasks: set[asyncio.Task] = set()
+        self.ownership = ownership.Ownership(
+            clock=clock,
+            state=self.state,
+            member=self.member,
+            fence_s=cfg.fence_s,
+            margin_s=cfg.clock_margin_s,
+        )
+        self.follower = follower.Follower(
+            log=links.log, clock=clock, state=self.state, listener=self
+        )
+        self.journal = self._new_journal()
+
+    @property
+    def joined(self) -> bool:
+        """True while the log names this process as a member."""
+        current = self.state.members.current(self.member.instance)
+        return current == self.member
+
+    @property
+    def ready(self) -> bool:
+        """True while callers may be sent here."""
+        return self.follower.caught_up and not self.draining
+
+    def now_ms(self) -> int:
+        """Time by which configuration is read, Unix ms."""
+        return self.state.now_ms(self.clock.wall_ms())
+
+    def explain(
+        self,
+        subject_id: str,
+        kind: decisions.DecisionKind,
+        reason: str,
+        tenant_id: str = '',
+    ) -> None:
+        """Keeps a decision and writes it to the log."""
+        self.decisions.add(
+            subject_id,
+            ids.TenantId(tenant_id),
+            kind,
+            reason,
+            self.clock.wall_ms(),
+        )
+        logs.log_event(
+            'decision',
+            subject=subject_id,
+            kind=kind.value,
+            reason=reason,
+            tenant=tenant_id,
+        )
+
+    def spawn(self, work: t.Coroutine, name: str) -> asyncio.Task:
+        """Starts a task that is cancelled when the process ends.
+
+        An error in it is logged; it does not end other tasks.
+        """
+        task = asyncio.create_task(work, name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._note_done)
+        return task
+
+    async def cancel_tasks(self) -> None:
+        """Cancels all tasks and waits for their end."""
+        tasks = tuple(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def on_applied(self, applied: state_lib.Applied) -> None:
+        """Passes a batch on to the journal and the listeners."""
+        self.journal.note_applied(applied)
+        for listener in self.listeners:
+            listener.on_applied(applied)
+
+    def on_loaded(self) -> None:
+        """Tells all parts that the state was replaced."""
+        self.journal.note_position(self.state)
+        for listener in self.listeners:
+            listener.on_loaded()
+
+    def on_confirmed(self, asked_at: float) -> None:
+        """Renews the proof that rests on the log."""
+        self.ownership.note_log_confirmed(asked_at)
+
+    def on_invalid(self, exc: exceptions.InvalidRecord) -> None:
+        """Counts an entry of the log that cannot be decoded."""
+        self.metrics.count(metrics.Metric.RECORDS_SET_ASIDE)
+        logs.log_event(
+            'record set aside', level=logs.WARNING, reason=exc.reason
+        )
+
+    def _new_journal(self) -> journal.Journal:
+        return journal.Journal(
+            log=self.links.log,
+            clock=self.clock,
+            member=self.member,
+            batch_delay_s=self.cfg.batch_delay_ms / _MS_PER_S,
+            min_interval_s=self._append_interval_s,
+            rng=self.rng,
+        )
+
+    def _append_interval_s(self) -> float:
+        """This member's part of the log's rate, as time between appends."""
+        members = max(1, len(self.state.members.members))
+        return members / self.cfg.log_appends_per_s
+
+    def _note_done(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logs.log_event(
+                'task failed',
+                level=logs.ERROR,
+                task=task.get_name(),
+                reason=repr(task.exception()),
+            )
--- /dev/null
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/sites.py
@@ -0,0 +1,233 @@
+"""Workers of the racks that this instance owns."""
+
+import typing as t
+
+from amaranthflow import exceptions
+from amaranthflow import ids
+from amaranthflow import platform
+from amaranthflow import state as state_lib
+from amaranthflow import world
+
+from . import logs
+from . import node as node_lib
+
+_POLLS_PER_LEASE = 4
+_POLL_TIMEOUT_S = 1.0
+
+
+class Reconciler(t.Protocol):
+    """Compares what a worker reports with what the log says."""
+
+    async def reconcile(
+        self,
+        site: 'WorkerSite',
+        reports: tuple[platform.TaskReport, ...],
+        asked_at: float,
+    ) -> tuple[ids.TaskId, ...]:
+        """Handles a report; returns the tasks whose leases to renew."""
+
+    async def lapsed(self, site: 'WorkerSite') -> None:
+        """All leases on a worker that does not answer have ended."""
+
+
+class WorkerSite:
+    """One worker, its ledger and the task that keeps in touch with it.
+
+    :ivar known: the worker has told what it runs since this instance took
+        the rack over. Nothing is started before.
+    :ivar renewed_at: monotonic time after which no lease on the worker can
+        have been extended.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: node_lib.Node,
+        worker: world.Worker,
+        epoch: ids.Epoch,
+        reconciler: Reconciler,
+    ):
+        self._node = node
+        self._reconciler = reconciler
+        self.worker = worker
+        self.epoch = epoch
+        self.link = node.links.connect(worker)
+        self.ledger = world.WorkerLedger(worker=worker)
+        self.known = False
+        self.answering = False
+        self.renewed_at = node.clock.monotonic()
+
+    @property
+    def admits(self) -> bool:
+        """Tells whether work may be started here at this moment."""
+        return (
+            self.known
+            and self.answering
+            and not self.ledger.leaving
+            and self._node.ownership.admits(self.worker.rack_id)
+        )
+
+    async def run(self) -> t.NoReturn:
+        """Polls the worker until cancelled."""
+        pause_s = self._node.cfg.task_lease_s / _POLLS_PER_LEASE
+        while True:
+            await self.poll()
+            await self._node.clock.sleep(pause_s)
+
+    async def poll(self) -> None:
+        """Asks for the worker's tasks and renews the leases to keep."""
+        asked_at = self._node.clock.monotonic()
+        try:
+            reports = await self.link.tasks()
+        except exceptions.AmaranthflowError as exc:
+            await self._note_silence(exc)
+            return
+        keep = await self._reconciler.reconcile(self, reports, asked_at)
+        self._note_answer()
+        await self._renew(keep)
+
+    async def _renew(self, keep: tuple[ids.TaskId, ...]) -> None:
+        """Extends leases while this instance owns the rack.
+
+        A new owner does so from its claim on: it starts nothing yet, but
+        running tasks need not stop.
+        """
+        right = self._node.ownership
+        if not keep or not right.holds(self.worker.rack_id, self.epoch):
+            return
+        if not right.fresh():
+            return
+        lease_ms = int(self._node.cfg.task_lease_s * 1000)
+        self.renewed_at = self._node.clock.monotonic()
+        try:
+            await self.link.renew(keep, lease_ms)
+        except exceptions.AmaranthflowError as exc:
+            logs.log_event(
+                'renewal failed',
+                level=logs.WARNING,
+                worker=self.worker.worker_id,
+                reason=exc.reason,
+            )
+
+    def _note_answer(self) -> None:
+        if not self.answering:
+            logs.log_event('worker answers', worker=self.worker.worker_id)
+        self.answering = True
+        self.known = True
+
+    async def _note_silence(self, exc: exceptions.AmaranthflowError) -> None:
+        if self.answering:
+            logs.log_event(
+                'worker does not answer',
+                level=logs.WARNING,
+                worker=self.worker.worker_id,
+                reason=exc.reason,
+            )
+        self.answering = False
+        cfg = self._node.cfg
+        silent_s = self._node.clock.monotonic() - self.renewed_at
+        # The last renewal may have reached the worker as late as its
+        # timeout allows.
+        if silent_s > _POLL_TIMEOUT_S + cfg.task_lease_s + cfg.clock_margin_s:
+            await self._reconciler.lapsed(self)
+
+
+class Sites:
+    """All sites of this instance, kept in step with the configuration."""
+
+    def __init__(
+        self,
+        *,
+        node: node_lib.Node,
+        placer: world.Placer,
+        reconciler: Reconciler,
+    ):
+        self._node = node
+        self._placer = placer
+        self._reconciler = reconciler
+        self._tasks: dict[ids.WorkerId, t.Any] = {}
+        self._leaving: frozenset[str] = frozenset()
+        self._seen: tuple = ()
+        self.by_id: dict[ids.WorkerId, WorkerSite] = {}
+
+    def on_applied(self, applied: state_lib.Applied) -> None:
+        """Follows changes of the configuration and of ownership."""
+        state = self._node.state
+        seen = (state.config.revision, state.view_offset)
+        if seen != self._seen:
+            self._seen = seen
+            self.refresh()
+
+    def on_loaded(self) -> None:
+        """Starts anew from the replaced state."""
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Adds and removes sites, and applies reserved slots."""
+        wanted = self._wanted()
+        for worker_id in list(self.by_id):
+            site = self.by_id[worker_id]
+            if wanted.get(worker_id) != (site.worker, site.epoch):
+                self._remove(worker_id)
+        for worker_id, (worker, epoch) in wanted.items():
+            if worker_id not in self.by_id:
+                self._add(worker, epoch)
+        reserved = self._reserved_slots()
+        for site in self.by_id.values():
+            if site.ledger.reserved_slots != reserved:
+                site.ledger.reserved_slots = reserved
+                self._placer.changed(site.worker.worker_id)
+
+    def note_leaving(self, names: frozenset[str]) -> None:
+        """Takes the workers that the platform's list calls leaving."""
+        self._leaving = names
+        for worker_id, site in self.by_id.items():
+            leaving = worker_id in names
+            if leaving != site.ledger.leaving:
+                site.ledger.leaving = leaving
+                self._placer.changed(worker_id)
+                logs.log_event(
+                    'worker leaving', worker=worker_id, leaving=leaving
+                )
+
+    def of_rack(self, rack_id: ids.RackId) -> tuple[WorkerSite, ...]:
+        """Returns the sites of one rack."""
+        return tuple(
+            s for s in self.by_id.values() if s.worker.rack_id == rack_id
+        )
+
+    def _wanted(self) -> dict[ids.WorkerId, tuple[world.Worker, ids.Epoch]]:
+        state = self._node.state
+        epochs = {
+            h.rack_id: h.epoch for h in state.racks.owned_by(self._node.member)
+        }
+        wanted = {}
+        bodies = state.config.bodies('worker', self._node.now_ms())
+        for body in bodies.values():
+            worker = world.Worker.from_message(body)
+            if worker.rack_id in epochs:
+                wanted[worker.worker_id] = (worker, epochs[worker.rack_id])
+        return wanted
+
+    def _reserved_slots(self) -> int:
+        bodies = self._node.state.config.bodies('service', self._node.now_ms())
+        return sum(body.reserved_slots for body in bodies.values())
+
+    def _add(self, worker: world.Worker, epoch: ids.Epoch) -> None:
+        site = WorkerSite(
+            node=self._node,
+            worker=worker,
+            epoch=epoch,
+            reconciler=self._reconciler,
+        )
+        site.ledger.leaving = worker.worker_id in self._leaving
+        self.by_id[worker.worker_id] = site
+        self._placer.add(site.ledger)
+        self._tasks[worker.worker_id] = self._node.spawn(
+            site.run(), f'worker {worker.worker_id}'
+        )
+
+    def _remove(self, worker_id: ids.WorkerId) -> None:
+        del self.by_id[worker_id]
+        self._placer.remove(worker_id)
+        self._tasks.pop(worker_id).cancel()
--- a/packages/amaranthflow/src/amaranthflow/jobs.py
+++ b/packages/amaranthflow/src/amaranthflow/jobs.py
@@ -88,14 +88,16 @@
 class JobTable:
     """Replicated table of jobs. Changed by records of the log only.
 
-    ``waiting`` and ``running`` index the unfinished jobs. Finished ones are
-    dropped KEEP_FINISHED_MS after they finished, by the log's time.
+    ``waiting`` and ``running`` index the unfinished jobs, ``on_worker`` the
+    running ones by their worker. Finished ones are dropped KEEP_FINISHED_MS
+    after they finished, by the log's time.
     """
 
     def __init__(self):
         self.jobs: dict[JobKey, JobEntry] = {}
         self.waiting: dict[JobKey, JobEntry] = {}
         self.running: dict[JobKey, JobEntry] = {}
+        self.on_worker: dict[ids.WorkerId, dict[JobKey, JobEntry]] = {}
         self._finished: collections.deque[JobKey] = collections.deque()
         self._next_sequence = 0
 
@@ -215,9 +217,9 @@
 
     def _wait_again(self, entry: JobEntry, reason: str) -> None:
         entry.reason = reason
+        self._move(entry, JobPhase.WAITING)
         entry.worker_id = ids.WorkerId('')
         entry.rack_id = ids.RackId('')
-        self._move(entry, JobPhase.WAITING)
 
     def _finish(self, entry, phase: JobPhase, reason: str, now_ms: int):
         entry.reason = reason
@@ -227,12 +229,21 @@
 
     def _move(self, entry: JobEntry, phase: JobPhase) -> None:
         self.waiting.pop(entry.key, None)
-        self.running.pop(entry.key, None)
+        if self.running.pop(entry.key, None) is not None:
+            self._leave_worker(entry)
         entry.phase = phase
         if phase is JobPhase.WAITING:
             self.waiting[entry.key] = entry
         elif phase is JobPhase.RUNNING:
             self.running[entry.key] = entry
+            there = self.on_worker.setdefault(entry.worker_id, {})
+            there[entry.key] = entry
+
+    def _leave_worker(self, entry: JobEntry) -> None:
+        there = self.on_worker[entry.worker_id]
+        del there[entry.key]
+        if not there:
+            del self.on_worker[entry.worker_id]
 
     def dump(self, snapshot: records_pb2.Snapshot) -> None:
         """Adds all jobs to a snapshot, in order of submission."""
