Platform stand-ins over TCP and HTTP adapters

Cause: nothing implemented the platform's protocols. Errors say whether a call may have taken effect.

--- /dev/null
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/machine.py
@@ -0,0 +1,503 @@
+"""The machine behind a worker stand-in: what runs on it, and its faults."""
+
+import asyncio
+import dataclasses
+import hashlib
+import random
+import typing as t
+
+from amaranthflow import clock as clock_lib
+from amaranthflow import exceptions
+from amaranthflow import ids
+from amaranthflow import platform
+from amaranthflow import world
+
+from . import history as history_lib
+from . import program
+from . import waiting
+
+_KEPT_REPORTS = 2000
+_CORES_ROUNDING = 1e-6
+_SERVICE_TIME_SPREAD = 0.3
+
+
+class Slowdown(t.Protocol):
+    """Run time over run time alone, given the classes of the neighbours."""
+
+    def __call__(self, task_class: str, neighbours: t.Sequence[str]) -> float:
+        """Returns 1.0 for no slowdown."""
+
+
+def no_slowdown(task_class: str, neighbours: t.Sequence[str]) -> float:
+    """Neighbours do not disturb each other."""
+    return 1.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class WorkerFaults:
+    """What is wrong with a worker now. Shares are of answers or starts.
+
+    :ivar frozen: nothing is handled until it is cleared; tasks run on.
+    :ivar late_s: how late a late answer or a duplicated start comes.
+    :ivar interference: factor on service and run times.
+    """
+
+    dead: bool = False
+    frozen: bool = False
+    fails_everything: bool = False
+    garbage_share: float = 0.0
+    cut_short_share: float = 0.0
+    foreign_share: float = 0.0
+    late_share: float = 0.0
+    duplicated_start_share: float = 0.0
+    late_s: float = 1.0
+    interference: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Answer:
+    """A backend server's answer as it is sent, faults included.
+
+    ``length`` and ``sha256`` are those of the whole answer, also where
+    ``body`` has been cut short or replaced.
+    """
+
+    request_id: ids.RequestId
+    attempt: int
+    body: bytes
+    length: int
+    sha256: str
+    service_time_us: int
+
+
+class BackendFailed(exceptions.PlatformUncertain):
+    """The backend server began the request and failed."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class _RunningTask:
+    start: platform.TaskStart
+    program: program.Program
+    run: history_lib.Run
+    lease_until_s: float
+    updated_s: float
+    progress_s: float
+    rate: float = 1.0
+    share: float = 1.0
+    slowdown: float = 1.0
+    checkpoint: str = ''
+    changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    ended: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+    def catch_up(self, now_s: float) -> None:
+        """Brings the progress up to date."""
+        self.progress_s += (now_s - self.updated_s) * self.rate
+        self.updated_s = now_s
+
+    @property
+    def left_s(self) -> float:
+        """Run time left without throttle or slowdown."""
+        return self.program.run_s - self.progress_s
+
+
+class Machine:
+    """Runs requests and tasks, and records all of it.
+
+    It does not refuse work above its limits by itself; it records each
+    time that a limit was exceeded.
+
+    :param service_time_s: median time of a request.
+    :param service_sizes: cores and memory that one request of a service
+        takes, none where a service is missing.
+    :param usage_delay_s: age that a measurement has when it is reported.
+    """
+
+    def __init__(
+        self,
+        *,
+        worker: world.Worker,
+        clock: clock_lib.Clock,
+        rng: random.Random,
+        service_time_s: float = 0.005,
+        service_sizes: t.Mapping[ids.ServiceId, world.Size] | None = None,
+        slowdown: Slowdown = no_slowdown,
+        usage_delay_s: float = 2.0,
+    ):
+        self.worker = worker
+        self.faults = WorkerFaults()
+        self.history = history_lib.WorkerHistory(worker_id=worker.worker_id)
+        self.slowdown = slowdown
+        self._clock = clock
+        self._rng = rng
+        self._service_time_s = service_time_s
+        self._service_sizes = service_sizes or {}
+        self._usage_delay_s = usage_delay_s
+        self._thawed = asyncio.Event()
+        self._thawed.set()
+        self._died = asyncio.Event()
+        self._active: list[history_lib.Run] = []
+        self._active_services: dict[int, str] = {}
+        self._running: dict[ids.TaskId, _RunningTask] = {}
+        self._reports: dict[ids.TaskId, platform.TaskReport] = {}
+        self._samples: list[platform.UsageReport] = []
+        self._background: set[asyncio.Task] = set()
+        self._last_body = b''
+
+    def set_faults(self, **changes) -> None:
+        """Changes faults; a death ends all that runs at once."""
+        self.faults = dataclasses.replace(self.faults, **changes)
+        if self.faults.frozen:
+            self._thawed.clear()
+        else:
+            self._thawed.set()
+        if self.faults.dead:
+            self._die()
+
+    def count_connections(self, connections: int) -> None:
+        """Records the number of connections open now."""
+        peaks = self.history.peaks
+        peaks.connections = max(peaks.connections, connections)
+        self._check('connections', self.worker.connections, connections)
+
+    async def run_call(self, call: platform.BackendCall) -> Answer:
+        """Runs a request on a backend server.
+
+        :raises PlatformError: the machine is dead, nothing ran.
+        :raises PlatformUncertain: it died or failed during the request.
+        """
+        await self._reach()
+        run = self._begin_request(call)
+        died = self._died
+        service_s = self._draw_service_s(call.service_id)
+        limit_s = call.timeout_ms / 1000
+        await waiting.wait_event(self._clock, died, min(service_s, limit_s))
+        if died.is_set():
+            raise exceptions.PlatformUncertain('the worker died')
+        self._active_services.pop(id(run), None)
+        self._end(run, self._request_outcome(service_s, limit_s))
+        if run.outcome is not history_lib.RunOutcome.COMPLETED:
+            raise BackendFailed(f'the backend server {run.outcome.value}')
+        answer = self._answer(call, run)
+        if self._chance(self.faults.late_share):
+            await self._clock.sleep(self.faults.late_s)
+        return answer
+
+    async def start(self, start: platform.TaskStart) -> None:
+        """Starts a task; see ``platform.WorkerLink``."""
+        await self._reach()
+        self._start_now(start)
+        if self._chance(self.faults.duplicated_start_share):
+            self._in_background(self._start_again(start))
+
+    async def renew(
+        self, task_ids: t.Sequence[ids.TaskId], lease_ms: int
+    ) -> None:
+        """Extends leases; unknown tasks are skipped."""
+        await self._reach()
+        until_s = self._clock.monotonic() + lease_ms / 1000
+        for task_id in task_ids:
+            task = self._running.get(task_id)
+            if task is not None:
+                task.lease_until_s = max(task.lease_until_s, until_s)
+                task.changed.set()
+
+    async def tasks(self) -> tuple[platform.TaskReport, ...]:
+        """Lists running and ended tasks."""
+        await self._reach()
+        running = [self._report_running(t) for t in self._running.values()]
+        return (*running, *self._reports.values())
+
+    async def usage(self) -> tuple[platform.UsageReport, ...]:
+        """Lists the newest measurement of each task that is old enough."""
+        await self._reach()
+        self._sample_tasks()
+        visible_ms = self._clock.wall_ms() - self._usage_delay_s * 1000
+        newest = {}
+        for sample in self._samples:
+            if sample.measured_at_ms <= visible_ms:
+                newest[sample.task_id] = sample
+        self._samples = [
+            sample
+            for sample in self._samples
+            if sample.measured_at_ms > visible_ms
+            or newest[sample.task_id] is sample
+        ][-_KEPT_REPORTS:]
+        return tuple(newest.values())
+
+    async def checkpoint(self, task_id: ids.TaskId) -> str:
+        """Makes a task write a checkpoint and returns its reference."""
+        await self._reach()
+        task = self._find(task_id)
+        task.catch_up(self._clock.monotonic())
+        task.checkpoint = program.checkpoint_at(task_id, task.progress_s)
+        return task.checkpoint
+
+    async def throttle(self, task_id: ids.TaskId, share: float) -> None:
+        """Limits a task to a share of its speed."""
+        await self._reach()
+        self._find(task_id).share = max(share, 0.01)
+        self._update_rates()
+
+    async def stop(self, task_id: ids.TaskId) -> platform.TaskReport:
+        """Stops a task and returns how it ended."""
+        await self._reach()
+        if task_id in self._reports:
+            return self._reports[task_id]
+        task = self._find(task_id)
+        self._end_task(task, history_lib.RunOutcome.STOPPED)
+        return self._reports[task_id]
+
+    async def close(self) -> None:
+        """Ends all asyncio tasks of the machine."""
+        await waiting.cancel(*self._background)
+
+    async def _reach(self) -> None:
+        if self.faults.dead:
+            raise exceptions.PlatformError('the worker is dead')
+        await self._thawed.wait()
+        if self.faults.dead:
+            raise exceptions.PlatformUncertain('the worker died')
+
+    def _chance(self, share: float) -> bool:
+        return share > 0 and self._rng.random() < share
+
+    def _in_background(self, work: t.Coroutine) -> None:
+        task = asyncio.ensure_future(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    def _begin_request(self, call: platform.BackendCall) -> history_lib.Run:
+        size = self._service_sizes.get(call.service_id, world.NOTHING)
+        run = history_lib.Run(
+            worker_id=self.worker.worker_id,
+            kind=history_lib.RunKind.REQUEST,
+            subject=call.request_id,
+            attempt=call.attempt,
+            tenant_id=call.tenant_id,
+            cores=size.cores,
+            memory_mb=size.memory_mb,
+            started_s=self._clock.monotonic(),
+        )
+        self._active_services[id(run)] = call.service_id
+        self._begin(run)
+        return run
+
+    def _begin(self, run: history_lib.Run) -> None:
+        self.history.runs.append(run)
+        self._active.append(run)
+        self._check_limits()
+
+    def _end(self, run: history_lib.Run, outcome) -> None:
+        run.ended_s = self._clock.monotonic()
+        run.outcome = outcome
+        self._active.remove(run)
+
+    def _check_limits(self) -> None:
+        peaks = self.history.peaks
+        capacity = self.worker.capacity
+        slots = len(self._active)
+        cores = sum(run.cores for run in self._active)
+        memory_mb = sum(run.memory_mb for run in self._active)
+        peaks.slots = max(peaks.slots, slots)
+        peaks.cores = max(peaks.cores, cores)
+        peaks.memory_mb = max(peaks.memory_mb, memory_mb)
+        self._check('slots', self.worker.slots, slots)
+        self._check('cores', capacity.cores, cores)
+        self._check('memory_mb', capacity.memory_mb, memory_mb)
+
+    def _check(self, limit: str, allowed: float, used: float) -> None:
+        if used <= allowed + _CORES_ROUNDING:
+            return
+        violation = history_lib.Violation(
+            worker_id=self.worker.worker_id,
+            limit=limit,
+            allowed=allowed,
+            used=used,
+            at_s=self._clock.monotonic(),
+        )
+        self.history.violations.append(violation)
+
+    def _draw_service_s(self, service_id: ids.ServiceId) -> float:
+        spread = self._rng.lognormvariate(0.0, _SERVICE_TIME_SPREAD)
+        factor = self.slowdown(service_id, self._classes(None))
+        interference = self.faults.interference
+        return self._service_time_s * spread * factor * interference
+
+    def _classes(self, without: _RunningTask | None) -> list[str]:
+        classes = [
+            task.start.task_class
+            for task in self._running.values()
+            if task is not without
+        ]
+        return classes + list(self._active_services.values())
+
+    def _request_outcome(
+        self, service_s: float, limit_s: float
+    ) -> history_lib.RunOutcome:
+        if service_s > limit_s:
+            return history_lib.RunOutcome.TIMED_OUT
+        if self.faults.fails_everything:
+            return history_lib.RunOutcome.FAILED
+        return history_lib.RunOutcome.COMPLETED
+
+    def _answer(
+        self, call: platform.BackendCall, run: history_lib.Run
+    ) -> Answer:
+        body = program.answer_to(
+            call.tenant_id, call.service_id, call.request_id, call.payload
+        )
+        sent, self._last_body = self._spoil(body), body
+        foreign = self._chance(self.faults.foreign_share)
+        request_id = f'other-{call.request_id}' if foreign else call.request_id
+        return Answer(
+            request_id=ids.RequestId(request_id),
+            attempt=call.attempt,
+            body=sent,
+            length=len(body),
+            sha256=hashlib.sha256(body).hexdigest(),
+            service_time_us=round((run.ended_s - run.started_s) * 1_000_000),
+        )
+
+    def _spoil(self, body: bytes) -> bytes:
+        if self._chance(self.faults.garbage_share):
+            return self._rng.randbytes(len(body))
+        if self._chance(self.faults.cut_short_share):
+            return body[: len(body) // 2]
+        return body
+
+    def _start_now(self, start: platform.TaskStart) -> None:
+        if start.task_id in self._running or start.task_id in self._reports:
+            return
+        if self._clock.wall_ms() > start.not_after_ms:
+            raise exceptions.PlatformError('the start came too late')
+        now_s = self._clock.monotonic()
+        run = history_lib.Run(
+            worker_id=self.worker.worker_id,
+            kind=history_lib.RunKind.TASK,
+            subject=start.task_id,
+            attempt=0,
+            tenant_id=start.tenant_id,
+            cores=start.cores,
+            memory_mb=start.memory_mb,
+            started_s=now_s,
+            checkpoint=start.checkpoint,
+        )
+        task = _RunningTask(
+            start=start,
+            program=program.parse(start.payload),
+            run=run,
+            lease_until_s=now_s + start.lease_ms / 1000,
+            updated_s=now_s,
+            progress_s=program.progress_of(start.checkpoint),
+            checkpoint=start.checkpoint,
+        )
+        self._running[start.task_id] = task
+        self._begin(run)
+        self._update_rates()
+        self._in_background(self._run_task(task))
+
+    async def _start_again(self, start: platform.TaskStart) -> None:
+        await self._clock.sleep(self.faults.late_s)
+        try:
+            self._start_now(start)
+        except exceptions.PlatformError:
+            return
+
+    async def _run_task(self, task: _RunningTask) -> None:
+        while not task.ended.is_set():
+            now_s = self._clock.monotonic()
+            task.catch_up(now_s)
+            if task.left_s <= 1e-9 or self.faults.fails_everything:
+                self._end_task(task, self._task_outcome(task))
+                return
+            lease_left_s = task.lease_until_s - now_s
+            if lease_left_s <= 0:
+                self._end_task(task, history_lib.RunOutcome.LEASE_LAPSED)
+                return
+            task.changed.clear()
+            wait_s = min(task.left_s / task.rate, lease_left_s)
+            await waiting.wait_event(self._clock, task.changed, wait_s)
+
+    def _task_outcome(self, task: _RunningTask) -> history_lib.RunOutcome:
+        if self.faults.fails_everything or task.program.fails:
+            return history_lib.RunOutcome.FAILED
+        return history_lib.RunOutcome.COMPLETED
+
+    def _end_task(self, task: _RunningTask, outcome) -> None:
+        task_id = task.start.task_id
+        if self._running.pop(task_id, None) is None:
+            return
+        self._end(task.run, outcome)
+        task.ended.set()
+        task.changed.set()
+        self._reports[task_id] = self._report_ended(task, outcome)
+        while len(self._reports) > _KEPT_REPORTS:
+            del self._reports[next(iter(self._reports))]
+        self._update_rates()
+
+    def _report_running(self, task: _RunningTask) -> platform.TaskReport:
+        left_s = task.lease_until_s - self._clock.monotonic()
+        return platform.TaskReport(
+            task_id=task.start.task_id,
+            phase=platform.TaskPhase.RUNNING,
+            lease_left_ms=max(0, round(left_s * 1000)),
+            checkpoint=task.checkpoint,
+        )
+
+    def _report_ended(
+        self, task: _RunningTask, outcome: history_lib.RunOutcome
+    ) -> platform.TaskReport:
+        phase = {
+            history_lib.RunOutcome.COMPLETED: platform.TaskPhase.COMPLETED,
+            history_lib.RunOutcome.FAILED: platform.TaskPhase.FAILED,
+        }.get(outcome, platform.TaskPhase.STOPPED)
+        completed = phase is platform.TaskPhase.COMPLETED
+        return platform.TaskReport(
+            task_id=task.start.task_id,
+            phase=phase,
+            lease_left_ms=0,
+            checkpoint=task.checkpoint,
+            result=program.result_of(task.start.payload) if completed else b'',
+            reason='' if completed else outcome.value,
+        )
+
+    def _find(self, task_id: ids.TaskId) -> _RunningTask:
+        task = self._running.get(task_id)
+        if task is None:
+            raise exceptions.PlatformError(f'no task {task_id} runs here')
+        return task
+
+    def _update_rates(self) -> None:
+        now_s = self._clock.monotonic()
+        for task in self._running.values():
+            task.catch_up(now_s)
+            task.slowdown = self.faults.interference * self.slowdown(
+                task.start.task_class, self._classes(task)
+            )
+            task.rate = task.share / task.slowdown
+            task.changed.set()
+
+    def _sample_tasks(self) -> None:
+        for task in self._running.values():
+            used_mb = task.program.memory_mb or task.start.memory_mb
+            sample = platform.UsageReport(
+                task_id=task.start.task_id,
+                task_class=task.start.task_class,
+                measured_at_ms=self._clock.wall_ms(),
+                cores=task.start.cores * task.share,
+                memory_mb=used_mb,
+                peak_memory_mb=used_mb,
+                slowdown=task.slowdown,
+            )
+            self._samples.append(sample)
+
+    def _die(self) -> None:
+        for task in list(self._running.values()):
+            self._end_task(task, history_lib.RunOutcome.DIED)
+        for run in list(self._active):
+            self._end(run, history_lib.RunOutcome.DIED)
+        self._active_services.clear()
+        self._reports.clear()
+        self._samples.clear()
+        self._died.set()
+        self._died = asyncio.Event()
--- /dev/null
+++ b/packages/amaranthflow/src/amaranthflow/http_calls.py
@@ -0,0 +1,114 @@
+"""Plain HTTP calls to the platform, with errors that tell what is known."""
+
+import dataclasses
+import socket
+import typing as t
+
+import aiohttp
+
+from . import exceptions
+
+REQUEST_ID_HEADER = 'X-Request-Id'
+ATTEMPT_HEADER = 'X-Attempt'
+SHA256_HEADER = 'X-Sha256'
+LENGTH_HEADER = 'X-Length'
+VERDICT_HEADER = 'X-Verdict'
+NOT_RUN = 'not-run'
+
+_NOT_RUN_STATUSES = (429, 503)
+_KEEPALIVE_IDLE_S = 2
+_KEEPALIVE_INTERVAL_S = 1
+_KEEPALIVE_PROBES = 3
+_UNACKNOWLEDGED_MS = 4000
+_IDLE_CONNECTION_S = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Response:
+    """A whole response."""
+
+    status: int
+    headers: t.Mapping[str, str]
+    body: bytes
+
+
+def new_session() -> aiohttp.ClientSession:
+    """Opens a session for the adapters, which limit connections themselves.
+
+    The kernel probes idle connections and drops one whose peer or path has
+    gone silent, so that a later call does not have to time out on it.
+    """
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        keepalive_timeout=_IDLE_CONNECTION_S,
+        socket_factory=_open_socket,
+    )
+    return aiohttp.ClientSession(connector=connector, auto_decompress=False)
+
+
+def _open_socket(addr_info) -> socket.socket:
+    family, kind, proto, _, _ = addr_info
+    sock = socket.socket(family, kind, proto)
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS)
+    return sock
+
+
+async def send(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    *,
+    timeout_s: float,
+    headers: t.Mapping[str, str] | None = None,
+    body: bytes | None = None,
+) -> Response:
+    """Sends a request and reads the whole response.
+
+    :param timeout_s: limit of the whole exchange.
+    :raises PlatformError: no connection could be opened, nothing was sent.
+    :raises PlatformUncertain: there is no whole response.
+    """
+    timeout = aiohttp.ClientTimeout(total=timeout_s)
+    try:
+        async with session.request(
+            method,
+            url,
+            headers=headers,
+            data=body,
+            timeout=timeout,
+            allow_redirects=False,
+        ) as resp:
+            return Response(
+                status=resp.status,
+                headers=resp.headers,
+                body=await resp.read(),
+            )
+    except (aiohttp.ClientConnectorError, aiohttp.InvalidURL) as exc:
+        raise exceptions.PlatformError(f'{url}: {exc}') from exc
+    except (aiohttp.ClientError, OSError) as exc:
+        reason = f'{url}: {str(exc) or type(exc).__name__}'
+        raise exceptions.PlatformUncertain(reason) from exc
+
+
+def check_status(resp: Response, url: str) -> None:
+    """Accepts 200 only.
+
+    :raises PlatformError: the answer says that nothing ran.
+    :raises PlatformUncertain: any other status.
+    """
+    if resp.status == 200:
+        return
+    reason = f'{url}: status {resp.status} {_one_line(resp.body)}'
+    verdict = resp.headers.get(VERDICT_HEADER)
+    if resp.status in _NOT_RUN_STATUSES and verdict == NOT_RUN:
+        raise exceptions.PlatformError(reason)
+    raise exceptions.PlatformUncertain(reason)
+
+
+def _one_line(body: bytes) -> str:
+    return body[:200].decode(errors='replace').replace('\n', ' ')
--- /dev/null
+++ b/packages/amaranthflow/src/amaranthflow/worker_adapter.py
@@ -0,0 +1,226 @@
+"""HTTP client of one worker and of the backend servers on it."""
+
+import asyncio
+import base64
+import dataclasses
+import hashlib
+import json
+import typing as t
+
+import aiohttp
+
+from . import exceptions
+from . import http_calls
+from . import ids
+from . import platform
+
+TENANT_HEADER = 'X-Tenant'
+SERVICE_HEADER = 'X-Service'
+TIMEOUT_HEADER = 'X-Timeout-Ms'
+
+_CONTROL_CONNECTIONS = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AnswerHead:
+    """What a backend server states about its answer, as text."""
+
+    request_id: str | None
+    attempt: str | None
+    length: str | None
+    sha256: str | None
+
+
+def check_answer(
+    call: platform.BackendCall, head: AnswerHead, body: bytes
+) -> bytes:
+    """Returns the body where it is the whole answer to this very call.
+
+    :raises PlatformUncertain: it belongs to another request or attempt, or
+        is cut short or damaged.
+    """
+    if head.request_id != call.request_id or head.attempt != str(call.attempt):
+        raise exceptions.PlatformUncertain('answer to another request')
+    if head.length != str(len(body)):
+        raise exceptions.PlatformUncertain('answer is cut short')
+    if head.sha256 != hashlib.sha256(body).hexdigest():
+        raise exceptions.PlatformUncertain('answer is damaged')
+    return body
+
+
+class HttpWorkerLink:
+    """Implements ``platform.WorkerLink``.
+
+    :param session: from ``http_calls.new_session``; may be shared.
+    :param address: ``IP:PORT`` of the worker.
+    :param max_connections: limit of open connections. A few of them are
+        kept for the control of tasks, so that calls cannot delay leases.
+    :param timeout_s: limit of every operation but ``call``.
+    """
+
+    def __init__(
+        self,
+        *,
+        session: aiohttp.ClientSession,
+        address: str,
+        max_connections: int = 28,
+        timeout_s: float = 3.0,
+    ):
+        self._session = session
+        self._url = f'http://{address}'
+        self._timeout_s = timeout_s
+        control = min(_CONTROL_CONNECTIONS, max(1, max_connections // 2))
+        self._call_limit = asyncio.Semaphore(max_connections - control)
+        self._control_limit = asyncio.Semaphore(control)
+
+    async def call(self, call: platform.BackendCall) -> bytes:
+        """Runs a request; the answer is matched to id and attempt."""
+        headers = {
+            http_calls.REQUEST_ID_HEADER: call.request_id,
+            http_calls.ATTEMPT_HEADER: str(call.attempt),
+            TENANT_HEADER: call.tenant_id,
+            SERVICE_HEADER: call.service_id,
+            TIMEOUT_HEADER: str(call.timeout_ms),
+        }
+        resp = await self._send(
+            self._call_limit,
+            '/call',
+            timeout_s=call.timeout_ms / 1000,
+            headers=headers,
+            body=call.payload,
+        )
+        head = AnswerHead(
+            request_id=resp.headers.get(http_calls.REQUEST_ID_HEADER),
+            attempt=resp.headers.get(http_calls.ATTEMPT_HEADER),
+            length=resp.headers.get(http_calls.LENGTH_HEADER),
+            sha256=resp.headers.get(http_calls.SHA256_HEADER),
+        )
+        return check_answer(call, head, resp.body)
+
+    async def start(self, start: platform.TaskStart) -> None:
+        """Starts a task; starting a running task again is harmless."""
+        await self._control('/tasks/start', encode_start(start))
+
+    async def renew(
+        self, task_ids: t.Sequence[ids.TaskId], lease_ms: int
+    ) -> None:
+        """Extends the leases of running tasks."""
+        fields = {'task_ids': list(task_ids), 'lease_ms': lease_ms}
+        await self._control('/tasks/renew', fields)
+
+    async def tasks(self) -> tuple[platform.TaskReport, ...]:
+        """Lists tasks that run and those that ended not long ago."""
+        fields = await self._control('/tasks/list', {})
+        return _decoded(decode_reports, fields)
+
+    async def usage(self) -> tuple[platform.UsageReport, ...]:
+        """Lists delayed measurements, newest for each task."""
+        fields = await self._control('/usage', {})
+        return _decoded(decode_usage, fields)
+
+    async def checkpoint(self, task_id: ids.TaskId) -> str:
+        """Makes the task write a checkpoint and returns its reference."""
+        fields = await self._control('/tasks/checkpoint', {'task_id': task_id})
+        return _decoded(_decode_checkpoint, fields)
+
+    async def throttle(self, task_id: ids.TaskId, share: float) -> None:
+        """Limits the task to a share of its cores."""
+        fields = {'task_id': task_id, 'share': share}
+        await self._control('/tasks/throttle', fields)
+
+    async def stop(self, task_id: ids.TaskId) -> platform.TaskReport:
+        """Stops the task; returns how it ended and its last checkpoint."""
+        fields = await self._control('/tasks/stop', {'task_id': task_id})
+        return _decoded(decode_report, fields)
+
+    async def _control(self, path: str, fields: dict) -> t.Any:
+        resp = await self._send(
+            self._control_limit,
+            path,
+            timeout_s=self._timeout_s,
+            headers={'Content-Type': 'application/json'},
+            body=json.dumps(fields).encode(),
+        )
+        return _decoded(json.loads, resp.body)
+
+    async def _send(
+        self,
+        limit: asyncio.Semaphore,
+        path: str,
+        *,
+        timeout_s: float,
+        headers: t.Mapping[str, str],
+        body: bytes,
+    ) -> http_calls.Response:
+        url = self._url + path
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        try:
+            async with asyncio.timeout(timeout_s):
+                await limit.acquire()
+        except TimeoutError as exc:
+            reason = f'{url}: all connections are in use'
+            raise exceptions.PlatformError(reason) from exc
+        try:
+            resp = await http_calls.send(
+                self._session,
+                'POST',
+                url,
+                timeout_s=max(deadline_s - loop.time(), 0.001),
+                headers=headers,
+                body=body,
+            )
+        finally:
+            limit.release()
+        http_calls.check_status(resp, url)
+        return resp
+
+
+def encode_start(start: platform.TaskStart) -> dict:
+    """Returns the JSON fields of a start; the payload is in base64."""
+    fields = dataclasses.asdict(start)
+    return dict(fields, payload=base64.b64encode(start.payload).decode())
+
+
+def decode_start(fields: dict) -> platform.TaskStart:
+    """Reverses ``encode_start``."""
+    payload = base64.b64decode(fields['payload'])
+    return platform.TaskStart(**dict(fields, payload=payload))
+
+
+def encode_report(report: platform.TaskReport) -> dict:
+    """Returns the JSON fields of a report; the result is in base64."""
+    return dict(
+        dataclasses.asdict(report),
+        phase=report.phase.value,
+        result=base64.b64encode(report.result).decode(),
+    )
+
+
+def decode_report(fields: dict) -> platform.TaskReport:
+    """Reverses ``encode_report``."""
+    phase = platform.TaskPhase(fields['phase'])
+    result = base64.b64decode(fields['result'])
+    return platform.TaskReport(**dict(fields, phase=phase, result=result))
+
+
+def decode_reports(fields: list) -> tuple[platform.TaskReport, ...]:
+    """Reverses ``encode_report`` for each of a list."""
+    return tuple(decode_report(report) for report in fields)
+
+
+def decode_usage(fields: list) -> tuple[platform.UsageReport, ...]:
+    """Reads a list of measurements."""
+    return tuple(platform.UsageReport(**report) for report in fields)
+
+
+def _decode_checkpoint(fields: dict) -> str:
+    return str(fields['checkpoint'])
+
+
+def _decoded(decode: t.Callable, value: t.Any) -> t.Any:
+    try:
+        return decode(value)
+    except (ValueError, TypeError, KeyError, AttributeError) as exc:
+        reason = 'the worker answered garbage'
+        raise exceptions.PlatformUncertain(reason) from exc
