--- /dev/null
+++ b/packages/amaranthflow/src/amaranthflow/admission.py
@@ -0,0 +1,394 @@
+"""Waiting line of latency-critical requests at the owner of workers."""
+
+import asyncio
+import collections
+import dataclasses
+import heapq
+import itertools
+import typing as t
+
+from . import clock as clock_lib
+from . import exceptions
+from . import ids
+from . import lanes
+from . import ranking
+
+DEFAULT_LIMIT = 512
+MAX_TENANTS = 1024
+
+_TICK_S = 0.01
+_SMOOTHING = 0.05
+_MIN_RETRY_AFTER_MS = 10
+_MS_PER_S = 1000
+_STALE_TIMERS = 64
+_DEFAULT_WEIGHT = 1.0
+
+Grant = t.TypeVar('Grant')
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Entrant:
+    """A request that asks for room.
+
+    :ivar deadline_s: when the answer must be there, of the queue's clock.
+    :ivar run_s: expected run time; the request is refused once less than
+        that is left.
+    """
+
+    request_id: ids.RequestId
+    tenant_id: ids.TenantId
+    service_id: ids.ServiceId
+    deadline_s: float
+    run_s: float = 0.0
+
+    @property
+    def latest_start_s(self) -> float:
+        """When the request must start to be answered in time."""
+        return self.deadline_s - self.run_s
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class _Waiter:
+    entrant: Entrant
+    key: str
+    sequence: int
+    granted: asyncio.Future
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class _Timer:
+    at_s: float
+    sequence: int
+    waiter: _Waiter = dataclasses.field(compare=False)
+
+
+class _Flow:
+    """Waiting requests of one tenant, and its place in the order."""
+
+    def __init__(self):
+        self.weight = _DEFAULT_WEIGHT
+        self.virtual_time = 0.0
+        self.waiting: lanes.Lanes[ids.ServiceId, _Waiter] = lanes.Lanes()
+
+    def oldest(self, full: t.Collection[ids.ServiceId]) -> _Waiter | None:
+        heads = (
+            waiter
+            for waiter in self.waiting.heads()
+            if waiter.entrant.service_id not in full
+        )
+        return min(heads, key=_sequence, default=None)
+
+    def newest(self) -> _Waiter:
+        return max(self.waiting.tails(), key=_sequence)
+
+
+class AdmissionQueue(t.Generic[Grant]):
+    """Gives room to requests of all tenants in an even-handed order.
+
+    Tenants take turns by weight (start-time fair queueing); within a tenant
+    and service requests are served as they came. A request that would not
+    start in time is refused when it arrives. Where ``limit`` requests wait,
+    the tenant with the most waiting for its weight loses its newest one. All
+    refusals are ``Overloaded``: the request did not run.
+
+    :param try_reserve: reserves room for a request, None where there is
+        none. An ``AmaranthflowError`` it raises is passed to the request.
+    :param release: gives back room that a request no longer wants. It need
+        not call ``wake``.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clock_lib.Clock,
+        try_reserve: t.Callable[[Entrant], Grant | None],
+        release: t.Callable[[Grant], None],
+        limit: int = DEFAULT_LIMIT,
+    ):
+        self._clock = clock
+        self._try_reserve = try_reserve
+        self._release = release
+        self._limit = limit
+        self._flows: dict[ids.TenantId, _Flow] = {}
+        self._by_turn = ranking.Ranking()
+        self._by_excess = ranking.Ranking()
+        self._services: collections.Counter[ids.ServiceId] = (
+            collections.Counter()
+        )
+        self._timers: list[_Timer] = []
+        self._sequence = itertools.count()
+        self._waiting_weight = 0.0
+        self._virtual_time = 0.0
+        self._interval_s = 0.0
+        self._last_grant_s = 0.0
+        self._count = 0
+        self._occupied = asyncio.Event()
+
+    def __len__(self) -> int:
+        return self._count
+
+    def configure(self, tenant_id: ids.TenantId, weight: float) -> None:
+        """Sets a tenant's weight; 0 or less counts as 1."""
+        flow = self._flow(tenant_id)
+        old = flow.weight
+        flow.weight = weight if weight > 0 else _DEFAULT_WEIGHT
+        if flow.waiting:
+            self._waiting_weight += flow.weight - old
+            self._rank(tenant_id, flow)
+
+    def remove_tenant(self, tenant_id: ids.TenantId) -> None:
+        """Returns a tenant to the default weight; its requests stay."""
+        flow = self._flows.get(tenant_id)
+        if flow is None:
+            return
+        self.configure(tenant_id, _DEFAULT_WEIGHT)
+        if not flow.waiting:
+            del self._flows[tenant_id]
+
+    async def enter(self, entrant: Entrant) -> Grant:
+        """Waits for room and returns it.
+
+        Room that was granted to a request which is cancelled at the same
+        time is given back.
+
+        :raises Overloaded: no room in time; the request did not run.
+        """
+        flow = self._flow(entrant.tenant_id)
+        self.expire()
+        self._refuse_late(entrant)
+        if not self._services[entrant.service_id]:
+            grant = self._try_reserve(entrant)
+            if grant is not None:
+                self._charge(flow)
+                self._rank(entrant.tenant_id, flow)
+                return grant
+        self._refuse_hopeless(flow, entrant)
+        self._refuse_excess(flow, entrant)
+        waiter = self._join(flow, entrant)
+        try:
+            return await waiter.granted
+        except asyncio.CancelledError:
+            self._abandon(waiter)
+            raise
+
+    def wake(self) -> None:
+        """Gives freed room to those waiting; call it after each release."""
+        self.expire()
+        full: set[ids.ServiceId] = set()
+        cursor = None
+        while len(full) < len(self._services):
+            rank = self._by_turn.first(after=cursor)
+            if rank is None:
+                return
+            waiter = self._flows[rank.tenant_id].oldest(full)
+            if waiter is None:
+                cursor = rank
+            elif not self._serve(waiter):
+                full.add(waiter.entrant.service_id)
+
+    def expire(self) -> None:
+        """Refuses requests that can no longer start in time."""
+        now_s = self._clock.monotonic()
+        while self._timers and self._timers[0].at_s <= now_s:
+            waiter = heapq.heappop(self._timers).waiter
+            if not waiter.granted.done():
+                self._refuse(waiter, 'the deadline passed in the queue')
+
+    async def run(self) -> None:
+        """Refuses requests at their deadlines until it is cancelled."""
+        while True:
+            await self._occupied.wait()
+            await self._clock.sleep(_TICK_S)
+            self.expire()
+
+    def close(self, reason: str) -> None:
+        """Refuses all that wait, as before a shutdown."""
+        for flow in list(self._flows.values()):
+            for waiter in list(flow.waiting.items()):
+                self._refuse(waiter, reason)
+
+    def expected_wait_s(self, tenant_id: ids.TenantId) -> float:
+        """Estimates how long a new request of the tenant would wait.
+
+        The mean interval between grants, times the number of grants before
+        this one's turn. 0 while nothing waits.
+        """
+        return self._estimate_s(self._flow(tenant_id))
+
+    def _estimate_s(self, flow: _Flow) -> float:
+        if not self._count:
+            return 0.0
+        idle_s = self._clock.monotonic() - self._last_grant_s
+        interval_s = max(self._interval_s, idle_s)
+        weights = self._waiting_weight
+        if not flow.waiting:
+            weights += flow.weight
+        turns = (len(flow.waiting) + 1) * weights / flow.weight
+        return interval_s * min(turns, self._count + 1)
+
+    def _refuse_late(self, entrant: Entrant) -> None:
+        if entrant.latest_start_s <= self._clock.monotonic():
+            raise exceptions.Overloaded(
+                'the deadline leaves no time to run',
+                retry_after_ms=_MIN_RETRY_AFTER_MS,
+            )
+
+    def _refuse_hopeless(self, flow: _Flow, entrant: Entrant) -> None:
+        left_s = entrant.latest_start_s - self._clock.monotonic()
+        wait_s = self._estimate_s(flow)
+        if wait_s > left_s:
+            raise exceptions.Overloaded(
+                'the expected wait exceeds the deadline',
+                retry_after_ms=_retry_after_ms(wait_s - left_s),
+            )
+
+    def _refuse_excess(self, flow: _Flow, entrant: Entrant) -> None:
+        if self._count < self._limit:
+            return
+        worst = self._by_excess.last()
+        excess = (len(flow.waiting) + 1) / flow.weight
+        if worst is None or excess >= worst.value:
+            raise exceptions.Overloaded(
+                'the queue is full',
+                retry_after_ms=_retry_after_ms(self._estimate_s(flow)),
+            )
+        self._refuse(
+            self._flows[worst.tenant_id].newest(),
+            'the queue is full and the tenant is over its share',
+        )
+
+    def _join(self, flow: _Flow, entrant: Entrant) -> _Waiter:
+        sequence = next(self._sequence)
+        waiter = _Waiter(
+            entrant=entrant,
+            key=str(sequence),
+            sequence=sequence,
+            granted=asyncio.get_running_loop().create_future(),
+        )
+        if not self._count:
+            self._last_grant_s = self._clock.monotonic()
+            self._occupied.set()
+        if not flow.waiting:
+            self._waiting_weight += flow.weight
+            flow.virtual_time = max(flow.virtual_time, self._virtual_time)
+        self._count += 1
+        self._services[entrant.service_id] += 1
+        flow.waiting.add(entrant.service_id, waiter.key, waiter)
+        self._rank(entrant.tenant_id, flow)
+        self._add_timer(waiter)
+        return waiter
+
+    def _add_timer(self, waiter: _Waiter) -> None:
+        if len(self._timers) > 2 * self._count + _STALE_TIMERS:
+            self._timers = [
+                timer
+                for timer in self._timers
+                if not timer.waiter.granted.done()
+            ]
+            heapq.heapify(self._timers)
+        timer = _Timer(waiter.entrant.latest_start_s, waiter.sequence, waiter)
+        heapq.heappush(self._timers, timer)
+
+    def _serve(self, waiter: _Waiter) -> bool:
+        """Returns whether the waiter left the queue."""
+        if waiter.granted.done():
+            # Cancelled, but its task has not run since.
+            self._leave(waiter)
+            return True
+        try:
+            grant = self._try_reserve(waiter.entrant)
+        except exceptions.AmaranthflowError as exc:
+            self._leave(waiter)
+            waiter.granted.set_exception(exc)
+            return True
+        if grant is None:
+            return False
+        self._charge(self._flows[waiter.entrant.tenant_id])
+        self._leave(waiter)
+        self._measure()
+        waiter.granted.set_result(grant)
+        return True
+
+    def _measure(self) -> None:
+        now_s = self._clock.monotonic()
+        sample_s = now_s - self._last_grant_s
+        self._last_grant_s = now_s
+        if self._interval_s == 0.0:
+            self._interval_s = sample_s
+        self._interval_s += _SMOOTHING * (sample_s - self._interval_s)
+
+    def _charge(self, flow: _Flow) -> None:
+        if not flow.waiting:
+            flow.virtual_time = max(flow.virtual_time, self._virtual_time)
+        self._virtual_time = max(flow.virtual_time, self._virtual_time)
+        flow.virtual_time += 1.0 / flow.weight
+
+    def _abandon(self, waiter: _Waiter) -> None:
+        granted = waiter.granted
+        if granted.cancelled() or not granted.done():
+            self._leave(waiter)
+        elif granted.exception() is None:
+            self._release(granted.result())
+            self.wake()
+
+    def _refuse(self, waiter: _Waiter, reason: str) -> None:
+        self._leave(waiter)
+        if waiter.granted.done():
+            return
+        wait_s = self._estimate_s(self._flow(waiter.entrant.tenant_id))
+        waiter.granted.set_exception(
+            exceptions.Overloaded(
+                reason, retry_after_ms=_retry_after_ms(wait_s)
+            )
+        )
+
+    def _leave(self, waiter: _Waiter) -> None:
+        entrant = waiter.entrant
+        flow = self._flows[entrant.tenant_id]
+        removal = flow.waiting.remove(entrant.service_id, waiter.key)
+        if removal is lanes.Removal.ABSENT:
+            return
+        self._count -= 1
+        self._services[entrant.service_id] -= 1
+        if not self._services[entrant.service_id]:
+            del self._services[entrant.service_id]
+        if not flow.waiting:
+            self._waiting_weight -= flow.weight
+        if not self._count:
+            self._waiting_weight = 0.0
+            self._occupied.clear()
+        self._rank(entrant.tenant_id, flow)
+
+    def _rank(self, tenant_id: ids.TenantId, flow: _Flow) -> None:
+        if not flow.waiting:
+            self._by_turn.discard(tenant_id)
+            self._by_excess.discard(tenant_id)
+            return
+        excess = len(flow.waiting) / flow.weight
+        turn = ranking.Rank(0, flow.virtual_time, tenant_id)
+        self._by_turn.place(turn)
+        self._by_excess.place(ranking.Rank(0, excess, tenant_id))
+
+    def _flow(self, tenant_id: ids.TenantId) -> _Flow:
+        flow = self._flows.get(tenant_id)
+        if flow is None:
+            if len(self._flows) >= MAX_TENANTS:
+                self._forget_idle()
+            flow = _Flow()
+            self._flows[tenant_id] = flow
+        return flow
+
+    def _forget_idle(self) -> None:
+        self._flows = {
+            tenant_id: flow
+            for tenant_id, flow in self._flows.items()
+            if flow.waiting or flow.weight != _DEFAULT_WEIGHT
+        }
+
+
+def _sequence(waiter: _Waiter) -> int:
+    return waiter.sequence
+
+
+def _retry_after_ms(wait_s: float) -> int:
+    return max(_MIN_RETRY_AFTER_MS, round(wait_s * _MS_PER_S))
--- /dev/null
+++ b/packages/amaranthflow/src/amaranthflow/health.py
@@ -0,0 +1,499 @@
+"""Tells bad jobs from bad workers by where things fail and succeed."""
+
+import collections
+import dataclasses
+import enum
+import random
+
+from . import ids
+from . import quarantine
+
+MAX_JOBS = 8192
+MAX_SERVICES = 256
+OUTCOMES_PER_WORKER = 16
+JOBS_TO_QUARANTINE = 4
+CALLS_TO_QUARANTINE = 8
+FAILED_RATIO_TO_QUARANTINE = 0.75
+WORKERS_TO_SET_ASIDE = 3
+DOUBT_MS = 30 * 60_000
+
+_WORKERS_PER_JOB = 8
+_MOSTLY = 0.5
+_DOUBTED_SUBJECTS = 2
+_OUTCOME_AGE_MS = 60 * 60_000
+
+
+class FindingKind(enum.Enum):
+    """What changed about a job or a worker."""
+
+    WORKER_QUARANTINED = 'worker quarantined'
+    WORKER_RETURNED = 'worker returned to quarantine'
+    WORKER_RESTORED = 'worker restored'
+    COMMON_CAUSE = 'common cause'
+    JOB_SET_ASIDE = 'job set aside'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Finding:
+    """A change to act on and to explain."""
+
+    kind: FindingKind
+    subject_id: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Outcome:
+    subject_id: str
+    failed: bool
+    at_ms: int
+
+
+class _Record:
+    """The newest outcomes on one worker."""
+
+    def __init__(self):
+        self.outcomes: collections.deque[_Outcome] = collections.deque(
+            maxlen=OUTCOMES_PER_WORKER
+        )
+        self.doubted = False
+
+    def add(self, outcome: _Outcome) -> None:
+        self.outcomes.append(outcome)
+        oldest_ms = outcome.at_ms - _OUTCOME_AGE_MS
+        while self.outcomes[0].at_ms < oldest_ms:
+            self.outcomes.popleft()
+        failed = len(self.failed_subjects()) >= _DOUBTED_SUBJECTS
+        self.doubted = failed and self.failed_ratio() > _MOSTLY
+
+    def failed_subjects(self) -> set[str]:
+        return {o.subject_id for o in self.outcomes if o.failed}
+
+    def failed_ratio(self, discounted: frozenset[str] = frozenset()) -> float:
+        counted = [
+            o.failed for o in self.outcomes if o.subject_id not in discounted
+        ]
+        return sum(counted) / len(counted) if counted else 0.0
+
+
+class _Population:
+    """Workers that do the same kind of work, and those in quarantine."""
+
+    def __init__(self, *, rng: random.Random, subjects_to_quarantine: int):
+        self.quarantine = quarantine.Quarantine(rng=rng)
+        self._subjects_to_quarantine = subjects_to_quarantine
+        self._records: dict[ids.WorkerId, _Record] = {}
+        self._doubted = 0
+
+    def add(self, worker_id: ids.WorkerId) -> None:
+        self.quarantine.add(worker_id)
+
+    def remove(self, worker_id: ids.WorkerId) -> None:
+        self.quarantine.remove(worker_id)
+        self._clear(worker_id)
+
+    def doubted(self, worker_id: ids.WorkerId) -> bool:
+        record = self._records.get(worker_id)
+        return record is not None and record.doubted
+
+    def failed_subjects(self, worker_id: ids.WorkerId) -> set[str]:
+        record = self._records.get(worker_id)
+        return record.failed_subjects() if record else set()
+
+    def note(self, worker_id: ids.WorkerId, outcome: _Outcome) -> None:
+        if worker_id not in self.quarantine:
+            return
+        record = self._records.setdefault(worker_id, _Record())
+        before = record.doubted
+        record.add(outcome)
+        self._doubted += record.doubted - before
+
+    def judge(
+        self,
+        worker_id: ids.WorkerId,
+        discounted: frozenset[str],
+        now_ms: int,
+    ) -> Finding | None:
+        """Quarantines the worker where its record speaks against it."""
+        record = self._records.get(worker_id)
+        if record is None:
+            return None
+        subjects = record.failed_subjects() - discounted
+        if len(subjects) < self._subjects_to_quarantine:
+            return None
+        if record.failed_ratio(discounted) < FAILED_RATIO_TO_QUARANTINE:
+            return None
+        reason = f'failed {len(subjects)} different jobs or requests'
+        common = self._common_cause(record)
+        if common or not self.quarantine.enter(worker_id, reason, now_ms):
+            return Finding(
+                kind=FindingKind.COMMON_CAUSE,
+                subject_id=worker_id,
+                reason=f'{reason}, as do too many other workers',
+            )
+        self._clear(worker_id)
+        return Finding(
+            kind=FindingKind.WORKER_QUARANTINED,
+            subject_id=worker_id,
+            reason=reason,
+        )
+
+    def _common_cause(self, record: _Record) -> bool:
+        others = len(self._records) - 1
+        others_doubted = self._doubted - record.doubted
+        return others >= 2 and others_doubted > _MOSTLY * others
+
+    def _clear(self, worker_id: ids.WorkerId) -> None:
+        record = self._records.pop(worker_id, None)
+        if record is not None:
+            self._doubted -= record.doubted
+
+    def probe_failed(
+        self, worker_id: ids.WorkerId, task_id: str, now_ms: int
+    ) -> Finding | None:
+        if not self.quarantine.failed(worker_id, task_id, now_ms):
+            return None
+        return Finding(
+            kind=FindingKind.WORKER_RETURNED,
+            subject_id=worker_id,
+            reason='a probe task failed',
+        )
+
+    def probe_succeeded(
+        self, worker_id: ids.WorkerId, task_id: str, now_ms: int
+    ) -> Finding | None:
+        if not self.quarantine.succeeded(worker_id, task_id, now_ms):
+            return None
+        return Finding(
+            kind=FindingKind.WORKER_RESTORED,
+            subject_id=worker_id,
+            reason='its probe tasks succeeded',
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class _JobRecord:
+    first_failed_ms: int
+    last_failed_ms: int
+    reason: str
+    workers: dict[ids.WorkerId, None] = dataclasses.field(default_factory=dict)
+
+
+class JobHealth:
+    """Where each job failed, for the ``MAX_JOBS`` that failed last."""
+
+    def __init__(self):
+        self._records: collections.OrderedDict[ids.JobId, _JobRecord] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def failed(
+        self,
+        job_id: ids.JobId,
+        worker_id: ids.WorkerId,
+        reason: str,
+        now_ms: int,
+    ) -> None:
+        """Notes a failure; repeated ones on one worker count once."""
+        record = self._records.get(job_id)
+        if record is None:
+            record = _JobRecord(now_ms, now_ms, reason)
+            self._records[job_id] = record
+        record.last_failed_ms = now_ms
+        record.reason = reason
+        if len(record.workers) < _WORKERS_PER_JOB:
+            record.workers[worker_id] = None
+        self._records.move_to_end(job_id)
+        if len(self._records) > MAX_JOBS:
+            self._records.popitem(last=False)
+
+    def forget(self, job_id: ids.JobId) -> None:
+        """Forgets a job that completed or was cancelled."""
+        self._records.pop(job_id, None)
+
+    def absolve(self, job_id: ids.JobId, worker_id: ids.WorkerId) -> None:
+        """Takes back a failure that was the worker's fault."""
+        record = self._records.get(job_id)
+        if record is not None:
+            record.workers.pop(worker_id, None)
+
+    def workers(self, job_id: ids.JobId) -> frozenset[ids.WorkerId]:
+        """Returns where a job failed; another try should go elsewhere."""
+        record = self._records.get(job_id)
+        return frozenset(record.workers) if record else frozenset()
+
+    def last_reason(self, job_id: ids.JobId) -> str:
+        """Returns the reason of the last failure."""
+        record = self._records.get(job_id)
+        return record.reason if record else ''
+
+    def doubted_for_long(self, job_id: ids.JobId) -> bool:
+        """Tells whether a job has failed for longer than ``DOUBT_MS``."""
+        record = self._records.get(job_id)
+        if record is None:
+            return False
+        return record.last_failed_ms - record.first_failed_ms >= DOUBT_MS
+
+
+class WorkerHealth:
+    """Judges workers by the batch tasks that fail and complete on them.
+
+    A worker is quarantined when at least ``JOBS_TO_QUARANTINE`` different
+    jobs failed there, ``FAILED_RATIO_TO_QUARANTINE`` of its newest outcomes
+    are failures, and the other workers do not mostly fail too. Jobs that
+    failed on other workers of good standing do not count against it. Its
+    failures are then taken back from the jobs.
+
+    A job is set aside when it failed on ``WORKERS_TO_SET_ASIDE`` different
+    workers (or on all, where there are fewer) that do not mostly fail, or on
+    as many of any kind for longer than ``DOUBT_MS``.
+    """
+
+    def __init__(self, *, rng: random.Random, jobs: JobHealth):
+        self.jobs = jobs
+        self._population = _Population(
+            rng=rng, subjects_to_quarantine=JOBS_TO_QUARANTINE
+        )
+        self._workers: set[ids.WorkerId] = set()
+
+    def add(self, worker_id: ids.WorkerId) -> None:
+        """Adds a worker in good standing."""
+        self._workers.add(worker_id)
+        self._population.add(worker_id)
+
+    def remove(self, worker_id: ids.WorkerId) -> None:
+        """Forgets a worker that has gone."""
+        self._workers.discard(worker_id)
+        self._population.remove(worker_id)
+
+    def phase(self, worker_id: ids.WorkerId, now_ms: int) -> quarantine.Phase:
+        """Returns the phase of a worker."""
+        return self._population.quarantine.phase(worker_id, now_ms)
+
+    def reason(self, worker_id: ids.WorkerId) -> str:
+        """Returns why a worker is out of use, empty where it is not."""
+        return self._population.quarantine.reason(worker_id)
+
+    def may_start(self, worker_id: ids.WorkerId, now_ms: int) -> bool:
+        """Tells whether a batch task may be started on a worker now."""
+        return self._population.quarantine.may_use(worker_id, now_ms)
+
+    def avoid(self, now_ms: int) -> frozenset[ids.WorkerId]:
+        """Returns the workers that get no task now."""
+        return _unusable(self._population.quarantine, now_ms)
+
+    def started(
+        self, worker_id: ids.WorkerId, task_id: ids.TaskId, now_ms: int
+    ) -> None:
+        """Notes a start, which may be a probe."""
+        self._population.quarantine.started(worker_id, task_id, now_ms)
+
+    def stopped(self, worker_id: ids.WorkerId, task_id: ids.TaskId) -> None:
+        """Notes a task that was cancelled or moved; says nothing."""
+        self._population.quarantine.lost(worker_id, task_id)
+
+    def succeeded(
+        self,
+        worker_id: ids.WorkerId,
+        job_id: ids.JobId,
+        task_id: ids.TaskId,
+        now_ms: int,
+    ) -> tuple[Finding, ...]:
+        """Notes a task that completed."""
+        self.jobs.forget(job_id)
+        outcome = _Outcome(subject_id=job_id, failed=False, at_ms=now_ms)
+        self._population.note(worker_id, outcome)
+        found = self._population.probe_succeeded(worker_id, task_id, now_ms)
+        return (found,) if found else ()
+
+    def failed(
+        self,
+        worker_id: ids.WorkerId,
+        job_id: ids.JobId,
+        task_id: ids.TaskId,
+        reason: str,
+        now_ms: int,
+    ) -> tuple[Finding, ...]:
+        """Notes a task that failed; returns what follows from it."""
+        returned = self._population.probe_failed(worker_id, task_id, now_ms)
+        if returned is not None:
+            return (returned,)
+        if self.phase(worker_id, now_ms) is not quarantine.Phase.HEALTHY:
+            return ()
+        self.jobs.failed(job_id, worker_id, reason, now_ms)
+        outcome = _Outcome(subject_id=job_id, failed=True, at_ms=now_ms)
+        self._population.note(worker_id, outcome)
+        judged = (
+            self._judge_worker(worker_id, now_ms),
+            self._judge_job(job_id),
+        )
+        return tuple(found for found in judged if found is not None)
+
+    def _judge_worker(
+        self, worker_id: ids.WorkerId, now_ms: int
+    ) -> Finding | None:
+        subjects = self._population.failed_subjects(worker_id)
+        discounted = frozenset(
+            job_id for job_id in subjects if self._blames(job_id, worker_id)
+        )
+        found = self._population.judge(worker_id, discounted, now_ms)
+        if found and found.kind is FindingKind.WORKER_QUARANTINED:
+            for job_id in subjects:
+                self.jobs.absolve(job_id, worker_id)
+        return found
+
+    def _blames(self, job_id: ids.JobId, worker_id: ids.WorkerId) -> bool:
+        """Tells whether a job failed on another worker that does well."""
+        return any(
+            other != worker_id and not self._population.doubted(other)
+            for other in self.jobs.workers(job_id)
+        )
+
+    def _judge_job(self, job_id: ids.JobId) -> Finding | None:
+        workers = self.jobs.workers(job_id)
+        needed = max(1, min(WORKERS_TO_SET_ASIDE, len(self._workers)))
+        doubted = sum(self._population.doubted(w) for w in workers)
+        if self.jobs.doubted_for_long(job_id):
+            doubted = 0
+        if len(workers) - doubted < needed:
+            return None
+        reason = self.jobs.last_reason(job_id)
+        return Finding(
+            kind=FindingKind.JOB_SET_ASIDE,
+            subject_id=job_id,
+            reason=f'failed on {len(workers)} workers, last: {reason}',
+        )
+
+
+class CallHealth:
+    """Judges backend servers by the calls to them, for each service.
+
+    The backend servers of one service on one worker are quarantined when
+    ``CALLS_TO_QUARANTINE`` of its newest calls failed and nearly all did,
+    while the service's other workers do not mostly fail. At most
+    ``MAX_SERVICES`` services are judged.
+    """
+
+    def __init__(self, *, rng: random.Random):
+        self._rng = rng
+        self._workers: set[ids.WorkerId] = set()
+        self._services: dict[ids.ServiceId, _Population] = {}
+
+    def add(self, worker_id: ids.WorkerId) -> None:
+        """Adds a worker for all services."""
+        self._workers.add(worker_id)
+        for population in self._services.values():
+            population.add(worker_id)
+
+    def remove(self, worker_id: ids.WorkerId) -> None:
+        """Forgets a worker that has gone."""
+        self._workers.discard(worker_id)
+        for population in self._services.values():
+            population.remove(worker_id)
+
+    def remove_service(self, service_id: ids.ServiceId) -> None:
+        """Forgets a service."""
+        self._services.pop(service_id, None)
+
+    def may_call(
+        self,
+        service_id: ids.ServiceId,
+        worker_id: ids.WorkerId,
+        now_ms: int,
+    ) -> bool:
+        """Tells whether a service may be called on a worker now."""
+        population = self._services.get(service_id)
+        if population is None:
+            return True
+        return population.quarantine.may_use(worker_id, now_ms)
+
+    def avoid(
+        self, service_id: ids.ServiceId, now_ms: int
+    ) -> frozenset[ids.WorkerId]:
+        """Returns the workers on which the service is not called now."""
+        population = self._services.get(service_id)
+        if population is None:
+            return frozenset()
+        return _unusable(population.quarantine, now_ms)
+
+    def started(
+        self,
+        service_id: ids.ServiceId,
+        worker_id: ids.WorkerId,
+        task_id: ids.TaskId,
+        now_ms: int,
+    ) -> None:
+        """Notes a call that is made, which may be a probe."""
+        population = self._services.get(service_id)
+        if population is not None:
+            population.quarantine.started(worker_id, task_id, now_ms)
+
+    def stopped(
+        self,
+        service_id: ids.ServiceId,
+        worker_id: ids.WorkerId,
+        task_id: ids.TaskId,
+    ) -> None:
+        """Notes a call that was cancelled by its caller; says nothing."""
+        population = self._services.get(service_id)
+        if population is not None:
+            population.quarantine.lost(worker_id, task_id)
+
+    def succeeded(
+        self,
+        service_id: ids.ServiceId,
+        worker_id: ids.WorkerId,
+        task_id: ids.TaskId,
+        now_ms: int,
+    ) -> tuple[Finding, ...]:
+        """Notes a call that was answered."""
+        population = self._population(service_id)
+        if population is None:
+            return ()
+        outcome = _Outcome(subject_id=task_id, failed=False, at_ms=now_ms)
+        population.note(worker_id, outcome)
+        found = population.probe_succeeded(worker_id, task_id, now_ms)
+        return (found,) if found else ()
+
+    def failed(
+        self,
+        service_id: ids.ServiceId,
+        worker_id: ids.WorkerId,
+        task_id: ids.TaskId,
+        now_ms: int,
+    ) -> tuple[Finding, ...]:
+        """Notes a call that the backend server failed."""
+        population = self._population(service_id)
+        if population is None:
+            return ()
+        found = population.probe_failed(worker_id, task_id, now_ms)
+        phase = population.quarantine.phase(worker_id, now_ms)
+        if found is None and phase is quarantine.Phase.HEALTHY:
+            outcome = _Outcome(subject_id=task_id, failed=True, at_ms=now_ms)
+            population.note(worker_id, outcome)
+            found = population.judge(worker_id, frozenset(), now_ms)
+        return (found,) if found else ()
+
+    def _population(self, service_id: ids.ServiceId) -> _Population | None:
+        population = self._services.get(service_id)
+        if population is None and len(self._services) < MAX_SERVICES:
+            population = _Population(
+                rng=self._rng, subjects_to_quarantine=CALLS_TO_QUARANTINE
+            )
+            for worker_id in self._workers:
+                population.add(worker_id)
+            self._services[service_id] = population
+        return population
+
+
+def _unusable(
+    members: quarantine.Quarantine, now_ms: int
+) -> frozenset[ids.WorkerId]:
+    return frozenset(
+        ids.WorkerId(member_id)
+        for member_id in members.out()
+        if not members.may_use(member_id, now_ms)
+    )
--- /dev/null
+++ b/packages/amaranthflow/src/amaranthflow/holds.py
@@ -0,0 +1,83 @@
+"""Workers held back for tasks that others have overtaken for too long."""
+
+import dataclasses
+
+from . import ids
+
+HOLD_MS = 30 * 60_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Hold:
+    """A worker that drains until its task fits."""
+
+    task_id: ids.TaskId
+    worker_id: ids.WorkerId
+    since_ms: int
+
+
+class Holds:
+    """At most ``limit`` holds, one for a task and one for a worker.
+
+    A hold ends with its task's start or cancellation, with its worker, or
+    after ``HOLD_MS``, so that a worker which never gets room is not held
+    for good.
+    """
+
+    def __init__(self, *, limit: int):
+        self._limit = limit
+        self._by_task: dict[ids.TaskId, Hold] = {}
+
+    def add(
+        self, task_id: ids.TaskId, worker_id: ids.WorkerId, now_ms: int
+    ) -> bool:
+        """Holds a worker; False where the limit or another hold forbids."""
+        taken = any(h.worker_id == worker_id for h in self._by_task.values())
+        if taken or task_id in self._by_task:
+            return False
+        if len(self._by_task) >= self._limit:
+            return False
+        self._by_task[task_id] = Hold(
+            task_id=task_id, worker_id=worker_id, since_ms=now_ms
+        )
+        return True
+
+    def full(self) -> bool:
+        """Tells whether no hold can be added."""
+        return len(self._by_task) >= self._limit
+
+    def release(self, task_id: ids.TaskId) -> None:
+        """Ends the hold of a task, if it has one."""
+        self._by_task.pop(task_id, None)
+
+    def release_worker(self, worker_id: ids.WorkerId) -> None:
+        """Ends the hold on a worker that has gone."""
+        for hold in self.current():
+            if hold.worker_id == worker_id:
+                del self._by_task[hold.task_id]
+
+    def expire(self, now_ms: int) -> tuple[ids.TaskId, ...]:
+        """Ends the holds that took too long and returns their tasks."""
+        ended = tuple(
+            hold.task_id
+            for hold in self._by_task.values()
+            if now_ms - hold.since_ms >= HOLD_MS
+        )
+        for task_id in ended:
+            del self._by_task[task_id]
+        return ended
+
+    def current(self) -> tuple[Hold, ...]:
+        """Returns the holds, oldest first."""
+        return tuple(self._by_task.values())
+
+    def avoid(self, task_id: ids.TaskId) -> frozenset[ids.WorkerId]:
+        """Returns the workers that a task must leave to others."""
+        return frozenset(
+            hold.worker_id
+            for hold in self._by_task.values()
+            if hold.task_id != task_id
+        )
+
+    def __contains__(self, task_id: ids.TaskId) -> bool:
+        return task_id in self._by_task
--- /dev/null
+++ b/packages/amaranthflow/src/amaranthflow/latency.py
@@ -0,0 +1,91 @@
+"""Latency histograms for each tenant and task class."""
+
+from hdrh import histogram
+
+from amaranthflow_schema.v1 import operators_pb2
+
+from . import ids
+
+MAX_HISTOGRAMS = 256
+HIGHEST_US = 60_000_000
+EVERYONE = ids.TenantId('')
+OVERFLOW_CLASS = ids.TaskClass('other')
+
+_LOWEST_US = 1
+_SIGNIFICANT_FIGURES = 2
+_PERCENTILES = (50.0, 99.0, 99.9)
+_US_PER_MS = 1000.0
+_Key = tuple[ids.TenantId, ids.TaskClass]
+
+
+class LatencyBook:
+    """HDR histograms of 1 us to 60 s, made when first recorded to.
+
+    At most ``MAX_HISTOGRAMS`` are kept. Records of further pairs of tenant
+    and class are summed in one row of the empty tenant and the class
+    ``other``, which only operators see.
+    """
+
+    def __init__(self):
+        self._histograms: dict[_Key, histogram.HdrHistogram] = {}
+
+    def __len__(self) -> int:
+        return len(self._histograms)
+
+    def record(
+        self,
+        tenant_id: ids.TenantId,
+        task_class: ids.TaskClass,
+        latency_us: float,
+    ) -> None:
+        """Counts one latency in us; values outside the range are clamped."""
+        kept = self._histograms.get((tenant_id, task_class))
+        if kept is None:
+            kept = self._add(tenant_id, task_class)
+        value = max(_LOWEST_US, min(HIGHEST_US, int(latency_us)))
+        kept.record_value(value)
+
+    def rows(
+        self, tenant_id: ids.TenantId = EVERYONE
+    ) -> tuple[operators_pb2.LatencyRow, ...]:
+        """Returns a tenant's rows, those of all for the empty tenant."""
+        return tuple(
+            _row(key, self._histograms[key])
+            for key in sorted(self._histograms)
+            if tenant_id in (EVERYONE, key[0])
+        )
+
+    def reset(self) -> None:
+        """Starts a new window."""
+        self._histograms.clear()
+
+    def _add(
+        self, tenant_id: ids.TenantId, task_class: ids.TaskClass
+    ) -> histogram.HdrHistogram:
+        key = (tenant_id, task_class)
+        # The last place is kept for the overflow row.
+        if len(self._histograms) >= MAX_HISTOGRAMS - 1:
+            key = (EVERYONE, OVERFLOW_CLASS)
+        kept = self._histograms.get(key)
+        if kept is None:
+            kept = histogram.HdrHistogram(
+                _LOWEST_US, HIGHEST_US, _SIGNIFICANT_FIGURES
+            )
+            self._histograms[key] = kept
+        return kept
+
+
+def _row(
+    key: _Key, counted: histogram.HdrHistogram
+) -> operators_pb2.LatencyRow:
+    values = counted.get_percentile_to_value_dict(list(_PERCENTILES))
+    p50, p99, p999 = (values[p] / _US_PER_MS for p in _PERCENTILES)
+    return operators_pb2.LatencyRow(
+        tenant_id=key[0],
+        task_class=key[1],
+        count=counted.get_total_count(),
+        p50_ms=p50,
+        p99_ms=p99,
+        p999_ms=p999,
+        max_ms=counted.max_value / _US_PER_MS,
+    )
--- /dev/null
+++ b/packages/amaranthflow/src/amaranthflow/quarantine.py
@@ -0,0 +1,181 @@
+"""Members taken out of use and tried again with rising backoff."""
+
+import dataclasses
+import enum
+import random
+
+MAX_SHARE = 0.2
+MIN_ALLOWED = 1
+FIRST_MS = 30_000
+LONGEST_MS = 30 * 60_000
+PROBE_MS = 60_000
+PROBES_TO_RESTORE = 2
+MAX_PROBES = 4
+REMEMBER_MS = 60 * 60_000
+
+_JITTER = 0.2
+
+
+class Phase(enum.Enum):
+    """Whether a member gets work."""
+
+    HEALTHY = 'healthy'
+    QUARANTINED = 'quarantined'
+    PROBATION = 'probation'
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _State:
+    phase: Phase
+    rounds: int
+    until_ms: int
+    reason: str
+    probes: set[str] = dataclasses.field(default_factory=set)
+    next_probe_ms: int = 0
+    probes_passed: int = 0
+
+
+class Quarantine:
+    """Members of one population that get no work for a while.
+
+    After its time a member is on probation: it gets one probe task at a
+    time. ``PROBES_TO_RESTORE`` that succeed restore it, one that fails
+    sends it back for twice as long, up to ``LONGEST_MS``. A probe that
+    still runs after ``PROBE_MS`` makes way for another one, up to
+    ``MAX_PROBES`` together. Rounds are remembered for ``REMEMBER_MS`` after
+    a restoration.
+
+    At most ``MAX_SHARE`` of the members, though always ``MIN_ALLOWED``, are
+    out of use at one time, those on probation included: where more would
+    be, the cause is more likely common to all.
+    """
+
+    def __init__(self, *, rng: random.Random, max_share: float = MAX_SHARE):
+        self._rng = rng
+        self._max_share = max_share
+        self._members: set[str] = set()
+        self._states: dict[str, _State] = {}
+        self._out = 0
+
+    def add(self, member_id: str) -> None:
+        """Adds a healthy member."""
+        self._members.add(member_id)
+
+    def remove(self, member_id: str) -> None:
+        """Forgets a member that has gone."""
+        self._members.discard(member_id)
+        state = self._states.pop(member_id, None)
+        if state is not None and state.phase is not Phase.HEALTHY:
+            self._out -= 1
+
+    def __contains__(self, member_id: str) -> bool:
+        return member_id in self._members
+
+    def allowed(self) -> int:
+        """Returns how many members may be out of use at one time."""
+        return max(MIN_ALLOWED, int(self._max_share * len(self._members)))
+
+    def out(self) -> tuple[str, ...]:
+        """Returns the members in quarantine or on probation."""
+        return tuple(
+            member_id
+            for member_id, state in self._states.items()
+            if state.phase is not Phase.HEALTHY
+        )
+
+    def phase(self, member_id: str, now_ms: int) -> Phase:
+        """Returns a member's phase; one that is unknown is healthy."""
+        state = self._states.get(member_id)
+        if state is None:
+            return Phase.HEALTHY
+        self._advance(state, now_ms)
+        return state.phase
+
+    def reason(self, member_id: str) -> str:
+        """Returns why a member is out of use, empty where it is not."""
+        state = self._states.get(member_id)
+        if state is None or state.phase is Phase.HEALTHY:
+            return ''
+        return state.reason
+
+    def may_use(self, member_id: str, now_ms: int) -> bool:
+        """Tells whether a member may get a task now."""
+        phase = self.phase(member_id, now_ms)
+        if phase is not Phase.PROBATION:
+            return phase is Phase.HEALTHY
+        state = self._states[member_id]
+        if not state.probes:
+            return True
+        return now_ms >= state.next_probe_ms and len(state.probes) < MAX_PROBES
+
+    def enter(self, member_id: str, reason: str, now_ms: int) -> bool:
+        """Takes a member out of use; False where too many are already."""
+        state = self._states.get(member_id)
+        if state is not None and state.phase is not Phase.HEALTHY:
+            return True
+        if member_id not in self._members or self._out >= self.allowed():
+            return False
+        rounds = self._remembered(state, now_ms)
+        self._out += 1
+        self._states[member_id] = self._quarantined(rounds, reason, now_ms)
+        return True
+
+    def started(self, member_id: str, probe_id: str, now_ms: int) -> None:
+        """Notes that a task starts; on probation it becomes the probe."""
+        if self.phase(member_id, now_ms) is Phase.PROBATION:
+            state = self._states[member_id]
+            state.probes.add(probe_id)
+            state.next_probe_ms = now_ms + PROBE_MS
+
+    def lost(self, member_id: str, probe_id: str) -> None:
+        """Notes that a task ended for no fault of its own or the member's."""
+        state = self._states.get(member_id)
+        if state is not None:
+            state.probes.discard(probe_id)
+
+    def succeeded(self, member_id: str, probe_id: str, now_ms: int) -> bool:
+        """Notes a task that ended well; True where it restores a member."""
+        if self.phase(member_id, now_ms) is not Phase.PROBATION:
+            return False
+        state = self._states[member_id]
+        if probe_id not in state.probes:
+            return False
+        state.probes.remove(probe_id)
+        state.probes_passed += 1
+        if state.probes_passed < PROBES_TO_RESTORE:
+            return False
+        state.phase = Phase.HEALTHY
+        state.until_ms = now_ms + REMEMBER_MS
+        self._out -= 1
+        return True
+
+    def failed(self, member_id: str, probe_id: str, now_ms: int) -> bool:
+        """Notes a failed task; True where it sends a member back."""
+        if self.phase(member_id, now_ms) is not Phase.PROBATION:
+            return False
+        state = self._states[member_id]
+        if probe_id not in state.probes:
+            return False
+        self._states[member_id] = self._quarantined(
+            state.rounds, state.reason, now_ms
+        )
+        return True
+
+    def _quarantined(self, rounds: int, reason: str, now_ms: int) -> _State:
+        length_ms = min(LONGEST_MS, FIRST_MS << rounds)
+        jitter = 1.0 + self._rng.uniform(0.0, _JITTER)
+        return _State(
+            phase=Phase.QUARANTINED,
+            rounds=min(rounds + 1, LONGEST_MS.bit_length()),
+            until_ms=now_ms + round(length_ms * jitter),
+            reason=reason,
+        )
+
+    def _remembered(self, state: _State | None, now_ms: int) -> int:
+        if state is None or now_ms >= state.until_ms:
+            return 0
+        return state.rounds
+
+    def _advance(self, state: _State, now_ms: int) -> None:
+        if state.phase is Phase.QUARANTINED and now_ms >= state.until_ms:
+            state.phase = Phase.PROBATION
--- /dev/null
+++ b/packages/amaranthflow/src/amaranthflow/shares.py
@@ -0,0 +1,117 @@
+"""What one tenant is entitled to and what it holds."""
+
+import dataclasses
+
+from amaranthflow_schema.v1 import world_pb2
+
+from . import ids
+from . import world
+
+_DEFAULT_WEIGHT = 1.0
+_CORES_ROUNDING = 1e-6
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Limits:
+    """Configuration of a tenant. A zero stands for no limit or promise.
+
+    :ivar weight: share of the fleet relative to other tenants.
+    :ivar quota: upper limit of what batch tasks hold at any time.
+    :ivar guarantee: what the tenant gets before all that have theirs.
+    :ivar urgent_slots: urgent tasks that may run ahead of other work.
+    """
+
+    weight: float = _DEFAULT_WEIGHT
+    quota: world.Size = world.NOTHING
+    quota_slots: int = 0
+    guarantee: world.Size = world.NOTHING
+    urgent_slots: int = 0
+
+    @classmethod
+    def from_message(cls, message: world_pb2.Tenant) -> 'Limits':
+        """Copies a schema message; a weight of 0 or less counts as 1."""
+        weight = message.weight if message.weight > 0 else _DEFAULT_WEIGHT
+        return cls(
+            weight=weight,
+            quota=world.Size.from_message(message.quota),
+            quota_slots=message.quota_slots,
+            guarantee=world.Size.from_message(message.guarantee),
+            urgent_slots=message.urgent_slots,
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class Usage:
+    """Sum of the sizes of running tasks, and their number."""
+
+    cores: float = 0.0
+    memory_mb: int = 0
+    accelerators: int = 0
+    slots: int = 0
+    urgent: int = 0
+
+    def add(self, size: world.Size) -> None:
+        """Adds one task."""
+        self.cores += size.cores
+        self.memory_mb += size.memory_mb
+        self.accelerators += size.accelerators
+        self.slots += 1
+
+    def subtract(self, size: world.Size) -> None:
+        """Removes one task."""
+        self.slots -= 1
+        self.memory_mb -= size.memory_mb
+        self.accelerators -= size.accelerators
+        # Rounding errors must not outlive the tasks they came from.
+        self.cores = self.cores - size.cores if self.slots else 0.0
+
+    def ratio(self, total: world.Size, slots: int = 0) -> float:
+        """Returns the largest part of any resource of a total.
+
+        Resources of which the total has none are left out.
+        """
+        ratio = 0.0
+        if total.cores > 0:
+            ratio = self.cores / total.cores
+        if total.memory_mb > 0:
+            ratio = max(ratio, self.memory_mb / total.memory_mb)
+        if total.accelerators > 0:
+            ratio = max(ratio, self.accelerators / total.accelerators)
+        if slots > 0:
+            ratio = max(ratio, self.slots / slots)
+        return ratio
+
+    def leaves_room(self, size: world.Size, limits: Limits) -> bool:
+        """Tells whether one more task stays within the quota."""
+        quota = limits.quota
+        if 0 < limits.quota_slots <= self.slots:
+            return False
+        if 0 < quota.cores < self.cores + size.cores - _CORES_ROUNDING:
+            return False
+        if 0 < quota.memory_mb < self.memory_mb + size.memory_mb:
+            return False
+        wanted = self.accelerators + size.accelerators
+        return not 0 < quota.accelerators < wanted
+
+
+_NO_USAGE = Usage()
+
+
+def exceeds_quota(size: world.Size, limits: Limits) -> bool:
+    """Tells whether a task is larger than the whole quota."""
+    return not _NO_USAGE.leaves_room(size, limits)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Share:
+    """How a tenant stands, for its own eyes and the operators'.
+
+    :ivar dominant_share: largest part of any resource that it holds.
+    :ivar entitlement: its weight over that of all tenants with work.
+    """
+
+    tenant_id: ids.TenantId
+    dominant_share: float
+    entitlement: float
+    running: int
+    waiting: int
