The whole path: entry, peers, dispatch, takeover, operators

Cause: requests and jobs had no way through separate processes yet. Ruled out: the environment stamp by file times, which let a second work tree redirect the shared environment; it goes by content now.

--- a/Makefile
+++ b/Makefile
@@ -6,14 +6,16 @@
 EMPTY :=
 SPACE := $(EMPTY) $(EMPTY)
 PACKAGES = $(wildcard packages/*)
+LOCKED = requirements.lock $(wildcard packages/*/pyproject.toml)
+STAMP = $(VENV)/.ready-$(shell cat $(LOCKED) | sha256sum | cut -c1-12)
 export PYTHONPATH := $(subst $(SPACE),:,$(foreach p,$(PACKAGES),$(CURDIR)/$(p)/src))
 export UV_USE_IO_URING = 0
 
 .PHONY: setup format lint schema test demo fuzz bench bench-recovery bench-capacity
 
-setup: $(VENV)/.ready
+setup: $(STAMP)
 
-$(VENV)/.ready: requirements.lock $(wildcard packages/*/pyproject.toml)
+$(STAMP):
 	test -x $(PY) || python3 -m venv $(VENV)
 	$(PY) -m pip install -q -r requirements.lock
 	$(PY) -m pip install -q --no-deps --no-build-isolation $(foreach p,$(PACKAGES),-e $(p))
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/batch.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/batch.py
@@ -135,12 +135,17 @@
                 self._adopt(site, _task_of(entry, entry.attempt))
                 self._follow(site, entry, report)
                 keep.append(report.task_id)
+        if not site.serving:
+            # A start of the earlier owner may reach the worker yet.
+            return tuple(keep)
         for task_id in self._missing(site, recorded, reported, asked_at):
             self._note_missing(site, recorded.get(task_id), task_id)
         return tuple(keep)
 
     async def lapsed(self, site: sites_lib.WorkerSite) -> None:
         """Ends all attempts on a worker whose leases have surely ended."""
+        if not site.serving:
+            return
         for task_id, entry in self._recorded(site).items():
             if entry.key not in self._launching:
                 self._note_lost(site, entry, task_id, 'worker is silent')
@@ -149,6 +154,15 @@
                 if not self._is_launching(task_id):
                     self._release(site, task_id)
 
+    def busy(self, site: sites_lib.WorkerSite) -> bool:
+        """Tells whether a start on the worker is under way or uncertain."""
+        now = self._node.clock.monotonic()
+        return any(
+            self._is_launching(task_id) or self._may_still_arrive(task_id, now)
+            for task_id, task in site.ledger.tasks.items()
+            if task.kind is world.TaskKind.BATCH
+        )
+
     def _candidates(self) -> t.Iterator[jobs.JobEntry]:
         """Waiting jobs that this instance may place, in order.
 
@@ -238,9 +252,10 @@
             # The worker's next report tells whether it runs.
             logs.log_event('start uncertain', reason=exc.reason)
         except exceptions.PlatformError as exc:
-            del self._sent_at[task.task_id]
             self._end_not_run(site, entry, task, exc.reason)
             return
+        else:
+            self._sent_at.pop(task.task_id, None)
         self._explain(
             entry,
             decisions.DecisionKind.STARTED,
--- /dev/null
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/dispatch.py
@@ -0,0 +1,187 @@
+"""Runs latency-critical requests on the workers of this instance."""
+
+import asyncio
+import dataclasses
+import hashlib
+
+from amaranthflow import admission
+from amaranthflow import exceptions
+from amaranthflow import ids
+from amaranthflow import platform
+from amaranthflow import verdict
+from amaranthflow import world
+from amaranthflow_schema.v1 import peer_pb2
+from amaranthflow_schema.v1 import world_pb2
+
+from . import logs
+from . import metrics
+from . import node as node_lib
+from . import sites as sites_lib
+
+_ANSWER_MARGIN_MS = 5
+_MS_PER_S = 1000
+_US_PER_S = 1_000_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Reservation:
+    site: sites_lib.WorkerSite
+    task: world.Task
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Entrant(admission.Entrant):
+    service: world_pb2.Service
+    attempt: int
+
+
+class Dispatcher:
+    """Admits requests to workers' slots and calls the backend servers.
+
+    A slot stays reserved until the request surely no longer runs: until
+    the answer, or until its time has passed where the answer is lost.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: node_lib.Node,
+        placer: world.Placer,
+        sites: sites_lib.Sites,
+    ):
+        self._node = node
+        self._placer = placer
+        self._sites = sites
+        self.queue: admission.AdmissionQueue[_Reservation] = (
+            admission.AdmissionQueue(
+                clock=node.clock,
+                try_reserve=self._try_reserve,
+                release=self._release,
+            )
+        )
+        sites.on_room.append(self.queue.wake)
+
+    async def execute(
+        self, req: peer_pb2.ExecuteRequest
+    ) -> peer_pb2.ExecuteReply:
+        """Runs a request here; never raises for a failure of its own."""
+        reply = peer_pb2.ExecuteReply(
+            request_id=req.request_id, attempt=req.attempt
+        )
+        with logs.request_action(
+            req.request_id, attempt=req.attempt, level=logs.DEBUG
+        ):
+            try:
+                await self._run(req, reply)
+            except exceptions.AmaranthflowError as exc:
+                reply.verdict = exc.verdict.value
+                reply.reason = exc.reason
+                reply.retry_after_ms = exc.retry_after_ms or 0
+        return reply
+
+    async def _run(self, req, reply: peer_pb2.ExecuteReply) -> None:
+        service = self._service(req)
+        clock = self._node.clock
+        entered_at = clock.monotonic()
+        entrant = _Entrant(
+            request_id=ids.RequestId(req.request_id),
+            tenant_id=ids.TenantId(req.tenant_id),
+            service_id=ids.ServiceId(req.service_id),
+            deadline_s=entered_at + req.timeout_ms / _MS_PER_S,
+            service=service,
+            attempt=req.attempt,
+        )
+        reservation = await self.queue.enter(entrant)
+        waited_s = clock.monotonic() - entered_at
+        self._node.metrics.timing(
+            metrics.Metric.QUEUE_MS,
+            waited_s * _MS_PER_S,
+            tenant_id=req.tenant_id,
+            task_class=service.task_class,
+        )
+        await self._call(req, reply, entrant, reservation)
+
+    def _service(self, req) -> world_pb2.Service:
+        if self._node.draining:
+            raise exceptions.NotReady('the instance is draining')
+        version = self._node.state.config.in_force(
+            f'service/{req.service_id}', self._node.now_ms()
+        )
+        if version is None:
+            raise exceptions.RequestRefused('unknown service')
+        return version.change.service
+
+    async def _call(self, req, reply, entrant, reservation) -> None:
+        clock = self._node.clock
+        started_at = clock.monotonic()
+        left_ms = int((entrant.deadline_s - started_at) * _MS_PER_S)
+        timeout_ms = left_ms - _ANSWER_MARGIN_MS
+        if timeout_ms <= 0 or not reservation.site.admits:
+            self._free(reservation)
+            raise exceptions.Overloaded('no time or no right to run it')
+        call = platform.BackendCall(
+            request_id=entrant.request_id,
+            attempt=req.attempt,
+            tenant_id=entrant.tenant_id,
+            service_id=entrant.service_id,
+            payload=req.payload,
+            timeout_ms=timeout_ms,
+        )
+        try:
+            payload = await reservation.site.link.call(call)
+        except exceptions.PlatformUncertain as exc:
+            self._free_later(reservation, entrant.deadline_s)
+            raise exceptions.RequestUncertain(exc.reason) from exc
+        except exceptions.PlatformError:
+            self._free(reservation)
+            raise
+        except asyncio.CancelledError:
+            self._free_later(reservation, entrant.deadline_s)
+            raise
+        self._free(reservation)
+        spent_s = clock.monotonic() - started_at
+        reply.verdict = verdict.Verdict.COMPLETED.value
+        reply.payload = payload
+        reply.sha256 = hashlib.sha256(payload).hexdigest()
+        reply.worker_id = reservation.site.worker.worker_id
+        reply.service_time_us = int(spent_s * _US_PER_S)
+
+    def _try_reserve(self, entrant: _Entrant) -> _Reservation | None:
+        if not self._node.ownership.fresh():
+            return None
+        task = world.Task(
+            task_id=ids.request_task_id(entrant.request_id, entrant.attempt),
+            tenant_id=entrant.tenant_id,
+            task_class=ids.TaskClass(entrant.service.task_class),
+            kind=world.TaskKind.LATENCY,
+            size=world.Size.from_message(entrant.service.size),
+        )
+        placement = self._placer.choose(task)
+        if placement is None:
+            return None
+        site = self._sites.by_id[placement.worker_id]
+        if not site.ledger.reserve(task):
+            return None
+        self._placer.changed(placement.worker_id)
+        return _Reservation(site=site, task=task)
+
+    def _release(self, reservation: _Reservation) -> None:
+        site = reservation.site
+        if site.ledger.release(reservation.task.task_id) is not None:
+            self._placer.changed(site.worker.worker_id)
+
+    def _free(self, reservation: _Reservation) -> None:
+        self._release(reservation)
+        self.queue.wake()
+
+    def _free_later(self, reservation: _Reservation, at_s: float) -> None:
+        self._node.spawn(
+            self._free_at(reservation, at_s),
+            f'free {reservation.task.task_id}',
+        )
+
+    async def _free_at(self, reservation: _Reservation, at_s: float) -> None:
+        margin_s = self._node.cfg.clock_margin_s
+        left_s = at_s + margin_s - self._node.clock.monotonic()
+        await self._node.clock.sleep(max(0.0, left_s))
+        self._free(reservation)
--- /dev/null
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/entry.py
@@ -0,0 +1,291 @@
+"""HTTP interface for callers and for the balancer."""
+
+import base64
+import binascii
+import typing as t
+import uuid
+
+import sanic
+import sanic.exceptions as sanic_exceptions
+
+from amaranthflow import exceptions
+from amaranthflow import ids
+from amaranthflow import validation
+from amaranthflow import verdict
+from amaranthflow_schema.v1 import operators_pb2
+from amaranthflow_schema.v1 import world_pb2
+
+from . import logs
+from . import node as node_lib
+from . import router as router_lib
+from . import submissions as submissions_lib
+
+_MAX_TIMEOUT_MS = 3_600_000
+_TRUE_FALSE = {'true': True, 'false': False}
+_RETRY_HEADER = 'X-Retry-After-Ms'
+
+
+class _BadRequest(exceptions.RequestRefused):
+    """A header or the body has a wrong form."""
+
+
+class Entry:
+    """Handlers of the callers' requests."""
+
+    def __init__(
+        self,
+        *,
+        node: node_lib.Node,
+        router: router_lib.Router,
+        submissions: submissions_lib.Submissions,
+    ):
+        self._node = node
+        self._router = router
+        self._submissions = submissions
+        self.in_progress = 0
+
+    def make_app(self) -> sanic.Sanic:
+        """Makes the application; it starts no process."""
+        app = sanic.Sanic(
+            f'amaranthflow-{uuid.uuid4().hex}', configure_logging=False
+        )
+        app.config.REQUEST_MAX_SIZE = self._node.cfg.max_body_bytes
+        app.config.FALLBACK_ERROR_FORMAT = 'json'
+        app.config.MOTD = False
+        app.add_route(self.live, '/live', methods=['GET'])
+        app.add_route(self.ready, '/ready', methods=['GET'])
+        app.add_route(
+            self.call, '/v1/services/<service_id:str>/call', methods=['POST']
+        )
+        app.add_route(self.submit, '/v1/jobs', methods=['POST'])
+        app.add_route(self.show, '/v1/jobs/<job_id:str>', methods=['GET'])
+        app.add_route(self.cancel, '/v1/jobs/<job_id:str>', methods=['DELETE'])
+        app.error_handler.add(
+            sanic_exceptions.SanicException, _answer_sanic_error
+        )
+        return app
+
+    async def live(self, request: sanic.Request) -> sanic.HTTPResponse:
+        """Answers as long as the process does."""
+        return sanic.response.text('live\n')
+
+    async def ready(self, request: sanic.Request) -> sanic.HTTPResponse:
+        """Tells the balancer whether to send callers here."""
+        if self._node.ready and self._node.joined:
+            return sanic.response.text('ready\n')
+        return sanic.response.text('not ready\n', status=503)
+
+    async def call(
+        self, request: sanic.Request, service_id: str
+    ) -> sanic.HTTPResponse:
+        """Runs a latency-critical request."""
+        with self._progress():
+            try:
+                req = _caller_request(request, service_id)
+                with logs.request_action(
+                    req.request_id, tenant=req.tenant_id, service=service_id
+                ):
+                    reply = await self._router.call(req)
+            except exceptions.AmaranthflowError as exc:
+                return _answer_error(exc)
+        return sanic.response.raw(
+            reply.payload,
+            headers={
+                'X-Request-Id': reply.request_id,
+                'X-Attempt': str(reply.attempt),
+                'X-Sha256': reply.sha256,
+                'X-Verdict': 'completed',
+                'X-Service-Time-Us': str(reply.service_time_us),
+            },
+        )
+
+    async def submit(self, request: sanic.Request) -> sanic.HTTPResponse:
+        """Accepts a batch job."""
+        with self._progress():
+            try:
+                job = _job(request)
+                with logs.job_action(job.job_id, tenant=job.tenant_id):
+                    reply = await self._submissions.submit(job)
+            except exceptions.AmaranthflowError as exc:
+                return _answer_error(exc)
+        return _answer_job(reply, status=202)
+
+    async def show(
+        self, request: sanic.Request, job_id: str
+    ) -> sanic.HTTPResponse:
+        """Describes a job of the tenant."""
+        try:
+            reply = self._submissions.show(_tenant(request), job_id)
+        except exceptions.AmaranthflowError as exc:
+            return _answer_error(exc)
+        return _answer_job(reply)
+
+    async def cancel(
+        self, request: sanic.Request, job_id: str
+    ) -> sanic.HTTPResponse:
+        """Cancels a job of the tenant."""
+        with self._progress():
+            try:
+                reply = await self._submissions.cancel(
+                    _tenant(request), job_id
+                )
+            except exceptions.AmaranthflowError as exc:
+                return _answer_error(exc)
+        return _answer_job(reply)
+
+    def _progress(self) -> '_Progress':
+        return _Progress(entry=self)
+
+
+class _Progress:
+    """Counts a request while it is handled."""
+
+    def __init__(self, *, entry: Entry):
+        self._entry = entry
+
+    def __enter__(self):
+        self._entry.in_progress += 1
+
+    def __exit__(self, *exc_info):
+        self._entry.in_progress -= 1
+
+
+def _tenant(request: sanic.Request) -> ids.TenantId:
+    value = request.headers.get('X-Tenant', '')
+    _check(lambda: validation.check_id('X-Tenant', value))
+    return ids.TenantId(value)
+
+
+def _check(check: t.Callable[[], None]) -> None:
+    try:
+        check()
+    except exceptions.RequestRefused as exc:
+        raise _BadRequest(exc.reason) from exc
+
+
+def _caller_request(
+    request: sanic.Request, service_id: str
+) -> router_lib.CallerRequest:
+    request_id = request.headers.get('X-Request-Id') or uuid.uuid4().hex
+    _check(lambda: validation.check_id('X-Request-Id', request_id))
+    idempotent = _TRUE_FALSE.get(request.headers.get('X-Idempotent', 'false'))
+    if idempotent is None:
+        raise _BadRequest('X-Idempotent is neither true nor false')
+    return router_lib.CallerRequest(
+        request_id=ids.RequestId(request_id),
+        tenant_id=_tenant(request),
+        service_id=ids.ServiceId(service_id),
+        payload=request.body,
+        idempotent=idempotent,
+        timeout_ms=_timeout_ms(request),
+    )
+
+
+def _timeout_ms(request: sanic.Request) -> int:
+    text = request.headers.get('X-Timeout-Ms', '0')
+    if not text.isdecimal() or int(text) > _MAX_TIMEOUT_MS:
+        raise _BadRequest(f'X-Timeout-Ms is not in 0..{_MAX_TIMEOUT_MS}')
+    return int(text)
+
+
+def _job(request: sanic.Request) -> world_pb2.Job:
+    tenant_id = _tenant(request)
+    try:
+        body = request.json
+    except sanic_exceptions.BadRequest as exc:
+        raise _BadRequest('the body is not JSON') from exc
+    if not isinstance(body, dict):
+        raise _BadRequest('the body is not a JSON object')
+    return _job_of(body, tenant_id)
+
+
+def _job_of(body: dict[str, t.Any], tenant_id: str) -> world_pb2.Job:
+    unknown = sorted(set(body) - _JOB_FIELDS)
+    if unknown:
+        raise _BadRequest(f'unknown field {unknown[0]!r}')
+    try:
+        return world_pb2.Job(
+            job_id=body.get('job_id') or uuid.uuid4().hex,
+            tenant_id=tenant_id,
+            task_class=body.get('task_class', ''),
+            declared=world_pb2.Size(
+                cores=body.get('cores', 0),
+                memory_mb=body.get('memory_mb', 0),
+                accelerators=body.get('accelerators', 0),
+            ),
+            declared_run_ms=body.get('run_ms', 0),
+            idempotent=body.get('idempotent', False),
+            urgent=body.get('urgent', False),
+            payload=base64.b64decode(body.get('payload', ''), validate=True),
+        )
+    except (TypeError, ValueError, binascii.Error) as exc:
+        raise _BadRequest(f'a field has a wrong value: {exc}') from exc
+
+
+_JOB_FIELDS = frozenset(
+    (
+        'job_id',
+        'task_class',
+        'cores',
+        'memory_mb',
+        'accelerators',
+        'run_ms',
+        'idempotent',
+        'urgent',
+        'payload',
+    )
+)
+
+
+def _answer_job(
+    reply: operators_pb2.JobReply, status: int = 200
+) -> sanic.HTTPResponse:
+    body = {
+        'job_id': reply.job_id,
+        'phase': reply.phase,
+        'verdict': verdict.Verdict(reply.verdict).label,
+        'attempt': reply.attempt,
+        'evictions': reply.evictions,
+        'reason': reply.reason,
+        'result': base64.b64encode(reply.result).decode(),
+    }
+    return sanic.response.json(body, status=status)
+
+
+def _status_of(exc: exceptions.AmaranthflowError) -> int:
+    if isinstance(exc, _BadRequest):
+        return 400
+    if isinstance(exc, exceptions.RequestRefused):
+        return _REFUSALS.get(exc.reason, 400)
+    if isinstance(exc, exceptions.Overloaded):
+        return 429
+    if exc.verdict is verdict.Verdict.NOT_RUN:
+        return 503
+    return 504
+
+
+_REFUSALS = {
+    'unknown service': 404,
+    'unknown job': 404,
+    'unknown tenant': 403,
+    'another job has this id': 409,
+}
+
+
+def _answer_error(exc: exceptions.AmaranthflowError) -> sanic.HTTPResponse:
+    body = {'verdict': exc.verdict.label, 'reason': exc.reason}
+    headers = {'X-Verdict': exc.verdict.label.replace(' ', '-')}
+    if exc.retry_after_ms is not None:
+        body['retry_after_ms'] = exc.retry_after_ms
+        headers[_RETRY_HEADER] = str(exc.retry_after_ms)
+    return sanic.response.json(body, status=_status_of(exc), headers=headers)
+
+
+def _answer_sanic_error(
+    request: sanic.Request, exc: sanic_exceptions.SanicException
+) -> sanic.HTTPResponse:
+    """Answers what the HTTP library refuses before a handler runs."""
+    body = {'verdict': 'not run', 'reason': str(exc)}
+    return sanic.response.json(
+        body, status=exc.status_code, headers={'X-Verdict': 'not-run'}
+    )
--- /dev/null
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/operators.py
@@ -0,0 +1,287 @@
+"""Answers operators' remote procedure calls."""
+
+import grpc.aio
+
+from amaranthflow import configuration
+from amaranthflow import decisions
+from amaranthflow import exceptions
+from amaranthflow import ids
+from amaranthflow import verdict
+from amaranthflow_schema.v1 import operators_pb2
+from amaranthflow_schema.v1 import operators_pb2_grpc
+from amaranthflow_schema.v1 import records_pb2
+from amaranthflow_schema.v1 import world_pb2
+
+from . import logs
+from . import node as node_lib
+from . import sites as sites_lib
+from . import submissions as submissions_lib
+
+_RECORD_TIMEOUT_S = 3.0
+_PEER_TIMEOUT_S = 1.0
+_ONE_INSTANCE = 'one-instance'
+
+
+class OperatorService(operators_pb2_grpc.OperatorsServicer):
+    """Implements the ``Operators`` service of the schema."""
+
+    def __init__(
+        self,
+        *,
+        node: node_lib.Node,
+        sites: sites_lib.Sites,
+        submissions: submissions_lib.Submissions,
+    ):
+        self._node = node
+        self._sites = sites
+        self._submissions = submissions
+
+    async def ReviewChange(
+        self,
+        request: operators_pb2.ChangeRequest,
+        context: grpc.aio.ServicerContext,
+    ) -> operators_pb2.ChangeReply:
+        """Checks a change; nothing is sent."""
+        result = self._node.state.config.check(
+            request.change, self._node.now_ms()
+        )
+        return operators_pb2.ChangeReply(
+            verdict=verdict.Verdict.NOT_RUN.value,
+            accepted=result.accepted,
+            version=result.version,
+            reason=result.reason,
+        )
+
+    async def SendChange(
+        self,
+        request: operators_pb2.ChangeRequest,
+        context: grpc.aio.ServicerContext,
+    ) -> operators_pb2.ChangeReply:
+        """Writes a change to the log and tells what became of it."""
+        record = records_pb2.Record(change=request.change)
+        try:
+            self._check_writable()
+            result = await self._node.journal.write(record, _RECORD_TIMEOUT_S)
+        except exceptions.AmaranthflowError as exc:
+            return operators_pb2.ChangeReply(
+                verdict=exc.verdict.value, reason=exc.reason
+            )
+        self._explain_change(request.change, result)
+        found = verdict.Verdict.COMPLETED
+        if not result.accepted:
+            found = verdict.Verdict.NOT_RUN
+        return operators_pb2.ChangeReply(
+            verdict=found.value,
+            accepted=result.accepted,
+            version=result.version,
+            reason=result.reason,
+        )
+
+    async def ShowConfiguration(
+        self,
+        request: operators_pb2.ShowConfigurationRequest,
+        context: grpc.aio.ServicerContext,
+    ) -> operators_pb2.ShowConfigurationReply:
+        """Shows what is in force and what is booked."""
+        now_ms = self._node.now_ms()
+        reply = operators_pb2.ShowConfigurationReply()
+        for timeline in self._node.state.config.timelines():
+            if request.key in ('', timeline.key):
+                reply.entries.append(_entry(timeline, now_ms))
+        return reply
+
+    async def SubmitJob(
+        self,
+        request: operators_pb2.SubmitJobRequest,
+        context: grpc.aio.ServicerContext,
+    ) -> operators_pb2.JobReply:
+        """Accepts a batch job."""
+        try:
+            return await self._submissions.submit(request.job)
+        except exceptions.AmaranthflowError as exc:
+            return _job_error(request.job.job_id, exc)
+
+    async def CancelJob(
+        self,
+        request: operators_pb2.JobRequest,
+        context: grpc.aio.ServicerContext,
+    ) -> operators_pb2.JobReply:
+        """Cancels a batch job."""
+        try:
+            return await self._submissions.cancel(
+                request.tenant_id, request.job_id
+            )
+        except exceptions.AmaranthflowError as exc:
+            return _job_error(request.job_id, exc)
+
+    async def ShowJob(
+        self,
+        request: operators_pb2.JobRequest,
+        context: grpc.aio.ServicerContext,
+    ) -> operators_pb2.JobReply:
+        """Describes a batch job."""
+        try:
+            return self._submissions.show(request.tenant_id, request.job_id)
+        except exceptions.AmaranthflowError as exc:
+            return _job_error(request.job_id, exc)
+
+    async def ListJobs(
+        self,
+        request: operators_pb2.ListJobsRequest,
+        context: grpc.aio.ServicerContext,
+    ) -> operators_pb2.ListJobsReply:
+        """Lists the newest jobs."""
+        return self._submissions.list(request.tenant_id, request.limit)
+
+    async def Status(
+        self,
+        request: operators_pb2.StatusRequest,
+        context: grpc.aio.ServicerContext,
+    ) -> operators_pb2.StatusReply:
+        """Describes this instance and the owners of racks."""
+        state = self._node.state
+        members = state.members.members.values()
+        return operators_pb2.StatusReply(
+            instance_id=self._node.member.instance,
+            incarnation=self._node.member.incarnation,
+            zone_id=self._node.cfg.zone,
+            ready=self._node.ready and self._node.joined,
+            draining=self._node.draining,
+            log_reachable=self._node.follower.reachable,
+            applied_offset=state.next_offset,
+            members=sorted(str(info.member) for info in members),
+            racks=self._racks(),
+            jobs_waiting=len(state.jobs.waiting),
+            jobs_running=len(state.jobs.running),
+            load=self._sites.load(),
+        )
+
+    async def Explain(
+        self,
+        request: operators_pb2.ExplainRequest,
+        context: grpc.aio.ServicerContext,
+    ) -> operators_pb2.ExplainReply:
+        """Lists the decisions about a job, a worker or a rack.
+
+        Each instance keeps its own decisions; the others are asked too,
+        unless the call's metadata limits it to one instance.
+        """
+        found = self._node.decisions.explain(
+            ids.TenantId(request.tenant_id), request.subject_id
+        )
+        entries = [self._explanation(decision) for decision in found]
+        metadata = dict(context.invocation_metadata() or ())
+        if _ONE_INSTANCE not in metadata:
+            entries += await self._ask_peers(request)
+        entries.sort(key=lambda entry: entry.at_ms)
+        return operators_pb2.ExplainReply(entries=entries)
+
+    async def Latency(
+        self,
+        request: operators_pb2.LatencyRequest,
+        context: grpc.aio.ServicerContext,
+    ) -> operators_pb2.LatencyReply:
+        """Shows the histograms of this instance."""
+        rows = self._node.latency.rows(ids.TenantId(request.tenant_id))
+        return operators_pb2.LatencyReply(rows=rows)
+
+    def _check_writable(self) -> None:
+        if not self._node.ready:
+            raise exceptions.NotReady('the instance is not ready')
+        if not self._node.journal.reachable:
+            raise exceptions.NotReady('the log does not answer')
+
+    def _explain_change(self, change: world_pb2.Change, result) -> None:
+        kind = decisions.DecisionKind.REFUSED
+        if result.accepted:
+            kind = decisions.DecisionKind.ACCEPTED
+        reason = result.reason or f'version {result.version}'
+        self._node.explain(change.key, kind, reason)
+
+    def _racks(self) -> list[operators_pb2.RackStatus]:
+        state = self._node.state
+        workers = state.config.bodies('worker', self._node.now_ms()).values()
+        counts: dict[str, int] = {}
+        for body in workers:
+            counts[body.rack_id] = counts.get(body.rack_id, 0) + 1
+        found = []
+        for rack_id in sorted(counts | dict.fromkeys(state.racks.holdings, 0)):
+            holding = state.racks.holdings.get(ids.RackId(rack_id))
+            found.append(
+                operators_pb2.RackStatus(
+                    rack_id=rack_id,
+                    owner=holding.owner.instance if holding else '',
+                    epoch=holding.epoch if holding else 0,
+                    right=self._right(rack_id, holding),
+                    workers=counts.get(rack_id, 0),
+                )
+            )
+        return found
+
+    def _right(self, rack_id, holding) -> str:
+        if holding is None or holding.released:
+            return 'unowned'
+        if holding.owner != self._node.member:
+            return 'remote'
+        admits = self._node.ownership.admits(ids.RackId(rack_id))
+        return 'serving' if admits else 'waiting'
+
+    def _explanation(
+        self, decision: decisions.Decision
+    ) -> operators_pb2.Explanation:
+        return operators_pb2.Explanation(
+            at_ms=decision.at_ms,
+            instance_id=self._node.member.instance,
+            decision=decision.kind.value,
+            reason=decision.reason,
+        )
+
+    async def _ask_peers(
+        self, request: operators_pb2.ExplainRequest
+    ) -> list[operators_pb2.Explanation]:
+        entries = []
+        own = self._node.member.instance
+        for instance_id, info in self._node.state.members.members.items():
+            if instance_id == own:
+                continue
+            async with grpc.aio.insecure_channel(info.peer_address) as channel:
+                stub = operators_pb2_grpc.OperatorsStub(channel)
+                try:
+                    reply = await stub.Explain(
+                        request,
+                        timeout=_PEER_TIMEOUT_S,
+                        metadata=((_ONE_INSTANCE, 'true'),),
+                    )
+                except grpc.aio.AioRpcError as exc:
+                    logs.log_event(
+                        'peer gave no explanation',
+                        peer=instance_id,
+                        reason=exc.code().name,
+                    )
+                    continue
+            entries += reply.entries
+        return entries
+
+
+def _entry(
+    timeline: configuration.Timeline, now_ms: int
+) -> operators_pb2.ConfigurationEntry:
+    entry = operators_pb2.ConfigurationEntry(
+        key=timeline.key, version=timeline.version
+    )
+    version = timeline.in_force(now_ms)
+    if version is not None:
+        entry.in_force.CopyFrom(version.change)
+    entry.booked.extend(v.change for v in timeline.booked(now_ms))
+    return entry
+
+
+def _job_error(
+    job_id: str, exc: exceptions.AmaranthflowError
+) -> operators_pb2.JobReply:
+    return operators_pb2.JobReply(
+        verdict=exc.verdict.value,
+        reason=exc.reason,
+        job_id=job_id,
+        phase='unknown',
+    )
--- /dev/null
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/peers.py
@@ -0,0 +1,228 @@
+"""Connections to the other instances, one task for each."""
+
+import asyncio
+import typing as t
+
+import grpc
+import grpc.aio
+
+from amaranthflow import exceptions
+from amaranthflow import ids
+from amaranthflow import membership
+from amaranthflow import state as state_lib
+from amaranthflow_schema.v1 import peer_pb2
+from amaranthflow_schema.v1 import peer_pb2_grpc
+
+from . import logs
+from . import metrics
+from . import node as node_lib
+
+_REPLY_GRACE_S = 0.1
+_CHANNEL_OPTIONS = (
+    ('grpc.max_receive_message_length', 64 * 1024 * 1024),
+    ('grpc.max_send_message_length', 64 * 1024 * 1024),
+    ('grpc.enable_http_proxy', 0),
+    ('grpc.use_local_subchannel_pool', 1),
+    ('grpc.initial_reconnect_backoff_ms', 100),
+    ('grpc.max_reconnect_backoff_ms', 1000),
+)
+
+
+class PeerLink:
+    """One peer: its channel, heartbeats and newest load summary.
+
+    A channel without an answer for the suspicion time is closed, which
+    ends its calls with a verdict, and replaced by a new one.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: node_lib.Node,
+        info: membership.MemberInfo,
+        beat: t.Callable[[], peer_pb2.HeartbeatRequest],
+    ):
+        self._node = node
+        self._beat = beat
+        self.info = info
+        self.load = peer_pb2.LoadSummary()
+        self.draining = False
+        self.silent_peers: frozenset[str] = frozenset()
+        self.answered_at = node.clock.monotonic()
+        self.in_touch = False
+        self._opened_at = self.answered_at
+        self._open()
+
+    @property
+    def silent_s(self) -> float:
+        """Seconds since the last answer, or since the link was made."""
+        return self._node.clock.monotonic() - self.answered_at
+
+    @property
+    def suspect(self) -> bool:
+        """True once the peer was silent for the suspicion time."""
+        return self.silent_s > self._node.cfg.suspect_s
+
+    async def run(self) -> t.NoReturn:
+        """Sends heartbeats until cancelled."""
+        try:
+            while True:
+                await self._heartbeat()
+                await self._replace_if_silent()
+                await self._node.clock.sleep(self._node.cfg.heartbeat_s)
+        finally:
+            await self._channel.close()
+
+    async def execute(
+        self, req: peer_pb2.ExecuteRequest
+    ) -> peer_pb2.ExecuteReply:
+        """Forwards a request.
+
+        :raises NotReady: the peer is not in touch; nothing was sent.
+        :raises RequestUncertain: the request may have run.
+        """
+        if not self.in_touch or self.suspect:
+            raise exceptions.NotReady('the owner is not in touch')
+        channel = self._channel
+        timeout_s = req.timeout_ms / 1000 + _REPLY_GRACE_S
+        try:
+            reply = await self._stub.Execute(req, timeout=timeout_s)
+        except grpc.aio.AioRpcError as exc:
+            raise exceptions.RequestUncertain(
+                f'the owner gave no answer: {exc.code().name}'
+            ) from exc
+        except asyncio.CancelledError:
+            if channel is self._channel:
+                raise
+            raise exceptions.RequestUncertain(
+                'the connection to the owner was replaced'
+            ) from None
+        if (reply.request_id, reply.attempt) != (req.request_id, req.attempt):
+            raise exceptions.RequestUncertain('the answer is to another one')
+        return reply
+
+    def _open(self) -> None:
+        self._channel = grpc.aio.insecure_channel(
+            self.info.peer_address, options=_CHANNEL_OPTIONS
+        )
+        self._stub = peer_pb2_grpc.PeerStub(self._channel)
+        self._opened_at = self._node.clock.monotonic()
+
+    async def _heartbeat(self) -> None:
+        asked_at = self._node.clock.monotonic()
+        req = self._beat()
+        timeout_s = self._node.cfg.heartbeat_s
+        try:
+            reply = await self._stub.Heartbeat(req, timeout=timeout_s)
+        except grpc.aio.AioRpcError:
+            self.in_touch = self.in_touch and not self.suspect
+            return
+        self._note(reply, asked_at)
+
+    def _note(self, reply: peer_pb2.HeartbeatReply, asked_at: float) -> None:
+        answered = ids.Member(
+            ids.InstanceId(reply.instance_id),
+            ids.Incarnation(reply.incarnation),
+        )
+        self._node.ownership.note_answer(
+            answered, asked_at, ids.Offset(reply.view_offset)
+        )
+        if answered != self.info.member:
+            return
+        self.answered_at = self._node.clock.monotonic()
+        self.in_touch = True
+        self.load = reply.load
+        self.draining = reply.draining
+        self.silent_peers = frozenset(reply.silent)
+
+    async def _replace_if_silent(self) -> None:
+        now = self._node.clock.monotonic()
+        newest = max(self.answered_at, self._opened_at)
+        if now - newest <= self._node.cfg.suspect_s:
+            return
+        self.in_touch = False
+        silent = self._channel
+        self._open()
+        await silent.close()
+        self._node.metrics.count(metrics.Metric.CONNECTIONS_REPLACED)
+        logs.log_event(
+            'connection replaced',
+            level=logs.WARNING,
+            peer=str(self.info.member),
+        )
+
+
+class Peers:
+    """Links to all other members, kept in step with the membership."""
+
+    def __init__(
+        self,
+        *,
+        node: node_lib.Node,
+        load: t.Callable[[], peer_pb2.LoadSummary],
+    ):
+        self._node = node
+        self._load = load
+        self._tasks: dict[ids.InstanceId, asyncio.Task] = {}
+        self.links: dict[ids.InstanceId, PeerLink] = {}
+
+    def on_applied(self, applied: state_lib.Applied) -> None:
+        """Follows the membership."""
+        if applied.offset == self._node.state.view_offset:
+            self.refresh()
+
+    def on_loaded(self) -> None:
+        """Starts anew from the replaced state."""
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Opens links to new members and closes those to former ones."""
+        wanted = dict(self._node.state.members.members)
+        wanted.pop(self._node.member.instance, None)
+        for instance_id in list(self.links):
+            if wanted.get(instance_id) != self.links[instance_id].info:
+                del self.links[instance_id]
+                self._tasks.pop(instance_id).cancel()
+        for instance_id, info in wanted.items():
+            if instance_id not in self.links:
+                link = PeerLink(node=self._node, info=info, beat=self.beat)
+                self.links[instance_id] = link
+                self._tasks[instance_id] = self._node.spawn(
+                    link.run(), f'peer {instance_id}'
+                )
+
+    def suspects(self) -> frozenset[str]:
+        """Instances that have not answered for the suspicion time."""
+        return frozenset(
+            instance_id
+            for instance_id, link in self.links.items()
+            if link.suspect
+        )
+
+    def agreed_suspects(self) -> frozenset[str]:
+        """Instances that most of those in touch find silent.
+
+        Empty where this instance is not in touch with a majority: then it
+        is more likely the one that is cut off.
+        """
+        in_touch = [n for n in self.links.values() if not n.suspect]
+        members = len(self.links) + 1
+        if len(in_touch) + 1 <= members // 2:
+            return frozenset()
+        agreed = set()
+        for instance_id in self.suspects():
+            votes = 1 + sum(instance_id in n.silent_peers for n in in_touch)
+            if votes * 2 > len(in_touch) + 1:
+                agreed.add(instance_id)
+        return frozenset(agreed)
+
+    def beat(self) -> peer_pb2.HeartbeatRequest:
+        """Makes the heartbeat that tells about this instance."""
+        return peer_pb2.HeartbeatRequest(
+            instance_id=self._node.member.instance,
+            incarnation=self._node.member.incarnation,
+            view_offset=self._node.state.view_offset,
+            load=self._load(),
+            draining=self._node.draining,
+            silent=sorted(self.suspects()),
+        )
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/sites.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/sites.py
@@ -7,6 +7,7 @@
 from amaranthflow import platform
 from amaranthflow import state as state_lib
 from amaranthflow import world
+from amaranthflow_schema.v1 import peer_pb2
 
 from . import logs
 from . import node as node_lib
@@ -33,6 +34,7 @@
 class WorkerSite:
     """One worker, its ledger and the task that keeps in touch with it.
 
+    :ivar leaving: the platform's list calls the worker leaving.
     :ivar known: the worker has told what it runs since this instance took
         the rack over. Nothing is started before.
     :ivar renewed_at: monotonic time after which no lease on the worker can
@@ -46,13 +48,17 @@
         worker: world.Worker,
         epoch: ids.Epoch,
         reconciler: Reconciler,
+        on_change: t.Callable[['WorkerSite'], None],
     ):
         self._node = node
         self._reconciler = reconciler
+        self._on_change = on_change
         self.worker = worker
         self.epoch = epoch
         self.link = node.links.connect(worker)
         self.ledger = world.WorkerLedger(worker=worker)
+        self.ledger.leaving = True
+        self.leaving = False
         self.known = False
         self.answering = False
         self.renewed_at = node.clock.monotonic()
@@ -60,13 +66,24 @@
     @property
     def admits(self) -> bool:
         """Tells whether work may be started here at this moment."""
-        return (
-            self.known
-            and self.answering
-            and not self.ledger.leaving
-            and self._node.ownership.admits(self.worker.rack_id)
+        return not self.ledger.leaving and self._node.ownership.admits(
+            self.worker.rack_id
         )
 
+    @property
+    def serving(self) -> bool:
+        """True once the takeover of the worker's rack is complete."""
+        racks = self._node.ownership.serving()
+        return racks.get(self.worker.rack_id) == self.epoch
+
+    def update(self) -> None:
+        """Opens or closes the ledger for new work."""
+        open_now = self.known and self.answering and self.serving
+        closed = self.leaving or not open_now
+        if closed != self.ledger.leaving:
+            self.ledger.leaving = closed
+            self._on_change(self)
+
     async def run(self) -> t.NoReturn:
         """Polls the worker until cancelled."""
         pause_s = self._node.cfg.task_lease_s / _POLLS_PER_LEASE
@@ -114,6 +131,7 @@
             logs.log_event('worker answers', worker=self.worker.worker_id)
         self.answering = True
         self.known = True
+        self.update()
 
     async def _note_silence(self, exc: exceptions.AmaranthflowError) -> None:
         if self.answering:
@@ -124,6 +142,7 @@
                 reason=exc.reason,
             )
         self.answering = False
+        self.update()
         cfg = self._node.cfg
         silent_s = self._node.clock.monotonic() - self.renewed_at
         # The last renewal may have reached the worker as late as its
@@ -149,6 +168,7 @@
         self._leaving: frozenset[str] = frozenset()
         self._seen: tuple = ()
         self.by_id: dict[ids.WorkerId, WorkerSite] = {}
+        self.on_room: list[t.Callable[[], None]] = []
 
     def on_applied(self, applied: state_lib.Applied) -> None:
         """Follows changes of the configuration and of ownership."""
@@ -183,13 +203,29 @@
         self._leaving = names
         for worker_id, site in self.by_id.items():
             leaving = worker_id in names
-            if leaving != site.ledger.leaving:
-                site.ledger.leaving = leaving
-                self._placer.changed(worker_id)
+            if leaving != site.leaving:
+                site.leaving = leaving
+                site.update()
                 logs.log_event(
                     'worker leaving', worker=worker_id, leaving=leaving
                 )
 
+    def update_rack(self, rack_id: ids.RackId) -> None:
+        """Opens or closes a rack's workers after its right has changed."""
+        for site in self.of_rack(rack_id):
+            site.update()
+
+    def load(self) -> peer_pb2.LoadSummary:
+        """Sums the slots of the workers that admit work."""
+        summary = peer_pb2.LoadSummary()
+        if not self._node.ownership.fresh():
+            return summary
+        for site in self.by_id.values():
+            if not site.ledger.leaving:
+                summary.free_slots += max(0, site.ledger.free_slots)
+                summary.total_slots += site.worker.slots
+        return summary
+
     def of_rack(self, rack_id: ids.RackId) -> tuple[WorkerSite, ...]:
         """Returns the sites of one rack."""
         return tuple(
@@ -219,14 +255,20 @@
             worker=worker,
             epoch=epoch,
             reconciler=self._reconciler,
+            on_change=self._note_change,
         )
-        site.ledger.leaving = worker.worker_id in self._leaving
+        site.leaving = worker.worker_id in self._leaving
         self.by_id[worker.worker_id] = site
         self._placer.add(site.ledger)
         self._tasks[worker.worker_id] = self._node.spawn(
             site.run(), f'worker {worker.worker_id}'
         )
 
+    def _note_change(self, site: WorkerSite) -> None:
+        self._placer.changed(site.worker.worker_id)
+        for listener in self.on_room:
+            listener()
+
     def _remove(self, worker_id: ids.WorkerId) -> None:
         del self.by_id[worker_id]
         self._placer.remove(worker_id)
--- /dev/null
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/steward.py
@@ -0,0 +1,352 @@
+"""Keeps membership and ownership of racks as they should be."""
+
+import asyncio
+import typing as t
+
+from amaranthflow import assignment
+from amaranthflow import decisions
+from amaranthflow import exceptions
+from amaranthflow import ids
+from amaranthflow import platform
+from amaranthflow import racks
+from amaranthflow import snapshots
+from amaranthflow import state as state_lib
+from amaranthflow_schema.v1 import records_pb2
+
+from . import batch
+from . import logs
+from . import node as node_lib
+from . import peers as peers_lib
+from . import sites as sites_lib
+
+_TICK_S = 0.1
+_LIST_POLL_S = 0.5
+_RECORD_TIMEOUT_S = 2.0
+_REMOVE_AFTER_S = 8.0
+_SETTLE_S = 3.0
+_HANDOVER_POLL_S = 0.02
+_HANDOVER_TIMEOUT_S = 10.0
+_VIEWS_KEPT = 8
+_SNAPSHOT_ENTRIES = 5000
+_SNAPSHOT_S = 600.0
+
+
+class Steward:
+    """Joins the fleet, claims racks, hands them over and leaves.
+
+    Every decision here is only a proposal to the log. What protects the
+    workers is ``ownership``; a wrong proposal costs time, not safety.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: node_lib.Node,
+        peers: peers_lib.Peers,
+        sites: sites_lib.Sites,
+        runner: batch.BatchRunner,
+    ):
+        self._node = node
+        self._peers = peers
+        self._sites = sites
+        self._runner = runner
+        self._takeovers: dict[ids.RackId, ids.Epoch] = {}
+        self._moving: set[ids.RackId] = set()
+        self._misplaced_since: dict[ids.RackId, float] = {}
+        self._listed: set[str] = set()
+        self._absent: frozenset[str] = frozenset()
+        self._snapshot_offset = 0
+        self._snapshot_at = node.clock.monotonic()
+
+    def on_applied(self, applied: state_lib.Applied) -> None:
+        """Begins the takeover of a rack once its claim is applied."""
+        if applied.offset == self._node.state.view_offset:
+            self._begin_takeovers()
+
+    def on_loaded(self) -> None:
+        """Looks for racks of this member in the replaced state."""
+        self._begin_takeovers()
+
+    async def run(self) -> t.NoReturn:
+        """Proposes what is missing until cancelled."""
+        while True:
+            if self._node.follower.caught_up and not self._node.draining:
+                await self._propose()
+            await self._node.clock.sleep(_TICK_S)
+
+    async def watch_list(self) -> t.NoReturn:
+        """Polls the platform's list until cancelled."""
+        while True:
+            try:
+                listed = await self._node.links.instances.snapshot()
+            except exceptions.PlatformError as exc:
+                logs.log_event('list does not answer', reason=exc.reason)
+            else:
+                self._note_list(listed)
+            await self._node.clock.sleep(_LIST_POLL_S)
+
+    async def leave(self) -> None:
+        """Hands over all racks and leaves the fleet."""
+        owned = self._node.state.racks.owned_by(self._node.member)
+        await asyncio.gather(*(self._hand_over(h) for h in owned))
+        left = records_pb2.MemberLeft(
+            instance_id=self._node.member.instance,
+            incarnation=self._node.member.incarnation,
+            graceful=True,
+        )
+        await self._write(records_pb2.Record(member_left=left))
+
+    async def _propose(self) -> None:
+        if not self._node.joined:
+            await self._join()
+            return
+        self._node.ownership.forget_departed()
+        if self._node.journal.reachable:
+            await self._remove_members()
+            await self._claim_racks()
+            self._hand_over_misplaced()
+            await self._close_views()
+            await self._make_snapshot()
+
+    async def _join(self) -> None:
+        member = self._node.member
+        joined = records_pb2.MemberJoined(
+            instance_id=member.instance,
+            incarnation=member.incarnation,
+            zone_id=self._node.cfg.zone,
+            peer_address=self._node.cfg.peer_address,
+        )
+        await self._write(records_pb2.Record(member_joined=joined))
+
+    async def _remove_members(self) -> None:
+        """Removes members that are gone; one instance at a time does so."""
+        silent = self._peers.agreed_suspects()
+        gone = [
+            link.info.member
+            for instance_id, link in self._peers.links.items()
+            if (instance_id in silent and link.silent_s > _REMOVE_AFTER_S)
+            or (instance_id in self._absent and link.suspect)
+        ]
+        if gone and self._is_first(silent):
+            await asyncio.gather(*(self._remove(m) for m in gone))
+
+    async def _remove(self, member: ids.Member) -> None:
+        left = records_pb2.MemberLeft(
+            instance_id=member.instance, incarnation=member.incarnation
+        )
+        await self._write(records_pb2.Record(member_left=left))
+
+    def _is_first(self, silent: t.Collection[str]) -> bool:
+        alive = set(self._node.state.members.members) - set(silent)
+        return min(alive, default=None) == self._node.member.instance
+
+    async def _claim_racks(self) -> None:
+        holdings = self._node.state.racks.holdings
+        desired = self._desired()
+        claims = [
+            self._claim(rack_id)
+            for rack_id, instance_id in desired.items()
+            if instance_id == self._node.member.instance
+            and rack_id not in self._moving
+            and self._is_free(holdings.get(rack_id))
+        ]
+        await asyncio.gather(*claims)
+
+    def _desired(self) -> dict[ids.RackId, ids.InstanceId]:
+        workers = self._node.state.config.bodies('worker', self._node.now_ms())
+        rack_ids = {ids.RackId(body.rack_id) for body in workers.values()}
+        out = self._unavailable()
+        members = [i for i in self._node.state.members.members if i not in out]
+        return assignment.desired_owners(rack_ids, members)
+
+    def _unavailable(self) -> frozenset[str]:
+        draining = {i for i, n in self._peers.links.items() if n.draining}
+        gone = self._absent & self._peers.suspects()
+        return self._peers.agreed_suspects() | gone | draining
+
+    def _is_free(self, holding: racks.RackHolding | None) -> bool:
+        """Tells whether a rack has no owner that could serve it."""
+        if holding is None or holding.released:
+            return True
+        current = self._node.state.members.current(holding.owner.instance)
+        if current != holding.owner:
+            return True
+        gone = self._absent & self._peers.suspects()
+        return holding.owner.instance in self._peers.agreed_suspects() | gone
+
+    async def _claim(self, rack_id: ids.RackId) -> None:
+        epoch = self._node.state.racks.epoch(rack_id)
+        claimed = records_pb2.RackClaimed(
+            rack_id=rack_id,
+            instance_id=self._node.member.instance,
+            incarnation=self._node.member.incarnation,
+            after_epoch=epoch,
+        )
+        await self._write(records_pb2.Record(rack_claimed=claimed))
+
+    def _begin_takeovers(self) -> None:
+        for holding in self._node.state.racks.owned_by(self._node.member):
+            if self._takeovers.get(holding.rack_id) != holding.epoch:
+                self._takeovers[holding.rack_id] = holding.epoch
+                self._node.spawn(
+                    self._take_over(holding), f'takeover {holding.rack_id}'
+                )
+
+    async def _take_over(self, holding: racks.RackHolding) -> None:
+        """Waits until no earlier owner can act, then serves the rack."""
+        rack_id, epoch = holding.rack_id, holding.epoch
+        right = self._node.ownership
+        reason = f'epoch {epoch}, handed over: {holding.handed_over}'
+        self._node.explain(rack_id, decisions.DecisionKind.CLAIMED, reason)
+        if not holding.handed_over:
+            await right.wait_out(holding.claim_offset)
+            for site in self._sites.of_rack(rack_id):
+                site.renewed_at = self._node.clock.monotonic()
+            cfg = self._node.cfg
+            await self._node.clock.sleep(cfg.task_lease_s + cfg.clock_margin_s)
+        if not right.holds(rack_id, epoch):
+            return
+        for site in self._sites.of_rack(rack_id):
+            site.known = False
+        right.serve(rack_id, epoch)
+        await asyncio.gather(
+            *(site.poll() for site in self._sites.of_rack(rack_id))
+        )
+        self._node.explain(
+            rack_id, decisions.DecisionKind.RESTORED, f'served at {epoch}'
+        )
+
+    def _hand_over_misplaced(self) -> None:
+        """Moves racks to members that should own them, once that settles."""
+        now = self._node.clock.monotonic()
+        desired = self._desired()
+        for holding in self._node.state.racks.owned_by(self._node.member):
+            rack_id = holding.rack_id
+            wanted = desired.get(rack_id, self._node.member.instance)
+            link = self._peers.links.get(wanted)
+            if link is None or not link.in_touch:
+                self._misplaced_since.pop(rack_id, None)
+                continue
+            since = self._misplaced_since.setdefault(rack_id, now)
+            if now - since > _SETTLE_S and rack_id not in self._moving:
+                del self._misplaced_since[rack_id]
+                self._node.spawn(
+                    self._hand_over(holding), f'hand over {rack_id}'
+                )
+
+    async def _hand_over(self, holding: racks.RackHolding) -> None:
+        """Stops admitting on a rack, lets requests end and releases it."""
+        rack_id = holding.rack_id
+        if rack_id in self._moving:
+            return
+        self._moving.add(rack_id)
+        self._node.ownership.cease(rack_id)
+        self._sites.update_rack(rack_id)
+        try:
+            await self._wait_idle(rack_id)
+            await self._release(holding)
+        except exceptions.NotReady as exc:
+            logs.log_event('rack kept', rack=rack_id, reason=exc.reason)
+            self._resume(holding)
+        finally:
+            self._moving.discard(rack_id)
+
+    async def _release(self, holding: racks.RackHolding) -> None:
+        """Records the release; returns once the rack is surely given up.
+
+        :raises NotReady: the record is surely not in the log.
+        """
+        released = records_pb2.RackReleased(
+            rack_id=holding.rack_id,
+            instance_id=self._node.member.instance,
+            incarnation=self._node.member.incarnation,
+            epoch=holding.epoch,
+        )
+        record = records_pb2.Record(rack_released=released)
+        try:
+            await self._node.journal.write(record, _RECORD_TIMEOUT_S)
+        except exceptions.RequestUncertain:
+            # The record may land at any time: nothing is admitted until
+            # it has.
+            while self._node.ownership.holds(holding.rack_id, holding.epoch):
+                await self._node.clock.sleep(_TICK_S)
+        self._node.explain(
+            holding.rack_id, decisions.DecisionKind.RELEASED, 'handed over'
+        )
+
+    def _resume(self, holding: racks.RackHolding) -> None:
+        """Serves a rack on that could not be released."""
+        right = self._node.ownership
+        if right.holds(holding.rack_id, holding.epoch):
+            right.serve(holding.rack_id, holding.epoch)
+            self._sites.update_rack(holding.rack_id)
+
+    async def _wait_idle(self, rack_id: ids.RackId) -> None:
+        """Waits for requests and starts under way on a rack to end."""
+        clock = self._node.clock
+        until = clock.monotonic() + _HANDOVER_TIMEOUT_S
+        while clock.monotonic() < until:
+            sites = self._sites.of_rack(rack_id)
+            if not any(self._is_busy(site) for site in sites):
+                return
+            await clock.sleep(_HANDOVER_POLL_S)
+        raise exceptions.NotReady(f'work on rack {rack_id} does not end')
+
+    def _is_busy(self, site: sites_lib.WorkerSite) -> bool:
+        requests = len(site.ledger.tasks) - site.ledger.batch_count
+        return requests > 0 or self._runner.busy(site)
+
+    async def _close_views(self) -> None:
+        views = self._node.state.members.views
+        if len(views) <= _VIEWS_KEPT or not self._is_first(()):
+            return
+        through = self._node.ownership.closed_through()
+        if through is not None:
+            closed = records_pb2.ViewsClosed(through_offset=through)
+            await self._write(records_pb2.Record(views_closed=closed))
+
+    async def _make_snapshot(self) -> None:
+        """Writes the state to the log now and then, before it expires."""
+        now = self._node.clock.monotonic()
+        offset = self._node.state.next_offset
+        due = (
+            offset - self._snapshot_offset >= _SNAPSHOT_ENTRIES
+            or now - self._snapshot_at >= _SNAPSHOT_S
+        )
+        if not due or not self._is_first(self._peers.suspects()):
+            return
+        self._snapshot_offset = offset
+        self._snapshot_at = now
+        for record in snapshots.chunks(self._node.state, self._node.member):
+            await self._write(record)
+
+    def _note_list(
+        self, listed: t.Mapping[str, platform.InstancePhase]
+    ) -> None:
+        self._listed.update(listed)
+        leaving = {
+            name
+            for name, phase in listed.items()
+            if phase is platform.InstancePhase.LEAVING
+        }
+        self._absent = frozenset(self._listed - listed.keys())
+        self._sites.note_leaving(frozenset(leaving) | self._absent)
+        for view in self._node.state.members.views:
+            for member in view.members:
+                if member.instance in self._absent:
+                    self._node.ownership.note_gone(member)
+
+    async def _write(self, record: records_pb2.Record) -> None:
+        kind = record.WhichOneof('kind')
+        try:
+            result = await self._node.journal.write(record, _RECORD_TIMEOUT_S)
+        except exceptions.AmaranthflowError as exc:
+            logs.log_event(
+                'record not confirmed',
+                level=logs.WARNING,
+                kind=kind,
+                reason=exc.reason,
+            )
+            return
+        if not result.accepted:
+            logs.log_event('record void', kind=kind, reason=result.reason)
--- a/packages/amaranthflow/src/amaranthflow/follower.py
+++ b/packages/amaranthflow/src/amaranthflow/follower.py
@@ -13,6 +13,8 @@
 
 _LONG_POLL_S = 0.5
 _RETRY_S = 0.1
+# Logs number their first entry 0 or 1; nothing can be missing before it.
+_FIRST_EVER = 1
 
 
 class Listener(t.Protocol):
@@ -94,6 +96,9 @@
             self.reachable = False
             await self._clock.sleep(_RETRY_S)
             return
+        if first <= _FIRST_EVER and self._state.next_offset <= first:
+            self._state.next_offset = first
+            return
         self.caught_up = False
         self._replay = snapshots.Replay(start=first)
 
