--- /dev/null
+++ b/tests/amaranthflow/adapters.feature
@@ -0,0 +1,87 @@
+Feature: adapters
+
+  Scenario: the log adapter appends, reads and waits over TCP
+    Given an adapter to a log on a port
+    When the adapter appends 3 entries of 100000 bytes
+    Then the adapter reads 2 whole entries from offset 2
+    And an adapter's waiting read gets the next append
+
+  Scenario: the log adapter tells an expired offset
+    Given an adapter to a log on a port that keeps 1 entry
+    When the adapter appends 3 entries of 10 bytes
+    Then the adapter's read of offset 1 raises "OffsetExpired"
+    And the adapter's first offset is 3
+
+  Scenario Outline: the log adapter tells whether an append was kept
+    Given an adapter to a log on a port
+    When the log behind the adapter has the fault "<fault>"
+    Then the adapter's append raises "<error>"
+    And the log behind the adapter keeps <kept>
+
+    Examples:
+      | fault         | error             | kept |
+      | down          | PlatformError     | 0    |
+      | refuse        | PlatformError     | 0    |
+      | lose_replies  | PlatformUncertain | 1    |
+      | lose_requests | PlatformUncertain | 0    |
+
+  Scenario: a log that was down is reached again on its port
+    Given an adapter to a log on a port
+    When the log behind the adapter has the fault "down"
+    And the log behind the adapter has recovered
+    And the adapter appends 2 entries of 10 bytes
+    Then the adapter reads 2 whole entries from offset 1
+
+  Scenario: a page of the log that is cut short is refused
+    Then an adapter's page cut anywhere inside an entry raises "PlatformError"
+
+  Scenario: the worker adapter gets each answer whole to its own call
+    Given an adapter to a worker on a port
+    When the adapter makes 200 calls at once
+    Then the adapter's calls all have their own answers
+    And the worker behind the adapter saw between 2 and 24 connections
+
+  Scenario Outline: the worker adapter tells whether a call may have run
+    Given an adapter to a worker on a port
+    When the worker behind the adapter has the fault "<fault>"
+    Then the adapter's call raises "<error>"
+    And the worker behind the adapter has run <count> calls
+
+    Examples:
+      | fault            | error             | count |
+      | dead             | PlatformError     | 0     |
+      | fails_everything | PlatformUncertain | 1     |
+      | garbage_share    | PlatformUncertain | 1     |
+      | cut_short_share  | PlatformUncertain | 1     |
+      | foreign_share    | PlatformUncertain | 1     |
+      | frozen           | PlatformUncertain | 0     |
+
+  Scenario: calls that hold every connection do not stop the control of tasks
+    Given an adapter to a worker on a port
+    When the adapter's calls hold all their connections
+    Then the adapter's next call raises "PlatformError" within its timeout
+    And the adapter renews a lease
+
+  Scenario: the worker adapter carries tasks and their reports
+    Given an adapter to a worker on a port
+    When the adapter starts task "job:a:1" with 300 arbitrary bytes
+    Then the adapter's list shows "job:a:1" as "running" on its lease
+    And the adapter's stop of "job:a:1" tells its checkpoint
+    And the adapter's list shows "job:a:1" as "stopped"
+    And the adapter's stop of "job:b:1" raises "PlatformError"
+
+  Scenario Outline: a peer that answers garbage stops nothing
+    Given an adapter to a peer that answers "<body>"
+    Then the adapter's list of tasks raises "PlatformUncertain"
+    And the adapter's list of instances raises "PlatformError"
+    And the adapter's append raises "PlatformUncertain"
+
+    Examples:
+      | body        |
+      | garbage     |
+      | [1, 2]      |
+      | {"a": "xy"} |
+
+  Scenario: the list adapter reads phases over TCP
+    Given an adapter to an instance list with "i1" "live" and "w1" "leaving"
+    Then the adapter's list of instances is "i1" "live" and "w1" "leaving"
