--- /dev/null
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/checks.py
@@ -0,0 +1,369 @@
+"""Checks of the promises from the callers' and the workers' side only."""
+
+import collections
+import dataclasses
+import enum
+import itertools
+import typing as t
+
+from amaranthflow import verdict as verdict_lib
+
+from . import history
+from . import observations
+
+# The platform's list comes late, and a leaving worker may still get work
+# for a few seconds.
+LEAVING_GRACE_S = 5.0
+OUTAGE_ANSWERED_SHARE = 0.95
+
+_FINISHED = frozenset(('completed', 'cancelled', 'set-aside'))
+_RESUMABLE = frozenset(
+    (history.RunOutcome.STOPPED, history.RunOutcome.LEASE_LAPSED)
+)
+
+
+class Promise(enum.Enum):
+    """A promise that can be seen to be broken."""
+
+    NOT_LOST = 'lost'
+    NOT_DOUBLED = 'doubled'
+    RIGHT_ANSWERS = 'wrong_answers'
+    TRUE_NOT_RUN = 'false_not_run'
+    WITHIN_CAPACITY = 'over_capacity'
+    LEAVING_IDLE = 'work_on_leaving'
+    GRACEFUL_STOP = 'ungraceful_stop'
+    TENANTS_APART = 'foreign_reads'
+    MACHINE_RULES = 'machine_rules'
+    OUTAGE = 'outage'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Breach:
+    """One promise broken once."""
+
+    promise: Promise
+    subject: str
+    detail: str
+
+
+def check_all(seen: observations.Observations) -> list[Breach]:
+    """Returns every breach found."""
+    checks = (
+        check_lost,
+        check_doubled_requests,
+        check_doubled_jobs,
+        check_answers,
+        check_not_run,
+        check_capacity,
+        check_leaving,
+        check_stops,
+        check_tenants,
+        check_rules,
+        check_outage,
+    )
+    return [breach for check in checks for breach in check(seen)]
+
+
+def check_lost(seen: observations.Observations) -> t.Iterator[Breach]:
+    """Every accepted job finishes, and idempotent ones complete."""
+    for job in seen.jobs:
+        if not job.accepted:
+            continue
+        if job.phase not in _FINISHED:
+            detail = f'accepted, but in the end "{job.phase}"'
+        elif job.phase == 'set-aside' and job.idempotent:
+            detail = f'idempotent, but set aside: {job.reason}'
+        elif job.phase == 'cancelled' and not job.cancel_sent:
+            detail = 'cancelled, but nobody asked for it'
+        else:
+            continue
+        yield Breach(
+            promise=Promise.NOT_LOST, subject=job.label, detail=detail
+        )
+    for req in seen.requests:
+        if not req.tries:
+            yield Breach(
+                promise=Promise.NOT_LOST,
+                subject=req.request_id,
+                detail='never sent',
+            )
+
+
+def check_doubled_requests(
+    seen: observations.Observations,
+) -> t.Iterator[Breach]:
+    """A non-idempotent request runs at most once."""
+    runs = _request_runs(seen)
+    for req in seen.requests:
+        found = runs[req.tenant_id, req.request_id]
+        if not req.idempotent and len(found) > 1:
+            yield Breach(
+                promise=Promise.NOT_DOUBLED,
+                subject=req.request_id,
+                detail=f'ran {len(found)} times: {_places(found)}',
+            )
+
+
+def check_doubled_jobs(seen: observations.Observations) -> t.Iterator[Breach]:
+    """A job runs in one place, resumes once and completes once."""
+    runs = _job_runs(seen)
+    for job in seen.jobs:
+        found = sorted(runs[job.label], key=lambda run: run.started_s)
+        for detail in _doubled(job, found, seen.died_at_s):
+            yield Breach(
+                promise=Promise.NOT_DOUBLED,
+                subject=job.label,
+                detail=f'{detail}: {_places(found)}',
+            )
+
+
+def _doubled(
+    job: observations.JobRecord,
+    runs: list[history.Run],
+    died_at_s: t.Mapping[str, float],
+) -> t.Iterator[str]:
+    counts = collections.Counter(run.subject for run in runs)
+    if counts and max(counts.values()) > 1:
+        yield 'one attempt ran twice'
+    for first, second in itertools.pairwise(runs):
+        if first.ended_s is None or second.started_s < first.ended_s:
+            yield 'runs overlap'
+        elif first.outcome is history.RunOutcome.COMPLETED:
+            if not (job.idempotent and _forgotten(first, second, died_at_s)):
+                yield 'ran again after it had completed'
+        elif not job.idempotent and not _resumed(first, second):
+            yield 'not idempotent, but ran again'
+
+
+def _forgotten(
+    first: history.Run,
+    second: history.Run,
+    died_at_s: t.Mapping[str, float],
+) -> bool:
+    """A worker that dies takes the news of a completed run with it."""
+    died_s = died_at_s.get(first.worker_id)
+    return died_s is not None and died_s < second.started_s
+
+
+def _resumed(first: history.Run, second: history.Run) -> bool:
+    return first.outcome in _RESUMABLE and bool(second.checkpoint)
+
+
+def check_answers(seen: observations.Observations) -> t.Iterator[Breach]:
+    """An answer or result is the whole one of its own request or job."""
+    for req in seen.requests:
+        if req.right_answer is False:
+            yield Breach(
+                promise=Promise.RIGHT_ANSWERS,
+                subject=req.request_id,
+                detail='the answer is not its own or not whole',
+            )
+    for job in seen.jobs:
+        if job.right_result is False:
+            yield Breach(
+                promise=Promise.RIGHT_ANSWERS,
+                subject=job.label,
+                detail='the result is not its own or not whole',
+            )
+
+
+def check_not_run(seen: observations.Observations) -> t.Iterator[Breach]:
+    """What was said not to have run has not run."""
+    runs = _request_runs(seen)
+    for req in seen.requests:
+        for run in runs[req.tenant_id, req.request_id]:
+            cause = _try_before(req.tries, run.started_s)
+            if cause is None or not _told_not_run(cause):
+                continue
+            yield Breach(
+                promise=Promise.TRUE_NOT_RUN,
+                subject=req.request_id,
+                detail=f'ran on {run.worker_id} despite "{cause.reason}"',
+            )
+    job_runs = _job_runs(seen)
+    for job in seen.jobs:
+        refused = job.tries and all(_told_not_run(one) for one in job.tries)
+        if refused and job_runs[job.label]:
+            yield Breach(
+                promise=Promise.TRUE_NOT_RUN,
+                subject=job.label,
+                detail=f'ran despite "{job.tries[-1].reason}"',
+            )
+
+
+def _told_not_run(one: observations.Try) -> bool:
+    return one.verdict is verdict_lib.Verdict.NOT_RUN
+
+
+def _try_before(
+    tries: list[observations.Try], at_s: float
+) -> observations.Try | None:
+    """Returns the newest try sent before a moment: it caused the run."""
+    sent = [one for one in tries if one.sent_s <= at_s]
+    return sent[-1] if sent else None
+
+
+def check_capacity(seen: observations.Observations) -> t.Iterator[Breach]:
+    """No worker is given more than it has room for."""
+    for worker in seen.workers:
+        for violation in worker.violations:
+            yield Breach(
+                promise=Promise.WITHIN_CAPACITY,
+                subject=worker.worker_id,
+                detail=(
+                    f'{violation.used:g} {violation.limit} of'
+                    f' {violation.allowed:g} at {violation.at_s:.3f} s'
+                ),
+            )
+
+
+def check_leaving(seen: observations.Observations) -> t.Iterator[Breach]:
+    """A leaving worker gets no new work after a few seconds."""
+    for worker in seen.workers:
+        leaving_s = seen.leaving_at_s.get(worker.worker_id)
+        if leaving_s is None:
+            continue
+        for run in worker.runs:
+            late_s = run.started_s - leaving_s
+            if late_s > LEAVING_GRACE_S:
+                yield Breach(
+                    promise=Promise.LEAVING_IDLE,
+                    subject=run.subject,
+                    detail=f'began on {run.worker_id} {late_s:.1f} s late',
+                )
+
+
+def check_stops(seen: observations.Observations) -> t.Iterator[Breach]:
+    """A drained instance exits with 0."""
+    for instance_id, code in seen.exit_codes.items():
+        if code != 0:
+            detail = 'did not exit' if code is None else f'exit code {code}'
+            yield Breach(
+                promise=Promise.GRACEFUL_STOP,
+                subject=instance_id,
+                detail=detail,
+            )
+
+
+def check_tenants(seen: observations.Observations) -> t.Iterator[Breach]:
+    """No tenant sees another one's jobs."""
+    for subject in seen.foreign_reads:
+        yield Breach(
+            promise=Promise.TENANTS_APART,
+            subject=subject,
+            detail='shown to another tenant',
+        )
+
+
+def check_rules(seen: observations.Observations) -> t.Iterator[Breach]:
+    """An instance keeps to the rules of its machine."""
+    for detail in seen.rules_broken:
+        subject = detail.partition(' ')[0]
+        yield Breach(
+            promise=Promise.MACHINE_RULES, subject=subject, detail=detail
+        )
+
+
+def check_outage(seen: observations.Observations) -> t.Iterator[Breach]:
+    """Without the log requests and running tasks go on, no job is taken."""
+    if seen.outage is None:
+        return
+    begin_s, end_s = seen.outage
+    for worker in seen.workers:
+        for run in worker.runs:
+            lapsed = run.outcome is history.RunOutcome.LEASE_LAPSED
+            if lapsed and begin_s < run.ended_s < end_s:
+                yield Breach(
+                    promise=Promise.OUTAGE,
+                    subject=run.subject,
+                    detail=f'its lease on {run.worker_id} lapsed',
+                )
+    for job in seen.jobs:
+        last = job.tries[-1] if job.tries else None
+        if job.accepted and begin_s < last.sent_s < last.ended_s < end_s:
+            yield Breach(
+                promise=Promise.OUTAGE,
+                subject=job.label,
+                detail='accepted while no record could be kept',
+            )
+    share = answered_share(seen, begin_s, end_s)
+    if share < OUTAGE_ANSWERED_SHARE:
+        yield Breach(
+            promise=Promise.OUTAGE,
+            subject='requests',
+            detail=f'only {share:.1%} of the idempotent were answered',
+        )
+
+
+def answered_share(
+    seen: observations.Observations, begin_s: float, end_s: float
+) -> float:
+    """Returns the share of idempotent requests answered, 1.0 if none."""
+    sent = [
+        req
+        for req in seen.requests
+        if req.idempotent
+        and req.tries
+        and begin_s < req.tries[0].sent_s < end_s
+    ]
+    answered = sum(req.right_answer is True for req in sent)
+    return answered / len(sent) if sent else 1.0
+
+
+_RunsByRequest = t.Mapping[tuple[str, str], list[history.Run]]
+
+
+def _request_runs(seen: observations.Observations) -> _RunsByRequest:
+    runs = collections.defaultdict(list)
+    for worker in seen.workers:
+        for run in worker.runs:
+            if run.kind is history.RunKind.REQUEST:
+                runs[run.tenant_id, run.subject].append(run)
+    return runs
+
+
+def _job_runs(
+    seen: observations.Observations,
+) -> t.Mapping[str, list[history.Run]]:
+    runs = collections.defaultdict(list)
+    for worker in seen.workers:
+        for run in worker.runs:
+            if run.kind is history.RunKind.TASK:
+                runs[run.label].append(run)
+    return runs
+
+
+def _places(runs: list[history.Run]) -> str:
+    return ', '.join(
+        f'{run.subject} on {run.worker_id} from {run.started_s:.3f}'
+        f' {run.outcome.value}'
+        for run in runs
+    )
+
+
+def added_latencies_s(seen: observations.Observations) -> list[float]:
+    """Returns what requests took beyond their backend server's time."""
+    runs = _request_runs(seen)
+    added = []
+    for req in seen.requests:
+        if req.right_answer is None:
+            continue
+        found = runs[req.tenant_id, req.request_id]
+        completed = [
+            run.ended_s - run.started_s
+            for run in found
+            if run.outcome is history.RunOutcome.COMPLETED
+        ]
+        if completed:
+            added.append(req.duration_s - completed[-1])
+    return added
+
+
+def evictions(seen: observations.Observations) -> int:
+    """Counts batch tasks that were stopped before they ended."""
+    return sum(
+        run.outcome is history.RunOutcome.STOPPED
+        for worker in seen.workers
+        for run in worker.runs
+        if run.kind is history.RunKind.TASK
+    )
--- /dev/null
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/demo.py
@@ -0,0 +1,352 @@
+"""Demo: instances under a mixed load and faults, promises checked."""
+
+import argparse
+import asyncio
+import contextlib
+import pathlib
+import random
+import shutil
+import sys
+import tempfile
+import typing as t
+
+import aiohttp
+
+from amaranthflow import clock as clock_lib
+from amaranthflow import ids
+from amaranthflow_schema.v1 import world_pb2
+
+from . import balancer as balancer_lib
+from . import caller as caller_lib
+from . import checks
+from . import fleet as fleet_lib
+from . import load as load_lib
+from . import observations
+from . import process_rules
+from . import report as report_lib
+from . import scenarios
+from . import standin_process
+from . import traffic
+
+_READY_LIMIT_S = 45.0
+_FINISH_LIMIT_S = 40.0
+_POLL_S = 0.2
+_IDLE_S = 3.0
+_SLOTS = 8
+_CONNECTIONS = 60
+_CORES = 32.0
+_MEMORY_MB = 125_000
+_REQUEST_CORES = 0.5
+_REQUEST_MEMORY_MB = 200
+_ZONES = ('kozhikode', 'kozhikode', 'kannur')
+_RACK_ZONES = ('kozhikode', 'kozhikode', 'kannur')
+_WORKERS_PER_RACK = 2
+_TENANTS = (
+    load_lib.TenantLoad(
+        tenant_id=ids.TenantId('consortium'),
+        service_id=ids.ServiceId('workshop-planning'),
+        task_class=ids.TaskClass('hide-sorting'),
+        calls_per_s=40.0,
+        jobs_per_s=5.0,
+        wave_jobs=40,
+    ),
+    load_lib.TenantLoad(
+        tenant_id=ids.TenantId('kerbrat'),
+        service_id=ids.ServiceId('shelf-talkers'),
+        task_class=ids.TaskClass('press-proofs'),
+        calls_per_s=60.0,
+        jobs_per_s=3.0,
+        wave_jobs=20,
+    ),
+)
+
+
+class DemoFailed(Exception):
+    """The load could not run at all."""
+
+
+class Demo:
+    """One run."""
+
+    def __init__(
+        self,
+        *,
+        session: aiohttp.ClientSession,
+        logs: pathlib.Path,
+        seed: int,
+        seconds: float,
+    ):
+        rng = random.Random(seed)
+        self._seed = seed
+        self._seconds = seconds
+        self._clock = clock_lib.SystemClock()
+        self._seen = observations.Observations()
+        self._fleet = fleet_lib.Fleet(session=session, logs=logs)
+        self._balancer = balancer_lib.Balancer(
+            session=session, addresses=self._fleet.http_addresses, rng=rng
+        )
+        caller = caller_lib.Caller(
+            session=session, balancer=self._balancer, clock=self._clock
+        )
+        self._load = load_lib.Load(
+            caller=caller,
+            balancer=self._balancer,
+            clock=self._clock,
+            rng=rng,
+            tenants=_TENANTS,
+            seen=self._seen,
+        )
+
+    async def run(self, scenario: scenarios.Scenario) -> report_lib.Report:
+        """Runs everything and returns what was seen."""
+        try:
+            await self._start()
+            return await self._measure(scenario)
+        finally:
+            await self._fleet.close()
+
+    async def _measure(
+        self, scenario: scenarios.Scenario
+    ) -> report_lib.Report:
+        idle = await self._measure_idle()
+        polling = asyncio.ensure_future(self._balancer.run())
+        scenarios.tell(f'load for {self._seconds:g} s, {scenario.value}')
+        begun_s = self._clock.monotonic()
+        try:
+            await self._run_load(scenario)
+        finally:
+            polling.cancel()
+        took_s = self._clock.monotonic() - begun_s
+        self._check_instances()
+        self._seen.workers = await self._fleet.histories()
+        return report_lib.Report(
+            seen=self._seen,
+            breaches=checks.check_all(self._seen),
+            idle=idle,
+            took_s=took_s,
+        )
+
+    async def _run_load(self, scenario: scenarios.Scenario) -> None:
+        faults = scenarios.Faults(
+            fleet=self._fleet,
+            clock=self._clock,
+            seen=self._seen,
+            seconds=self._seconds,
+        )
+        progress = asyncio.ensure_future(self._tell_progress())
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._load.run(self._seconds))
+                group.create_task(faults.run(scenario))
+            scenarios.tell(f'{self._load.unfinished} still under way')
+            await self._load.finish(_FINISH_LIMIT_S)
+        finally:
+            progress.cancel()
+
+    async def _start(self) -> None:
+        scenarios.tell('starting stand-ins and instances')
+        await self._fleet.start_platform(
+            standin_process.ProcessSpec(seed=self._seed, platform=True)
+        )
+        racks = [f'rack-{n + 1}' for n in range(len(_RACK_ZONES))]
+        for index, rack in enumerate(racks):
+            spec = self._worker_spec(index, rack)
+            await self._fleet.start_workers(spec)
+        for index, zone in enumerate(_ZONES):
+            instance_id = ids.InstanceId(f'instance-{index + 1}')
+            await self._fleet.start_instance(instance_id, ids.ZoneId(zone))
+        await self._wait(self._all_ready, 'every instance is ready')
+        await self._configure()
+        await self._wait(self._all_serve, 'every instance answers requests')
+
+    def _worker_spec(
+        self, index: int, rack: str
+    ) -> standin_process.ProcessSpec:
+        size = {'cores': _REQUEST_CORES, 'memory_mb': _REQUEST_MEMORY_MB}
+        return standin_process.ProcessSpec(
+            seed=self._seed + 1000 * (index + 1),
+            worker_ids=[f'{rack}-{n + 1}' for n in range(_WORKERS_PER_RACK)],
+            cores=_CORES,
+            memory_mb=_MEMORY_MB,
+            slots=_SLOTS,
+            connections=_CONNECTIONS,
+            service_size={t.service_id: size for t in _TENANTS},
+        )
+
+    async def _configure(self) -> None:
+        for change in self._changes():
+            reason = await self._fleet.send_change(change)
+            if reason:
+                raise DemoFailed(f'{change.key} was not accepted: {reason}')
+        scenarios.tell('configuration is sent')
+
+    def _changes(self) -> t.Iterator[world_pb2.Change]:
+        for tenant in _TENANTS:
+            message = world_pb2.Tenant(
+                tenant_id=tenant.tenant_id,
+                weight=1.0,
+                quota=world_pb2.Size(cores=192, memory_mb=750_000),
+                quota_slots=48,
+                urgent_slots=8,
+                retry_ratio=0.2,
+            )
+            yield _change(f'tenant/{tenant.tenant_id}', tenant=message)
+        for tenant in _TENANTS:
+            service = world_pb2.Service(
+                service_id=tenant.service_id,
+                tenant_id=tenant.tenant_id,
+                size=world_pb2.Size(
+                    cores=_REQUEST_CORES, memory_mb=_REQUEST_MEMORY_MB
+                ),
+                timeout_ms=2000,
+                tail_limit_ms=100,
+                reserved_slots=1,
+                task_class=tenant.service_id,
+            )
+            yield _change(f'service/{tenant.service_id}', service=service)
+        for worker_id, address in self._fleet.worker_addresses.items():
+            rack_id = worker_id.rpartition('-')[0]
+            rack_index = int(rack_id.rpartition('-')[2]) - 1
+            worker = world_pb2.Worker(
+                worker_id=worker_id,
+                address=address,
+                rack_id=rack_id,
+                zone_id=_RACK_ZONES[rack_index],
+                region_id='kerala',
+                capacity=world_pb2.Size(cores=_CORES, memory_mb=_MEMORY_MB),
+                slots=_SLOTS,
+                connections=_CONNECTIONS,
+            )
+            yield _change(f'worker/{worker_id}', worker=worker)
+
+    async def _wait(
+        self, condition: t.Callable[[], t.Awaitable[bool]], text: str
+    ) -> None:
+        deadline_s = self._clock.monotonic() + _READY_LIMIT_S
+        while not await condition():
+            for instance in self._fleet.ended_by_themselves():
+                code = instance.process.returncode
+                raise DemoFailed(f'{instance.instance_id} ended with {code}')
+            if self._clock.monotonic() > deadline_s:
+                raise DemoFailed(f'not within {_READY_LIMIT_S:g} s: {text}')
+            await self._clock.sleep(_POLL_S)
+        scenarios.tell(text)
+
+    async def _all_ready(self) -> bool:
+        await self._balancer.poll()
+        return len(self._balancer.ready) == len(_ZONES)
+
+    async def _all_serve(self) -> bool:
+        """Every rack has an owner that serves, and requests complete."""
+        await self._balancer.poll()
+        for instance in self._fleet.instances.values():
+            status = await self._fleet.status(instance)
+            if status is None or len(status.racks) != len(_RACK_ZONES):
+                return False
+            if not all(rack.owner for rack in status.racks):
+                return False
+        for tenant in _TENANTS:
+            if not await self._load.probe(tenant):
+                return False
+        return True
+
+    async def _measure_idle(self) -> report_lib.IdleUsage:
+        pids = [i.process.pid for i in self._fleet.instances.values()]
+        before = [traffic.read(pid) for pid in pids]
+        await self._clock.sleep(_IDLE_S)
+        after = [traffic.read(pid) for pid in pids]
+        count = len(pids)
+        pairs = list(zip(before, after, strict=True))
+        sent = sum(traffic.bytes_between(a, b) for a, b in pairs)
+        cpu_s = sum(b.cpu_s - a.cpu_s for a, b in pairs)
+        return report_lib.IdleUsage(
+            bytes_per_s=sent / count / _IDLE_S,
+            core_share=cpu_s / count / _IDLE_S,
+            rss_mb=sum(usage.rss_kb for usage in after) / count / 1024,
+        )
+
+    def _check_instances(self) -> None:
+        for instance in self._fleet.ended_by_themselves():
+            code = instance.process.returncode
+            self._seen.exit_codes[instance.instance_id] = code
+        for instance in self._fleet.instances.values():
+            if instance.process.returncode is None:
+                self._seen.rules_broken += [
+                    f'{instance.instance_id} {rule}'
+                    for rule in process_rules.broken_rules(
+                        instance.process.pid
+                    )
+                ]
+
+    async def _tell_progress(self) -> None:
+        while True:
+            await self._clock.sleep(2.0)
+            requests = self._seen.requests
+            jobs = self._seen.jobs
+            answered = sum(r.right_answer is not None for r in requests)
+            completed = sum(job.phase == 'completed' for job in jobs)
+            ready = len(self._balancer.ready)
+            scenarios.tell(
+                f'{answered}/{len(requests)} requests answered,'
+                f' {completed}/{len(jobs)} jobs completed,'
+                f' {ready} instances ready'
+            )
+
+
+def _change(key: str, **body) -> world_pb2.Change:
+    return world_pb2.Change(
+        change_id=f'demo-{key}', key=key, operator='demo', **body
+    )
+
+
+async def _run(arguments: argparse.Namespace, logs: pathlib.Path) -> int:
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        demo = Demo(
+            session=session,
+            logs=logs,
+            seed=arguments.seed,
+            seconds=arguments.seconds,
+        )
+        report = await demo.run(scenarios.Scenario(arguments.scenario))
+    print(report.table(), file=sys.stderr, flush=True)
+    print(report.json_line(), flush=True)
+    return 1 if report.breaches or not report.seen.requests else 0
+
+
+def _parse(argv: t.Sequence[str] | None) -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--seconds', type=float, default=20.0)
+    parser.add_argument(
+        '--scenario',
+        choices=[scenario.value for scenario in scenarios.Scenario],
+        default=scenarios.Scenario.INSTANCE_LOSS.value,
+    )
+    return parser.parse_args(argv)
+
+
+def main(argv: t.Sequence[str] | None = None) -> int:
+    """Runs the demo; returns 0, or 1 where a promise was broken.
+
+    The logs of all processes are kept only if it returns 1.
+    """
+    arguments = _parse(argv)
+    logs = pathlib.Path(tempfile.mkdtemp(prefix='amaranthflow-demo-'))
+    code = 1
+    try:
+        code = asyncio.run(_run(arguments, logs))
+    except (DemoFailed, TimeoutError) as exc:
+        scenarios.tell(f'failed: {exc}')
+    except KeyboardInterrupt:
+        scenarios.tell('interrupted')
+    if code == 0:
+        with contextlib.suppress(OSError):
+            shutil.rmtree(logs)
+    else:
+        scenarios.tell(f'logs are in {logs}')
+    return code
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/history.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/history.py
@@ -32,6 +32,7 @@
     :ivar subject: id of the request or of the task.
     :ivar started_s: monotonic time, ``ended_s`` too.
     :ivar checkpoint: reference that the run was resumed from.
+    :ivar label: name that the submitter gave to a batch task.
     """
 
     worker_id: ids.WorkerId
@@ -45,6 +46,7 @@
     ended_s: float | None = None
     outcome: RunOutcome = RunOutcome.RUNNING
     checkpoint: str = ''
+    label: str = ''
 
     def to_json(self) -> dict:
         """Returns the fields as JSON types."""
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/machine.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/machine.py
@@ -371,6 +371,7 @@
         if self._clock.wall_ms() > start.not_after_ms:
             raise exceptions.PlatformError('the start came too late')
         now_s = self._clock.monotonic()
+        task_program = program.parse(start.payload)
         run = history_lib.Run(
             worker_id=self.worker.worker_id,
             kind=history_lib.RunKind.TASK,
@@ -381,10 +382,11 @@
             memory_mb=start.memory_mb,
             started_s=now_s,
             checkpoint=start.checkpoint,
+            label=task_program.label,
         )
         task = _RunningTask(
             start=start,
-            program=program.parse(start.payload),
+            program=task_program,
             run=run,
             lease_until_s=now_s + start.lease_ms / 1000,
             updated_s=now_s,
--- /dev/null
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/process_rules.py
@@ -0,0 +1,53 @@
+"""Checks of the machine rules on a running process, from outside."""
+
+import os
+import typing as t
+
+_FORBIDDEN_FILES = ('anon_inode:[io_uring]', '/dev/shm/', '/SYSV')
+
+
+def broken_rules(pid: int) -> t.Iterator[str]:
+    """Names each rule that the process breaks now."""
+    for thread in os.listdir(f'/proc/{pid}/task'):
+        children = _read(f'/proc/{pid}/task/{thread}/children').split()
+        if children:
+            yield f'has child processes {children}'
+    for target in (*_open_files(pid), *_mapped_files(pid)):
+        if target.startswith(_FORBIDDEN_FILES):
+            yield f'holds {target}'
+    written = _written_bytes(pid)
+    if written:
+        yield f'wrote {written} bytes to disks'
+
+
+def _read(path: str) -> str:
+    try:
+        with open(path) as file:
+            return file.read()
+    except OSError:
+        return ''
+
+
+def _open_files(pid: int) -> t.Iterator[str]:
+    folder = f'/proc/{pid}/fd'
+    for name in os.listdir(folder):
+        try:
+            yield os.readlink(f'{folder}/{name}')
+        except OSError:
+            continue
+
+
+def _mapped_files(pid: int) -> t.Iterator[str]:
+    for line in _read(f'/proc/{pid}/maps').splitlines():
+        fields = line.split(maxsplit=5)
+        if len(fields) == 6:
+            yield fields[5]
+
+
+def _written_bytes(pid: int) -> int:
+    """Returns bytes written to files; the demo's own log is a pipe."""
+    for line in _read(f'/proc/{pid}/io').splitlines():
+        name, _, value = line.partition(': ')
+        if name == 'write_bytes':
+            return int(value)
+    return 0
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/program.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/program.py
@@ -14,15 +14,17 @@
     :ivar run_s: run time without throttle or slowdown.
     :ivar memory_mb: memory that it really uses, 0 for what was declared.
     :ivar fails: ends as failed instead of completed.
+    :ivar label: name given by the submitter, for checks.
     """
 
     run_s: float
     memory_mb: int = 0
     fails: bool = False
+    label: str = ''
 
 
 def parse(payload: bytes) -> Program:
-    """Reads ``{"run_ms": .., "memory_mb": .., "fails": ..}``.
+    """Reads ``{"run_ms": .., "memory_mb": .., "fails": .., "label": ..}``.
 
     Anything that is not such an object runs for a second.
     """
@@ -32,6 +34,7 @@
             run_s=fields.get('run_ms', _DEFAULT_RUN_MS) / 1000,
             memory_mb=int(fields.get('memory_mb', 0)),
             fails=bool(fields.get('fails', False)),
+            label=str(fields.get('label', '')),
         )
     except (ValueError, TypeError, AttributeError):
         return Program(run_s=_DEFAULT_RUN_MS / 1000)
--- /dev/null
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/report.py
@@ -0,0 +1,139 @@
+"""The demo's table and its line of JSON."""
+
+import collections
+import dataclasses
+import json
+import typing as t
+
+from amaranthflow import verdict as verdict_lib
+
+from . import checks
+from . import observations
+
+_SHOWN_BREACHES = 10
+_MEDIAN_TARGET_MS = 15.0
+_P99_TARGET_MS = 100.0
+_JSON_PROMISES = (
+    checks.Promise.NOT_LOST,
+    checks.Promise.NOT_DOUBLED,
+    checks.Promise.RIGHT_ANSWERS,
+    checks.Promise.TRUE_NOT_RUN,
+    checks.Promise.WITHIN_CAPACITY,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class IdleUsage:
+    """What an idle instance uses, the mean of all instances.
+
+    :ivar core_share: 1.0 is one core.
+    """
+
+    bytes_per_s: float
+    core_share: float
+    rss_mb: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Report:
+    """Results of one run of the demo.
+
+    :ivar took_s: time from the first request to the end of the last job.
+    """
+
+    seen: observations.Observations
+    breaches: list[checks.Breach]
+    idle: IdleUsage
+    took_s: float
+
+    def count(self, promise: checks.Promise) -> int:
+        """Returns how often a promise was broken."""
+        return sum(breach.promise is promise for breach in self.breaches)
+
+    def json_line(self) -> str:
+        """Returns the result as one line of JSON."""
+        added_ms = self._added_ms()
+        fields: dict[str, t.Any] = {
+            'requests': len(self.seen.requests),
+            'jobs': len(self.seen.jobs),
+        }
+        for promise in _JSON_PROMISES:
+            fields[promise.value] = self.count(promise)
+        fields['p50_ms'] = round(percentile(added_ms, 50), 2)
+        fields['p99_ms'] = round(percentile(added_ms, 99), 2)
+        fields['jobs_per_s'] = round(self._completed() / self.took_s, 2)
+        fields['evictions'] = checks.evictions(self.seen)
+        return json.dumps(fields)
+
+    def table(self) -> str:
+        """Returns a table for people."""
+        rows = [*self._request_rows(), *self._job_rows(), *self._idle_rows()]
+        rows += [
+            (f'broken: {promise.value}', str(self.count(promise)))
+            for promise in checks.Promise
+        ]
+        width = max(len(name) for name, _ in rows)
+        lines = [f'{name:<{width}}  {value}' for name, value in rows]
+        lines += [
+            f'  {breach.promise.value} {breach.subject}: {breach.detail}'
+            for breach in self.breaches[:_SHOWN_BREACHES]
+        ]
+        hidden = len(self.breaches) - _SHOWN_BREACHES
+        if hidden > 0:
+            lines.append(f'  and {hidden} more')
+        return '\n'.join(lines)
+
+    def _request_rows(self) -> t.Iterator[tuple[str, str]]:
+        requests = self.seen.requests
+        answered = sum(req.right_answer is not None for req in requests)
+        ends = collections.Counter(
+            req.verdict for req in requests if req.right_answer is None
+        )
+        not_run = ends[verdict_lib.Verdict.NOT_RUN]
+        may_have_run = ends[verdict_lib.Verdict.MAY_HAVE_RUN]
+        added_ms = self._added_ms()
+        yield 'requests', str(len(requests))
+        yield '  answered', str(answered)
+        yield '  not run', str(not_run)
+        yield '  may have run', str(may_have_run)
+        yield '  tries', str(sum(len(req.tries) for req in requests))
+        yield (
+            'added latency p50 / p99 / max',
+            f'{percentile(added_ms, 50):.1f} / {percentile(added_ms, 99):.1f}'
+            f' / {percentile(added_ms, 100):.1f} ms'
+            f' (target {_MEDIAN_TARGET_MS:g} / {_P99_TARGET_MS:g})',
+        )
+
+    def _job_rows(self) -> t.Iterator[tuple[str, str]]:
+        jobs = self.seen.jobs
+        phases = collections.Counter(
+            job.phase or 'no phase' for job in jobs if job.accepted
+        )
+        yield 'jobs', str(len(jobs))
+        yield '  accepted', str(sum(job.accepted for job in jobs))
+        for phase, count in sorted(phases.items()):
+            yield f'  {phase}', str(count)
+        yield '  evictions', str(checks.evictions(self.seen))
+
+    def _idle_rows(self) -> t.Iterator[tuple[str, str]]:
+        yield (
+            'idle instance',
+            f'{self.idle.bytes_per_s / 1000:.1f} KB/s,'
+            f' {self.idle.core_share:.1%} of a core,'
+            f' {self.idle.rss_mb:.0f} MB',
+        )
+
+    def _added_ms(self) -> list[float]:
+        return [s * 1000 for s in checks.added_latencies_s(self.seen)]
+
+    def _completed(self) -> int:
+        return sum(job.phase == 'completed' for job in self.seen.jobs)
+
+
+def percentile(values: t.Sequence[float], percent: float) -> float:
+    """Returns the value that ``percent`` of the values do not exceed."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    rank = -(-len(ordered) * percent // 100)
+    return ordered[max(0, int(rank) - 1)]
--- /dev/null
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/scenarios.py
@@ -0,0 +1,100 @@
+"""What goes wrong during the demo's load."""
+
+import enum
+import sys
+
+from amaranthflow import clock as clock_lib
+from amaranthflow import ids
+
+from . import fleet as fleet_lib
+from . import observations
+
+DRAIN_LIMIT_S = 40.0
+
+
+class Scenario(enum.Enum):
+    """Kinds of faults."""
+
+    INSTANCE_LOSS = 'instance-loss'
+    LOG_OUTAGE = 'log-outage'
+    WORKER_LOSS = 'worker-loss'
+
+
+class Faults:
+    """Causes the faults of one scenario at parts of the load's time."""
+
+    def __init__(
+        self,
+        *,
+        fleet: fleet_lib.Fleet,
+        clock: clock_lib.Clock,
+        seen: observations.Observations,
+        seconds: float,
+    ):
+        self._fleet = fleet
+        self._clock = clock
+        self._seen = seen
+        self._seconds = seconds
+
+    async def run(self, scenario: Scenario) -> None:
+        """Runs the scenario to its end."""
+        if scenario is Scenario.INSTANCE_LOSS:
+            await self._lose_instances()
+        elif scenario is Scenario.LOG_OUTAGE:
+            await self._stop_log()
+        else:
+            await self._lose_workers()
+
+    async def _pass(self, share: float) -> None:
+        await self._clock.sleep(self._seconds * share)
+
+    async def _lose_instances(self) -> None:
+        killed, drained, _ = list(self._fleet.instances)
+        await self._pass(0.3)
+        tell(f'{killed} is killed')
+        await self._fleet.kill(killed)
+        await self._pass(0.1)
+        tell('instance-4 replaces it')
+        await self._fleet.start_instance(
+            ids.InstanceId('instance-4'), ids.ZoneId('kannur')
+        )
+        await self._pass(0.2)
+        tell(f'{drained} is drained')
+        begun_s = self._clock.monotonic()
+        code = await self._fleet.drain(drained, DRAIN_LIMIT_S)
+        self._seen.exit_codes[drained] = code
+        took_s = self._clock.monotonic() - begun_s
+        tell(f'{drained} exited with {code} after {took_s:.1f} s')
+
+    async def _stop_log(self) -> None:
+        await self._pass(1 / 3)
+        tell('the log goes down')
+        begin_s = self._clock.monotonic()
+        await self._fleet.set_log(down=True)
+        await self._pass(1 / 3)
+        end_s = self._clock.monotonic()
+        await self._fleet.set_log(down=False)
+        self._seen.outage = (begin_s, end_s)
+        tell('the log is back')
+
+    async def _lose_workers(self) -> None:
+        dead, frozen, leaving, *_ = self._fleet.worker_addresses
+        await self._pass(0.25)
+        tell(f'worker {dead} dies')
+        self._seen.died_at_s[dead] = self._clock.monotonic()
+        await self._fleet.set_worker(dead, dead=True)
+        await self._pass(0.15)
+        tell(f'worker {frozen} freezes')
+        await self._fleet.set_worker(frozen, frozen=True)
+        await self._pass(0.1)
+        tell(f'worker {leaving} is listed as leaving')
+        self._seen.leaving_at_s[leaving] = self._clock.monotonic()
+        await self._fleet.set_phase(leaving, 'leaving')
+        await self._pass(0.15)
+        tell(f'worker {frozen} wakes')
+        await self._fleet.set_worker(frozen, frozen=False)
+
+
+def tell(text: str) -> None:
+    """Prints a line of progress."""
+    print(f'demo: {text}', file=sys.stderr, flush=True)
