--- /dev/null
+++ b/packages/amaranthflow-cli/src/amaranthflow_cli/client.py
@@ -0,0 +1,194 @@
+"""Calls to the operators' interface of a list of instances."""
+
+import enum
+import queue
+import typing as t
+
+import grpc
+
+from amaranthflow import exceptions
+from amaranthflow import verdict as verdict_lib
+from amaranthflow_schema.v1 import operators_pb2
+from amaranthflow_schema.v1 import operators_pb2_grpc
+
+from . import errors
+
+VERDICT_KEY = 'amaranthflow-verdict'
+RETRY_AFTER_KEY = 'amaranthflow-retry-after-ms'
+
+_CONNECT_TIMEOUT_S = 2.0
+_MAX_REPLY_BYTES = 64 * 1024 * 1024
+_CHANNEL_OPTIONS = (
+    ('grpc.enable_retries', 0),
+    ('grpc.enable_http_proxy', 0),
+    ('grpc.max_receive_message_length', _MAX_REPLY_BYTES),
+)
+
+# By its meaning each of these is decided before a request has an effect.
+_REFUSALS = frozenset(
+    (
+        grpc.StatusCode.INVALID_ARGUMENT,
+        grpc.StatusCode.NOT_FOUND,
+        grpc.StatusCode.ALREADY_EXISTS,
+        grpc.StatusCode.PERMISSION_DENIED,
+        grpc.StatusCode.UNAUTHENTICATED,
+        grpc.StatusCode.FAILED_PRECONDITION,
+        grpc.StatusCode.UNIMPLEMENTED,
+    )
+)
+
+
+class _Effect(enum.Enum):
+    """Whether a call changes anything."""
+
+    READS = enum.auto()
+    WRITES = enum.auto()
+
+
+class Client:
+    """Calls the first of several instances that takes a request.
+
+    A call that reads goes on to the next instance after any failure but a
+    refusal. One that writes goes on only where the failed attempt surely
+    did not run.
+
+    :param addresses: "IP:PORT" of peers' and operators' interfaces.
+    :param timeout_s: longest wait for one instance's reply.
+    """
+
+    def __init__(self, *, addresses: t.Sequence[str], timeout_s: float):
+        self._addresses = tuple(addresses)
+        self._timeout_s = timeout_s
+
+    def review(
+        self, req: operators_pb2.ChangeRequest
+    ) -> operators_pb2.ChangeReply:
+        """Has a change checked; nothing is changed."""
+        return self._call('ReviewChange', req, _Effect.READS)
+
+    def send(
+        self, req: operators_pb2.ChangeRequest
+    ) -> operators_pb2.ChangeReply:
+        """Sends a change. Its change id makes a repetition harmless."""
+        return self._call('SendChange', req, _Effect.WRITES)
+
+    def show(
+        self, req: operators_pb2.ShowConfigurationRequest
+    ) -> operators_pb2.ShowConfigurationReply:
+        """Reads configuration and bookings."""
+        return self._call('ShowConfiguration', req, _Effect.READS)
+
+    def submit(
+        self, req: operators_pb2.SubmitJobRequest
+    ) -> operators_pb2.JobReply:
+        """Submits a job. Its job id makes a repetition harmless."""
+        return self._call('SubmitJob', req, _Effect.WRITES)
+
+    def cancel(self, req: operators_pb2.JobRequest) -> operators_pb2.JobReply:
+        """Cancels a job."""
+        return self._call('CancelJob', req, _Effect.WRITES)
+
+    def job(self, req: operators_pb2.JobRequest) -> operators_pb2.JobReply:
+        """Reads one job."""
+        return self._call('ShowJob', req, _Effect.READS)
+
+    def jobs(
+        self, req: operators_pb2.ListJobsRequest
+    ) -> operators_pb2.ListJobsReply:
+        """Lists jobs of a tenant."""
+        return self._call('ListJobs', req, _Effect.READS)
+
+    def status(self) -> operators_pb2.StatusReply:
+        """Reads the status of the first instance that answers."""
+        req = operators_pb2.StatusRequest()
+        return self._call('Status', req, _Effect.READS)
+
+    def explain(
+        self, req: operators_pb2.ExplainRequest
+    ) -> operators_pb2.ExplainReply:
+        """Reads the decisions about a job, request, worker or rack."""
+        return self._call('Explain', req, _Effect.READS)
+
+    def latency(
+        self, req: operators_pb2.LatencyRequest
+    ) -> operators_pb2.LatencyReply:
+        """Reads latency histograms."""
+        return self._call('Latency', req, _Effect.READS)
+
+    def _call(self, method: str, req: t.Any, effect: _Effect) -> t.Any:
+        failures = []
+        for address in self._addresses:
+            try:
+                return self._call_one(address, method, req)
+            except exceptions.RequestRefused:
+                raise
+            except exceptions.RequestUncertain as exc:
+                if effect is _Effect.WRITES:
+                    raise
+                failures.append(exc)
+            except exceptions.AmaranthflowError as exc:
+                failures.append(exc)
+        raise _unreachable(failures)
+
+    def _call_one(self, address: str, method: str, req: t.Any) -> t.Any:
+        channel = grpc.insecure_channel(address, options=_CHANNEL_OPTIONS)
+        with channel:
+            _connect(channel, address)
+            stub = operators_pb2_grpc.OperatorsStub(channel)
+            try:
+                return getattr(stub, method)(req, timeout=self._timeout_s)
+            except grpc.RpcError as exc:
+                raise _error_of(address, exc) from exc
+
+
+def _connect(channel: grpc.Channel, address: str) -> None:
+    """Waits for the connection, so that a later failure is told apart."""
+    states: queue.SimpleQueue[grpc.ChannelConnectivity] = queue.SimpleQueue()
+    channel.subscribe(states.put, try_to_connect=True)
+    try:
+        while True:
+            state = states.get(timeout=_CONNECT_TIMEOUT_S)
+            if state is grpc.ChannelConnectivity.READY:
+                return
+            if state is grpc.ChannelConnectivity.TRANSIENT_FAILURE:
+                raise errors.Unreachable(f'{address} refuses connections')
+    except queue.Empty:
+        raise errors.Unreachable(f'{address} does not answer') from None
+    finally:
+        channel.unsubscribe(states.put)
+
+
+def _error_of(
+    address: str, exc: grpc.RpcError
+) -> exceptions.AmaranthflowError:
+    """Makes the error for a failed call on an open connection."""
+    metadata = dict(exc.trailing_metadata() or ())
+    retry_after_ms = _retry_after_ms(metadata)
+    code = exc.code()
+    reason = f'{address}: {exc.details() or code.name}'
+    if code in _REFUSALS:
+        return exceptions.RequestRefused(reason, retry_after_ms=retry_after_ms)
+    not_run = verdict_lib.Verdict.NOT_RUN
+    if metadata.get(VERDICT_KEY) == not_run.name:
+        return exceptions.NotReady(reason, retry_after_ms=retry_after_ms)
+    return exceptions.RequestUncertain(reason, retry_after_ms=retry_after_ms)
+
+
+def _retry_after_ms(metadata: t.Mapping[str, str]) -> int | None:
+    text = metadata.get(RETRY_AFTER_KEY, '')
+    return int(text) if text.isdecimal() else None
+
+
+def _unreachable(
+    failures: t.Sequence[exceptions.AmaranthflowError],
+) -> errors.Unreachable:
+    reasons = '; '.join(exc.reason for exc in failures)
+    waits = [
+        exc.retry_after_ms
+        for exc in failures
+        if exc.retry_after_ms is not None
+    ]
+    return errors.Unreachable(
+        f'no instance took it: {reasons}',
+        retry_after_ms=min(waits, default=None),
+    )
--- a/tests/amaranthflow_daemon/logs.feature
+++ b/tests/amaranthflow_daemon/logs.feature
@@ -4,9 +4,9 @@
     Given a logs stream at level "info" for instance "i1"
     When logs write request "r@1" with an event inside attempt 2
     And logs switch to instance "i2" and write job "j1"
-    Then logs have 6 lines
+    Then logs have 7 lines
     And logs lines 1 to 5 are of task "r%401" on "i1"
-    And logs line 6 is of task "j1" on "i2"
+    And logs lines 6 to 7 are of task "j1" on "i2"
     And logs place the lines of attempt 2 below those of the request
 
   Scenario: An error that leaves an action is logged and passed on
--- a/tests/steps/logs_steps.py
+++ b/tests/steps/logs_steps.py
@@ -35,8 +35,8 @@
 def step_switch(context, instance, job_id):
     context.stop()
     _start(context, settings.LogLevel.INFO, instance)
-    action = logs.job_action(job_id)
-    action.__enter__()
+    with logs.job_action(job_id):
+        pass
 
 
 @behave.when('logs write request "{request_id}" that fails with "{reason}"')
