Tests and example files of the command line

Cause: the command had no tests; connecting took 200 ms a call since the synchronous channel polls its state.

--- a/packages/amaranthflow-cli/src/amaranthflow_cli/calls.py
+++ b/packages/amaranthflow-cli/src/amaranthflow_cli/calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import hashlib
 import json
 import typing as t
 from urllib import parse
@@ -14,11 +15,12 @@
 from . import errors
 
 _CONNECT_TIMEOUT_S = 2.0
-_PATH = '/v1/services/{service}'
-_TENANT_HEADER = 'X-Tenant-Id'
+_PATH = '/v1/services/{service}/call'
+_TENANT_HEADER = 'X-Tenant'
 _REQUEST_HEADER = 'X-Request-Id'
 _IDEMPOTENT_HEADER = 'X-Idempotent'
 _TIMEOUT_HEADER = 'X-Timeout-Ms'
+_DIGEST_HEADER = 'X-Sha256'
 # Time for the reply's way back after the deadline has passed there.
 _REPLY_MARGIN_S = 1.0
 _HTTP_OK = 200
@@ -89,6 +91,7 @@
         ) as response:
             body = await response.read()
             status = response.status
+            received = response.headers
     except (
         aiohttp.ClientConnectorError,
         aiohttp.ConnectionTimeoutError,
@@ -97,16 +100,29 @@
     except (TimeoutError, aiohttp.ClientError) as exc:
         reason = str(exc) or 'no answer in time'
         raise exceptions.RequestUncertain(f'{address}: {reason}') from exc
-    if status == _HTTP_OK:
-        return body
-    raise _error_of(address, status, body)
+    if status != _HTTP_OK:
+        raise _error_of(address, status, body)
+    _check_whole(address, call, received, body)
+    return body
+
+
+def _check_whole(
+    address: str, call: Call, received: t.Mapping[str, str], body: bytes
+) -> None:
+    """Checks that an answer is whole and belongs to the call."""
+    if received.get(_REQUEST_HEADER) != call.request_id:
+        raise exceptions.RequestUncertain(
+            f'{address}: the answer is for another request'
+        )
+    if received.get(_DIGEST_HEADER) != hashlib.sha256(body).hexdigest():
+        raise exceptions.RequestUncertain(f'{address}: the answer is damaged')
 
 
 def _headers(call: Call) -> dict[str, str]:
     return {
         _TENANT_HEADER: call.tenant_id,
         _REQUEST_HEADER: call.request_id,
-        _IDEMPOTENT_HEADER: '1' if call.idempotent else '0',
+        _IDEMPOTENT_HEADER: 'true' if call.idempotent else 'false',
         _TIMEOUT_HEADER: str(call.timeout_ms),
     }
 
--- a/packages/amaranthflow-cli/src/amaranthflow_cli/client.py
+++ b/packages/amaranthflow-cli/src/amaranthflow_cli/client.py
@@ -1,15 +1,17 @@
 """Calls to the operators' interface of a list of instances."""
 
+import asyncio
 import enum
-import queue
 import typing as t
 
 import grpc
+import grpc.aio
 
 from amaranthflow import exceptions
 from amaranthflow import verdict as verdict_lib
 from amaranthflow_schema.v1 import operators_pb2
 from amaranthflow_schema.v1 import operators_pb2_grpc
+from amaranthflow_schema.v1 import peer_pb2
 
 from . import errors
 
@@ -50,7 +52,7 @@
 
     A call that reads goes on to the next instance after any failure but a
     refusal. One that writes goes on only where the failed attempt surely
-    did not run.
+    did not run; where all refuse, the first refusal is the reply.
 
     :param addresses: "IP:PORT" of peers' and operators' interfaces.
     :param timeout_s: longest wait for one instance's reply.
@@ -116,10 +118,19 @@
         return self._call('Latency', req, _Effect.READS)
 
     def _call(self, method: str, req: t.Any, effect: _Effect) -> t.Any:
+        return asyncio.run(self._call_any(method, req, effect))
+
+    async def _call_any(
+        self, method: str, req: t.Any, effect: _Effect
+    ) -> t.Any:
         failures = []
+        refusal = None
         for address in self._addresses:
             try:
-                return self._call_one(address, method, req)
+                reply = await self._call_one(address, method, req)
+                if effect is _Effect.READS or not _not_run(reply):
+                    return reply
+                refusal = refusal or reply
             except exceptions.RequestRefused:
                 raise
             except exceptions.RequestUncertain as exc:
@@ -128,38 +139,46 @@
                 failures.append(exc)
             except exceptions.AmaranthflowError as exc:
                 failures.append(exc)
+        if refusal is not None:
+            return refusal
         raise _unreachable(failures)
 
-    def _call_one(self, address: str, method: str, req: t.Any) -> t.Any:
-        channel = grpc.insecure_channel(address, options=_CHANNEL_OPTIONS)
-        with channel:
-            _connect(channel, address)
+    async def _call_one(self, address: str, method: str, req: t.Any) -> t.Any:
+        async with grpc.aio.insecure_channel(
+            address, options=_CHANNEL_OPTIONS
+        ) as channel:
+            await _connect(channel, address)
             stub = operators_pb2_grpc.OperatorsStub(channel)
             try:
-                return getattr(stub, method)(req, timeout=self._timeout_s)
-            except grpc.RpcError as exc:
+                return await getattr(stub, method)(
+                    req, timeout=self._timeout_s
+                )
+            except grpc.aio.AioRpcError as exc:
                 raise _error_of(address, exc) from exc
 
 
-def _connect(channel: grpc.Channel, address: str) -> None:
+def _not_run(reply: t.Any) -> bool:
+    """Tells whether an instance refused, for good or for now."""
+    refused = not reply.accepted
+    return refused and reply.verdict == peer_pb2.RUN_VERDICT_NOT_RUN
+
+
+async def _connect(channel: grpc.aio.Channel, address: str) -> None:
     """Waits for the connection, so that a later failure is told apart."""
-    states: queue.SimpleQueue[grpc.ChannelConnectivity] = queue.SimpleQueue()
-    channel.subscribe(states.put, try_to_connect=True)
+    state = channel.get_state(try_to_connect=True)
     try:
-        while True:
-            state = states.get(timeout=_CONNECT_TIMEOUT_S)
-            if state is grpc.ChannelConnectivity.READY:
-                return
-            if state is grpc.ChannelConnectivity.TRANSIENT_FAILURE:
-                raise errors.Unreachable(f'{address} refuses connections')
-    except queue.Empty:
+        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            while state is not grpc.ChannelConnectivity.READY:
+                if state is grpc.ChannelConnectivity.TRANSIENT_FAILURE:
+                    raise errors.Unreachable(f'{address} refuses connections')
+                await channel.wait_for_state_change(state)
+                state = channel.get_state()
+    except TimeoutError:
         raise errors.Unreachable(f'{address} does not answer') from None
-    finally:
-        channel.unsubscribe(states.put)
 
 
 def _error_of(
-    address: str, exc: grpc.RpcError
+    address: str, exc: grpc.aio.AioRpcError
 ) -> exceptions.AmaranthflowError:
     """Makes the error for a failed call on an open connection."""
     metadata = dict(exc.trailing_metadata() or ())
--- a/packages/amaranthflow-cli/src/amaranthflow_cli/report.py
+++ b/packages/amaranthflow-cli/src/amaranthflow_cli/report.py
@@ -126,9 +126,13 @@
 def _add_record(
     found: Measurements, labels: tuple[str, ...], record: dict[str, t.Any]
 ) -> None:
-    texts = [value for value in record.values() if isinstance(value, str)]
+    texts = [
+        value
+        for key, value in record.items()
+        if isinstance(value, str) and key != 'unit'
+    ]
     labels = (*labels, *texts)
-    label = ' / '.join(labels)
+    label = ': '.join(labels)
     slope = _slope(label, record)
     if slope is not None:
         found.slopes.append(slope)
--- /dev/null
+++ b/tests/amaranthflow_cli/report.feature
@@ -0,0 +1,28 @@
+Feature: Page with plots of measurements
+
+  Scenario: One page holds all that the lines tell and needs no other file
+    Given a report file with these lines
+      """
+      progress: 3 of 5
+      {"trace": "noisy <b>", "services": [{"tenant": "malabar", "p50_ms": 3.5, "p99_ms": 9.25}], "evictions": 4, "starts_per_s": 4100}
+      {"name": "heartbeat bytes", "unit": "bytes/s", "sizes": [3, 9, 30], "values": [30, 90, 300], "slope": 10, "intercept": 0, "target": 9900}
+      """
+    When the report is made
+    Then the report ends with 0
+    And the report has the titles "Tail latency, Evictions, Throughput, Capacity: measured: heartbeat bytes"
+    And the report has the text "noisy &lt;b&gt;"
+    And the report has the text "p99_ms 9.25"
+    And the report has the text "1 other lines skipped"
+    And the report draws the fit to 99000 at 9900
+    And the report loads nothing from elsewhere
+
+  Scenario: A file without measurements is one line and exit code 2
+    Given a report file with these lines
+      """
+      nothing here
+      [1, 2]
+      {"sizes": "many"}
+      """
+    When the report is made
+    Then the report ends with 2
+    And the report's error has "no measurements in it"
