--- /dev/null
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/outcomes.py
@@ -0,0 +1,155 @@
+"""What a replay measures."""
+
+import collections
+import dataclasses
+import math
+
+from amaranthflow import ids
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceOutcome:
+    """Latencies of one service, refused and failed requests included.
+
+    A refused or failed request counts with its timeout.
+    """
+
+    service_id: str
+    tail_limit_ms: int
+    requests: int
+    unanswered: int
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Outcome:
+    """Result of replaying one trace under one policy.
+
+    :ivar batch_per_hour: run time of completed batch tasks, without
+        neighbours, in hours for each hour.
+    :ivar jobs_per_hour: completed batch jobs.
+    :ivar evictions: attempts ended by the policy.
+    :ivar lost: attempts ended by machines: failures, memory, stops.
+    :ivar wasted_hours: run time done and thrown away.
+    :ivar worst_share: least share of a tenant with waiting jobs over its
+        entitlement; 1.0 where none ever waited.
+    :ivar overcommitted: usage reports of a worker whose measured memory
+        passed its capacity.
+    :ivar decision_us: mean wall time of one placement decision.
+    """
+
+    services: tuple[ServiceOutcome, ...]
+    batch_per_hour: float
+    jobs_per_hour: float
+    evictions: int
+    worst_job_evictions: int
+    lost: int
+    wasted_hours: float
+    worst_share: float
+    overcommitted: int
+    decisions: int
+    decision_us: float
+
+
+class Meter:
+    """Collects what happens in one replay."""
+
+    def __init__(self):
+        self.decisions = 0
+        self.decision_s = 0.0
+        self.jobs_done = 0
+        self.lost = 0
+        self.overcommitted = 0
+        self._batch_ms = 0.0
+        self._wasted_ms = 0.0
+        self._evictions: collections.Counter[ids.JobId] = collections.Counter()
+        self._got: collections.Counter[ids.TenantId] = collections.Counter()
+        self._due: collections.Counter[ids.TenantId] = collections.Counter()
+        self._latencies: dict[str, list[float]] = {}
+        self._unanswered: collections.Counter[str] = collections.Counter()
+
+    def answered(self, service_id: str, latency_ms: float) -> None:
+        """Counts an answered request."""
+        self._latencies.setdefault(service_id, []).append(latency_ms)
+
+    def unanswered(self, service_id: str, timeout_ms: float) -> None:
+        """Counts a refused or failed request."""
+        self._unanswered[service_id] += 1
+        self.answered(service_id, timeout_ms)
+
+    def completed(self, run_ms: float) -> None:
+        """Counts a completed job."""
+        self.jobs_done += 1
+        self._batch_ms += run_ms
+
+    def evicted(self, job_id: ids.JobId) -> None:
+        """Counts an attempt that the policy ended."""
+        self._evictions[job_id] += 1
+
+    def wasted(self, run_ms: float) -> None:
+        """Counts work that was thrown away."""
+        self._wasted_ms += run_ms
+
+    def held(
+        self,
+        held: dict[ids.TenantId, float],
+        waiting: set[ids.TenantId],
+    ) -> None:
+        """Samples dominant shares; equal weights are assumed.
+
+        Only tenants with waiting jobs could have used more.
+        """
+        active = {name for name, share in held.items() if share} | waiting
+        if not active:
+            return
+        due = sum(held.values()) / len(active)
+        for tenant_id in waiting:
+            self._got[tenant_id] += held.get(tenant_id, 0.0)
+            self._due[tenant_id] += due
+
+    def outcome(self, limits: dict[str, int], measured_ms: float) -> Outcome:
+        """Returns the result.
+
+        :param limits: tail limit of each service, in ms.
+        """
+        hours = measured_ms / 3_600_000
+        shares = [
+            self._got[tenant_id] / due
+            for tenant_id, due in self._due.items()
+            if due
+        ]
+        decision_s = self.decision_s / max(1, self.decisions)
+        return Outcome(
+            services=tuple(self._service(*one) for one in limits.items()),
+            batch_per_hour=self._batch_ms / 3_600_000 / hours,
+            jobs_per_hour=self.jobs_done / hours,
+            evictions=self._evictions.total(),
+            worst_job_evictions=max(self._evictions.values(), default=0),
+            lost=self.lost,
+            wasted_hours=self._wasted_ms / 3_600_000,
+            worst_share=min(shares, default=1.0),
+            overcommitted=self.overcommitted,
+            decisions=self.decisions,
+            decision_us=decision_s * 1e6,
+        )
+
+    def _service(self, service_id: str, limit_ms: int) -> ServiceOutcome:
+        latencies = sorted(self._latencies.get(service_id, []))
+        return ServiceOutcome(
+            service_id=service_id,
+            tail_limit_ms=limit_ms,
+            requests=len(latencies),
+            unanswered=self._unanswered[service_id],
+            p50_ms=percentile(latencies, 0.5),
+            p99_ms=percentile(latencies, 0.99),
+            p999_ms=percentile(latencies, 0.999),
+        )
+
+
+def percentile(ordered: list[float], part: float) -> float:
+    """Returns the nearest-rank percentile of sorted values, nan if none."""
+    if not ordered:
+        return math.nan
+    return ordered[max(0, math.ceil(part * len(ordered)) - 1)]
--- /dev/null
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/replay.py
@@ -0,0 +1,565 @@
+"""Replays a trace to the decisions of a policy and works out the outcome.
+
+The replay keeps the platform's side: machines, late usage reports, failures
+and checkpoints. What it tells a policy is what the platform would tell.
+"""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import random
+import time
+import typing as t
+
+from amaranthflow import ids
+from amaranthflow import platform
+from amaranthflow import relief
+from amaranthflow import world
+from amaranthflow_schema.v1 import trace_pb2
+from amaranthflow_schema.v1 import world_pb2
+
+from . import colocation
+from . import outcomes
+from . import replay_policies
+
+_PUMP_MS = 500
+_SECOND_MS = 1_000
+_FAILURE_MS = 300
+_CHECKPOINT_MS = 2_000
+_RESTART_MS = 1_000
+_RAMP_CHECK_MS = 15_000
+_NOISE = 0.05
+_MAX_ATTEMPTS = 3
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class _Request:
+    """A latency-critical request and where it stands."""
+
+    request_id: ids.RequestId
+    service: world_pb2.Service
+    truth: trace_pb2.TaskTruth
+    arrived_at_ms: int
+    attempt: int = 0
+    failed_on: set[ids.WorkerId] = dataclasses.field(default_factory=set)
+    closed: bool = False
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class _Job:
+    """A batch job, its work left and its present attempt."""
+
+    job: world_pb2.Job
+    truth: trace_pb2.TaskTruth
+    left_ms: float
+    attempt: int = 0
+    evictions: int = 0
+    failed_on: set[ids.WorkerId] = dataclasses.field(default_factory=set)
+    task: world.Task | None = None
+    worker_id: ids.WorkerId | None = None
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class _Site:
+    """A worker: the policy's ledger and the machine behind it."""
+
+    ledger: world.WorkerLedger
+    machine: colocation.Machine
+    mode: int = trace_pb2.WORKER_MODE_RUNNING
+
+
+_Owner = _Request | _Job
+PolicyFactory = t.Callable[[world.Size, int, int], replay_policies.Policy]
+
+
+class Replay:
+    """One run of one trace under one policy.
+
+    :param events: a whole trace, in order of time.
+    :param make_policy: called with the fleet's capacity, its slots and the
+        trace's seed.
+    """
+
+    def __init__(
+        self,
+        *,
+        events: t.Sequence[trace_pb2.TraceEvent],
+        make_policy: PolicyFactory,
+    ):
+        self._events = events
+        self.header = events[0].header
+        self.meter = outcomes.Meter()
+        self.now_ms = 0
+        self._rng = random.Random(self.header.seed)
+        self._timers: list[tuple[float, int, t.Callable, tuple]] = []
+        self._sequence = itertools.count()
+        self._pairs = colocation.PairTable()
+        self._sites: dict[ids.WorkerId, _Site] = {}
+        self._services: dict[str, world_pb2.Service] = {}
+        self._jobs: dict[str, _Job] = {}
+        self._owners: dict[ids.TaskId, _Owner] = {}
+        self._waiting: collections.deque[_Request] = collections.deque()
+        self._pump_due = False
+        workers = [one.worker for one in events if one.HasField('worker')]
+        self.capacity = world.Size(
+            cores=sum(one.capacity.cores for one in workers),
+            memory_mb=sum(one.capacity.memory_mb for one in workers),
+        )
+        self._slots = sum(one.slots for one in workers)
+        self.policy = make_policy(self.capacity, self._slots, self.header.seed)
+
+    def run(self) -> outcomes.Outcome:
+        """Replays the whole trace."""
+        self._at(0, self._pump)
+        self._at(0, self._each_second)
+        for event in self._events:
+            self._run_timers(event.at_ms)
+            self.now_ms = event.at_ms
+            self._handle(event)
+        self._run_timers(self.header.end_ms)
+        limits = {
+            name: service.tail_limit_ms
+            for name, service in self._services.items()
+        }
+        return self.meter.outcome(
+            limits, self.header.end_ms - self.header.warm_up_ms
+        )
+
+    def _at(self, at_ms: float, action: t.Callable, *arguments) -> None:
+        timer = (at_ms, next(self._sequence), action, arguments)
+        heapq.heappush(self._timers, timer)
+
+    def _run_timers(self, end_ms: int) -> None:
+        while self._timers and self._timers[0][0] <= end_ms:
+            at_ms, _, action, arguments = heapq.heappop(self._timers)
+            self.now_ms = at_ms
+            action(*arguments)
+
+    @property
+    def _policy_ms(self) -> int:
+        """The time that a policy is told, in whole ms."""
+        return int(self.now_ms)
+
+    @property
+    def _counts(self) -> bool:
+        return self.now_ms >= self.header.warm_up_ms
+
+    def _handle(self, event: trace_pb2.TraceEvent) -> None:
+        match event.WhichOneof('kind'):
+            case 'worker':
+                self._add_worker(event.worker)
+            case 'tenant':
+                self.policy.configure(event.tenant)
+            case 'service':
+                self._services[event.service.service_id] = event.service
+                self._reserve_slots(event.service)
+            case 'request':
+                self._request(event.request)
+            case 'job':
+                self._submit(event.job)
+            case 'cancellation':
+                self._cancel(event.cancellation.job_id)
+            case 'worker_change':
+                self._change(event.worker_change)
+            case 'pair':
+                self._set_pair(event.pair)
+            case 'reserve':
+                size = world.Size.from_message(event.reserve.size)
+                self.policy.reserve(event.reserve.worker_id, size)
+
+    def _add_worker(self, message: world_pb2.Worker) -> None:
+        worker = world.Worker.from_message(message)
+        site = _Site(
+            ledger=world.WorkerLedger(worker=worker),
+            machine=colocation.Machine(
+                capacity=worker.capacity, pairs=self._pairs
+            ),
+        )
+        self._sites[worker.worker_id] = site
+        self.policy.add(site.ledger)
+        period_ms = self.header.report_period_ms
+        first_ms = self._rng.uniform(0, period_ms)
+        self._at(self.now_ms + first_ms, self._measure, site)
+
+    def _reserve_slots(self, service: world_pb2.Service) -> None:
+        for site in self._sites.values():
+            ledger = site.ledger
+            slots = max(ledger.reserved_slots, service.reserved_slots)
+            ledger.reserved_slots = slots
+            self.policy.changed(ledger, self._policy_ms)
+
+    def _set_pair(self, pair: trace_pb2.PairTruth) -> None:
+        self._pairs.set(pair.victim, pair.neighbour, pair.excess)
+        for site in self._sites.values():
+            if site.machine.running:
+                site.machine.settle(self.now_ms)
+                site.machine.rerate()
+                self._schedule(site)
+
+    # Latency-critical requests.
+
+    def _request(self, arrival: trace_pb2.RequestArrival) -> None:
+        service = self._services[arrival.service_id]
+        request = _Request(
+            request_id=arrival.request_id,
+            service=service,
+            truth=arrival.truth,
+            arrived_at_ms=self.now_ms,
+        )
+        deadline_ms = self.now_ms + service.timeout_ms
+        self._at(deadline_ms, self._expire, request)
+        if self._waiting or not self._start_request(request):
+            self._waiting.append(request)
+
+    def _start_request(self, request: _Request) -> bool:
+        request.attempt += 1
+        service = request.service
+        task = world.Task(
+            task_id=ids.request_task_id(request.request_id, request.attempt),
+            tenant_id=service.tenant_id,
+            task_class=service.task_class,
+            kind=world.TaskKind.LATENCY,
+            size=world.Size.from_message(service.size),
+        )
+        site = self._place(task, request.failed_on)
+        if site is None:
+            request.attempt -= 1
+            return False
+        self._start(site, task, request, request.truth.run_ms)
+        return True
+
+    def _pump_requests(self) -> None:
+        while self._waiting:
+            head = self._waiting[0]
+            if not head.closed and not self._start_request(head):
+                return
+            self._waiting.popleft()
+
+    def _expire(self, request: _Request) -> None:
+        if not request.closed:
+            self._close(request, None)
+
+    def _close(self, request: _Request, latency_ms: float | None) -> None:
+        request.closed = True
+        if request.arrived_at_ms < self.header.warm_up_ms:
+            return
+        service = request.service
+        if latency_ms is None:
+            self.meter.unanswered(service.service_id, service.timeout_ms)
+        else:
+            self.meter.answered(service.service_id, latency_ms)
+
+    def _request_ended(
+        self, request: _Request, site: _Site, phase: platform.TaskPhase
+    ) -> None:
+        if request.closed:
+            return
+        if phase is platform.TaskPhase.COMPLETED:
+            self._close(request, self.now_ms - request.arrived_at_ms)
+            return
+        request.failed_on.add(site.ledger.worker.worker_id)
+        if request.attempt >= _MAX_ATTEMPTS:
+            self._close(request, None)
+        else:
+            self._waiting.append(request)
+
+    # Batch jobs.
+
+    def _submit(self, arrival: trace_pb2.JobArrival) -> None:
+        job = _Job(
+            job=arrival.job,
+            truth=arrival.truth,
+            left_ms=arrival.truth.run_ms,
+        )
+        self._jobs[arrival.job.job_id] = job
+        self._push(job)
+
+    def _push(self, job: _Job) -> None:
+        job.attempt += 1
+        job.worker_id = None
+        job.task = world.Task(
+            task_id=ids.batch_task_id(job.job.job_id, job.attempt),
+            tenant_id=job.job.tenant_id,
+            task_class=job.job.task_class,
+            kind=world.TaskKind.BATCH,
+            size=self.policy.size(job.job),
+            urgent=job.job.urgent,
+            evictions=job.evictions,
+        )
+        self.policy.push(job.task, self._policy_ms)
+        self._pump_due = True
+
+    def _cancel(self, job_id: str) -> None:
+        job = self._jobs.pop(job_id, None)
+        if job is None:
+            return
+        if job.worker_id is None:
+            self.policy.cancel(job.task.task_id)
+            return
+        site = self._sites[job.worker_id]
+        self._end(site, job.task.task_id, platform.TaskPhase.STOPPED)
+
+    def _pump(self) -> None:
+        self._at(self.now_ms + _PUMP_MS, self._pump)
+        if not self._pump_due:
+            return
+        self._pump_due = False
+        for task in self.policy.candidates(self._policy_ms):
+            job = self._job_of(task)
+            site = self._place(task, job.failed_on)
+            if site is not None:
+                job.worker_id = site.ledger.worker.worker_id
+                self._start(site, task, job, job.left_ms)
+
+    def _job_of(self, task: world.Task) -> _Job:
+        job_id, _ = ids.split_batch_task_id(task.task_id)
+        return self._jobs[job_id]
+
+    def _attempt_ended(
+        self,
+        job: _Job,
+        site: _Site,
+        running: colocation.Running,
+        phase: platform.TaskPhase,
+        keep: bool,
+    ) -> None:
+        self._pump_due = True
+        if job.job.job_id not in self._jobs:
+            return
+        if phase is platform.TaskPhase.COMPLETED:
+            del self._jobs[job.job.job_id]
+            if self._counts:
+                self.meter.completed(job.truth.run_ms)
+            return
+        done_ms = job.left_ms - running.left_ms
+        if keep:
+            job.left_ms = running.left_ms + _RESTART_MS
+            self.meter.wasted(_RESTART_MS)
+        else:
+            self.meter.wasted(max(0.0, done_ms))
+        if phase is platform.TaskPhase.FAILED:
+            job.failed_on.add(site.ledger.worker.worker_id)
+
+    # Starts and ends.
+
+    def _place(
+        self, task: world.Task, failed_on: t.Collection[ids.WorkerId]
+    ) -> _Site | None:
+        avoid = self.policy.avoid(task, self._policy_ms)
+        if failed_on:
+            avoid = {*avoid, *failed_on}
+        began = time.perf_counter()
+        chosen = self.policy.placer.choose(task, avoid)
+        self.meter.decision_s += time.perf_counter() - began
+        self.meter.decisions += 1
+        return None if chosen is None else self._sites[chosen.worker_id]
+
+    def _start(
+        self, site: _Site, task: world.Task, owner: _Owner, left_ms: float
+    ) -> None:
+        task.started_at_ms = self._policy_ms
+        if not site.ledger.reserve(task):
+            raise AssertionError(f'{task} does not fit')
+        running = colocation.Running(
+            task=task,
+            cores=owner.truth.cores,
+            peak_memory_mb=owner.truth.peak_memory_mb,
+            left_ms=left_ms,
+            started_at_ms=self.now_ms,
+        )
+        self._owners[task.task_id] = owner
+        site.machine.add(running, self.now_ms)
+        worker_id = site.ledger.worker.worker_id
+        self.policy.started(task, worker_id, self._policy_ms)
+        self.policy.changed(site.ledger, self._policy_ms)
+        self._schedule(site)
+        if site.mode == trace_pb2.WORKER_MODE_FAILING or owner.truth.fails:
+            self._at(self.now_ms + _FAILURE_MS, self._fail, site, task.task_id)
+        if task.kind is world.TaskKind.BATCH:
+            self._check_memory(site)
+            self._at(self.now_ms + _RAMP_CHECK_MS, self._check_memory, site)
+
+    def _schedule(self, site: _Site) -> None:
+        end_ms = site.machine.next_end_ms()
+        if end_ms is not None:
+            self._at(end_ms, self._finish, site, site.machine.version)
+
+    def _finish(self, site: _Site, version: int) -> None:
+        if site.machine.version != version:
+            return
+        site.machine.settle(self.now_ms)
+        for running in site.machine.done():
+            self._end(site, running.task.task_id, platform.TaskPhase.COMPLETED)
+        if site.machine.version == version:
+            self._schedule(site)
+
+    def _fail(self, site: _Site, task_id: ids.TaskId) -> None:
+        if task_id in site.machine.running:
+            self._end(site, task_id, platform.TaskPhase.FAILED)
+
+    def _end(
+        self,
+        site: _Site,
+        task_id: ids.TaskId,
+        phase: platform.TaskPhase,
+        keep: bool = False,
+    ) -> None:
+        """Ends a task; its job waits again unless it completed.
+
+        :param keep: the work done was written to a checkpoint.
+        """
+        running = site.machine.remove(task_id, self.now_ms)
+        task = site.ledger.release(task_id)
+        owner = self._owners.pop(task_id)
+        worker_id = site.ledger.worker.worker_id
+        again = self.policy.ended(task, worker_id, phase, self._policy_ms)
+        self.policy.changed(site.ledger, self._policy_ms)
+        self._schedule(site)
+        if isinstance(owner, _Request):
+            self._request_ended(owner, site, phase)
+        else:
+            self._attempt_ended(owner, site, running, phase, keep)
+            if owner.job.job_id in self._jobs:
+                self._push_again(owner, again)
+        self._pump_requests()
+
+    def _push_again(self, job: _Job, again: bool) -> None:
+        if again:
+            self._push(job)
+        else:
+            del self._jobs[job.job.job_id]
+
+    # The platform's side.
+
+    def _check_memory(self, site: _Site) -> None:
+        while True:
+            killed = site.machine.out_of_memory(self.now_ms)
+            if killed is None:
+                return
+            self.meter.overcommitted += 1
+            self.meter.lost += 1
+            self._deliver_later(site, [self._report(killed)])
+            self._end(site, killed.task.task_id, platform.TaskPhase.FAILED)
+
+    def _measure(self, site: _Site) -> None:
+        self._at(
+            self.now_ms + self.header.report_period_ms, self._measure, site
+        )
+        reports = [
+            self._report(running) for running in site.machine.running.values()
+        ]
+        if reports:
+            self._deliver_later(site, reports)
+
+    def _report(self, running: colocation.Running) -> platform.UsageReport:
+        memory_mb = running.memory_mb(self.now_ms)
+        return platform.UsageReport(
+            task_id=running.task.task_id,
+            task_class=running.task.task_class,
+            measured_at_ms=self._policy_ms,
+            cores=running.cores * running.share,
+            memory_mb=memory_mb,
+            peak_memory_mb=memory_mb,
+            slowdown=running.slowdown * self._rng.gauss(1.0, _NOISE),
+        )
+
+    def _deliver_later(
+        self, site: _Site, reports: list[platform.UsageReport]
+    ) -> None:
+        delay_ms = self._rng.uniform(0.5, 1.0) * self.header.report_delay_ms
+        self._at(self.now_ms + delay_ms, self._deliver, site, reports)
+
+    def _deliver(
+        self, site: _Site, reports: list[platform.UsageReport]
+    ) -> None:
+        steps = self.policy.take(site.ledger, reports, self._policy_ms)
+        self._carry_out(site, steps)
+
+    def _each_second(self) -> None:
+        self._at(self.now_ms + _SECOND_MS, self._each_second)
+        for site in self._sites.values():
+            steps = self.policy.relieve(site.ledger, self._policy_ms)
+            self._carry_out(site, steps)
+        if self._counts:
+            self._sample_shares()
+
+    def _carry_out(self, site: _Site, steps: t.Iterable[relief.Step]) -> None:
+        for step in steps:
+            self._carry_out_one(site, step)
+            self.policy.changed(site.ledger, self._policy_ms)
+            self._pump_due = True
+
+    def _carry_out_one(self, site: _Site, step: relief.Step) -> None:
+        running = step.task_id in site.machine.running
+        match step.kind:
+            case relief.StepKind.HOLD:
+                site.ledger.accepting_batch = False
+            case relief.StepKind.ACCEPT:
+                site.ledger.accepting_batch = True
+            case relief.StepKind.MOVE if running:
+                self._at(
+                    self.now_ms + _CHECKPOINT_MS,
+                    self._evict,
+                    site,
+                    step.task_id,
+                    True,
+                )
+            case relief.StepKind.STOP if running:
+                self._evict(site, step.task_id, False)
+            case relief.StepKind.THROTTLE | relief.StepKind.RESUME if running:
+                site.machine.throttle(step.task_id, step.share, self.now_ms)
+                self._schedule(site)
+
+    def _evict(self, site: _Site, task_id: ids.TaskId, keep: bool) -> None:
+        if task_id not in site.machine.running:
+            return
+        job = self._owners[task_id]
+        job.evictions += 1
+        self.meter.evicted(job.job.job_id)
+        self._end(site, task_id, platform.TaskPhase.STOPPED, keep)
+
+    def _change(self, change: trace_pb2.WorkerChange) -> None:
+        site = self._sites[change.worker_id]
+        site.mode = change.mode
+        site.ledger.leaving = change.mode in (
+            trace_pb2.WORKER_MODE_DOWN,
+            trace_pb2.WORKER_MODE_LEAVING,
+        )
+        self.policy.changed(site.ledger, self._policy_ms)
+        if change.mode == trace_pb2.WORKER_MODE_DOWN:
+            self._lose(site)
+        if change.mode == trace_pb2.WORKER_MODE_LEAVING:
+            steps = self.policy.drain(site.ledger, self._policy_ms)
+            self._carry_out(site, steps)
+        self._pump_due = True
+
+    def _lose(self, site: _Site) -> None:
+        for task_id, running in list(site.machine.running.items()):
+            if running.task.kind is world.TaskKind.BATCH:
+                self.meter.lost += 1
+            self._end(site, task_id, platform.TaskPhase.STOPPED)
+        self.policy.lost(site.ledger, self._policy_ms)
+
+    def _sample_shares(self) -> None:
+        slots: collections.Counter = collections.Counter()
+        cores: collections.Counter = collections.Counter()
+        memory: collections.Counter = collections.Counter()
+        waiting = set()
+        for job in self._jobs.values():
+            tenant_id = job.job.tenant_id
+            if job.worker_id is None:
+                waiting.add(tenant_id)
+                continue
+            slots[tenant_id] += 1
+            cores[tenant_id] += job.truth.cores
+            memory[tenant_id] += job.truth.peak_memory_mb
+        held = {
+            tenant_id: max(
+                slots[tenant_id] / self._slots,
+                cores[tenant_id] / self.capacity.cores,
+                memory[tenant_id] / self.capacity.memory_mb,
+            )
+            for tenant_id in slots
+        }
+        self.meter.held(held, waiting)
--- a/packages/amaranthflow/src/amaranthflow/relief.py
+++ b/packages/amaranthflow/src/amaranthflow/relief.py
@@ -143,6 +143,11 @@
         state = self._workers.get(worker_id)
         return 1.0 if state is None else state.shares.get(task_id, 1.0)
 
+    def shares(self, worker_id: ids.WorkerId) -> dict[ids.TaskId, float]:
+        """Returns a copy of the shares of the throttled tasks."""
+        state = self._workers.get(worker_id)
+        return {} if state is None else dict(state.shares)
+
     def forget(self, worker_id: ids.WorkerId) -> None:
         """Drops what is known of a worker that was lost or handed over."""
         self._workers.pop(worker_id, None)
