--- a/packages/amaranthflow-standins/src/amaranthflow_standins/outcomes.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/outcomes.py
@@ -35,8 +35,9 @@
     :ivar wasted_hours: run time done and thrown away.
     :ivar worst_share: least share of a tenant with waiting jobs over its
         entitlement; 1.0 where none ever waited.
-    :ivar overcommitted: usage reports of a worker whose measured memory
-        passed its capacity.
+    :ivar least_class: least part of the jobs of a class that completed.
+    :ivar out_of_memory: tasks killed since memory passed the capacity.
+    :ivar decisions_per_s: decisions that fit in a second of wall time.
     :ivar decision_us: mean wall time of one placement decision.
     """
 
@@ -48,8 +49,10 @@
     lost: int
     wasted_hours: float
     worst_share: float
-    overcommitted: int
+    least_class: float
+    out_of_memory: int
     decisions: int
+    decisions_per_s: float
     decision_us: float
 
 
@@ -61,8 +64,14 @@
         self.decision_s = 0.0
         self.jobs_done = 0
         self.lost = 0
-        self.overcommitted = 0
+        self.out_of_memory = 0
         self._batch_ms = 0.0
+        self._arrived: collections.Counter[ids.TaskClass] = (
+            collections.Counter()
+        )
+        self._completed: collections.Counter[ids.TaskClass] = (
+            collections.Counter()
+        )
         self._wasted_ms = 0.0
         self._evictions: collections.Counter[ids.JobId] = collections.Counter()
         self._got: collections.Counter[ids.TenantId] = collections.Counter()
@@ -79,9 +88,14 @@
         self._unanswered[service_id] += 1
         self.answered(service_id, timeout_ms)
 
-    def completed(self, run_ms: float) -> None:
+    def arrived(self, task_class: ids.TaskClass) -> None:
+        """Counts a submitted job."""
+        self._arrived[task_class] += 1
+
+    def completed(self, task_class: ids.TaskClass, run_ms: float) -> None:
         """Counts a completed job."""
         self.jobs_done += 1
+        self._completed[task_class] += 1
         self._batch_ms += run_ms
 
     def evicted(self, job_id: ids.JobId) -> None:
@@ -130,11 +144,22 @@
             lost=self.lost,
             wasted_hours=self._wasted_ms / 3_600_000,
             worst_share=min(shares, default=1.0),
-            overcommitted=self.overcommitted,
+            least_class=self._least_class(),
+            out_of_memory=self.out_of_memory,
             decisions=self.decisions,
+            decisions_per_s=1.0 / decision_s if decision_s else 0.0,
             decision_us=decision_s * 1e6,
         )
 
+    def _least_class(self) -> float:
+        return min(
+            (
+                self._completed[task_class] / count
+                for task_class, count in self._arrived.items()
+            ),
+            default=1.0,
+        )
+
     def _service(self, service_id: str, limit_ms: int) -> ServiceOutcome:
         latencies = sorted(self._latencies.get(service_id, []))
         return ServiceOutcome(
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/replay.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/replay.py
@@ -273,6 +273,7 @@
             left_ms=arrival.truth.run_ms,
         )
         self._jobs[arrival.job.job_id] = job
+        self.meter.arrived(arrival.job.task_class)
         self._push(job)
 
     def _push(self, job: _Job) -> None:
@@ -330,7 +331,7 @@
         if phase is platform.TaskPhase.COMPLETED:
             del self._jobs[job.job.job_id]
             if self._counts:
-                self.meter.completed(job.truth.run_ms)
+                self.meter.completed(job.job.task_class, job.truth.run_ms)
             return
         done_ms = job.left_ms - running.left_ms
         if keep:
@@ -437,7 +438,7 @@
             killed = site.machine.out_of_memory(self.now_ms)
             if killed is None:
                 return
-            self.meter.overcommitted += 1
+            self.meter.out_of_memory += 1
             self.meter.lost += 1
             self._deliver_later(site, [self._report(killed)])
             self._end(site, killed.task.task_id, platform.TaskPhase.FAILED)
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/trace_generator.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/trace_generator.py
@@ -117,13 +117,17 @@
     ),
     batch=(
         BatchProfile(
-            name='sort', run_ms=60_000, cores=3.5, memory_mb=18_000, noise=0.3
+            name='sort', run_ms=60_000, cores=3.5, memory_mb=18_000, noise=0.5
         ),
         BatchProfile(
             name='nest', run_ms=80_000, cores=4.0, memory_mb=14_000, noise=0.06
         ),
         BatchProfile(
-            name='grade', run_ms=40_000, cores=2.0, memory_mb=11_000, noise=0.12
+            name='grade',
+            run_ms=40_000,
+            cores=2.0,
+            memory_mb=11_000,
+            noise=0.15,
         ),
         BatchProfile(
             name='bill', run_ms=50_000, cores=1.5, memory_mb=20_000, noise=0.03
@@ -162,14 +166,14 @@
     ),
     batch=(
         BatchProfile(
-            name='proof', run_ms=90_000, cores=8.0, memory_mb=36_000, noise=0.3
+            name='proof', run_ms=90_000, cores=8.0, memory_mb=36_000, noise=0.5
         ),
         BatchProfile(
             name='promotion',
             run_ms=50_000,
             cores=6.0,
             memory_mb=26_000,
-            noise=0.12,
+            noise=0.15,
         ),
         BatchProfile(
             name='labels',
@@ -345,7 +349,7 @@
         first = profile is self._place.services[0]
         if at_s * 1000 >= _EVENT_AT_MS:
             if self._name is TraceName.LOAD_SHIFT:
-                rate *= 0.5 if first else 1.5
+                rate *= 0.5 if first else 2.0
             if self._name is TraceName.BOOKED_MOVE and not first:
                 rate *= 1.5
         return rate
--- a/packages/amaranthflow/src/amaranthflow/placement.py
+++ b/packages/amaranthflow/src/amaranthflow/placement.py
@@ -12,6 +12,8 @@
 
 _RUNS = 4
 _CURSOR_STEP = 7
+_FILLED = 0.7
+_LATENCY_HEADROOM = 1.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -35,6 +37,9 @@
 
     :ivar slowdowns: predicted there for each latency-critical class.
     :ivar disturbance: mean slowdown of any latency-critical class there.
+    :ivar disturbing: batch tasks there of disturbing classes.
+    :ivar batch_slots: slots that batch tasks may take.
+    :ivar latency_slots: slots kept free for latency-critical tasks.
     """
 
     ledger: world.WorkerLedger
@@ -46,6 +51,9 @@
         default_factory=dict
     )
     disturbance: float = 1.0
+    disturbing: int = 0
+    batch_slots: int = 0
+    latency_slots: int = 0
 
 
 class InterferencePlacer:
@@ -85,6 +93,7 @@
         self._latency_rooms = rooms.RoomIndex()
         self._batch_rooms = rooms.RoomIndex()
         self._spread = _Spread()
+        self._quiet = _QuietSites()
 
     def add(
         self,
@@ -101,6 +110,7 @@
         self._at[position] = site
         self._sites[ledger.worker.worker_id] = site
         self._spread.add(ledger.worker)
+        self._quiet.add(site)
         self._refresh(site)
 
     def remove(self, worker_id: ids.WorkerId) -> None:
@@ -110,6 +120,7 @@
             return
         self._spread.move(site.ledger.worker, site.latency, {})
         self._spread.remove(site.ledger.worker)
+        self._quiet.remove(site)
         self._at[site.position] = None
         self._vacant.append(site.position)
         self._latency_rooms.clear(site.position)
@@ -153,9 +164,25 @@
 
     def _batch_cost(self, task: world.Task) -> '_BatchCost':
         limit = math.inf if task.urgent else self.slowdown_limit
-        return _BatchCost(
+        cost = _BatchCost(
             self._model, self._weights, self._spread, task, limit
         )
+        if not task.urgent and self._disturbs(task.task_class):
+            cost.quiet = self._quiet
+            cost.latency_tasks = self._spread.fleet.total()
+        return cost
+
+    def _disturbs(self, task_class: ids.TaskClass) -> bool:
+        """Tells whether one task takes more than a slot's part of the limit.
+
+        A worker full of tasks that take less stays under the limit.
+        """
+        fleet = self._spread.fleet
+        if not fleet:
+            return False
+        excesses = [self._model.excess(one, task_class) for one in fleet]
+        mean = sum(excesses) / len(excesses)
+        return mean * self._quiet.batch_slots > self.slowdown_limit - 1.0
 
     def _comparable(
         self,
@@ -229,6 +256,7 @@
             self._spread.move(ledger.worker, site.latency, latency)
             site.latency = latency
         site.batch = batch
+        self._quiet.resize(site)
         self._predict(site)
         free = ledger.free
         open_slots = 0 if ledger.leaving else ledger.free_slots
@@ -251,6 +279,12 @@
         site.disturbance = 1.0
         if fleet:
             site.disturbance = sum(site.slowdowns.values()) / len(fleet)
+        disturbing = sum(
+            count
+            for task_class, count in site.batch.items()
+            if self._disturbs(task_class)
+        )
+        self._quiet.move(site, disturbing)
 
 
 class _LatencyCost:
@@ -297,6 +331,8 @@
         self._model = model
         self._task_class = task.task_class
         self._limit = limit
+        self.quiet: _QuietSites | None = None
+        self.latency_tasks = 0
         self._batch_weight = weights.batch
         self._added: dict[ids.TaskClass, float] = {}
         self._mutual: dict[ids.TaskClass, float] = {}
@@ -306,6 +342,8 @@
         )
 
     def of(self, site: _Site) -> float:
+        if self.quiet and not self.quiet.opens(site, self.latency_tasks):
+            return math.inf
         cost = self._expected / (site.disturbance * site.disturbance)
         added_to = self._added
         for victim, count in site.latency.items():
@@ -334,6 +372,70 @@
         return excess
 
 
+class _QuietSites:
+    """Keeps disturbing batch tasks together and away from the other sites.
+
+    :ivar batch_slots: mean slots of a worker that batch tasks may take.
+    """
+
+    def __init__(self):
+        self.batch_slots = 0.0
+        self._sites = 0
+        self._slots = 0
+        self._open_slots = 0
+        self._quiet_latency_slots = 0
+        self._disturbing = 0
+
+    def add(self, site: _Site) -> None:
+        ledger = site.ledger
+        site.batch_slots = ledger.worker.slots - ledger.reserved_slots
+        site.latency_slots = max(1, ledger.reserved_slots)
+        self._sites += 1
+        self._slots += site.batch_slots
+        self._quiet_latency_slots += site.latency_slots
+        self.batch_slots = self._slots / self._sites
+
+    def remove(self, site: _Site) -> None:
+        self.move(site, 0)
+        self._sites -= 1
+        self._slots -= site.batch_slots
+        self._quiet_latency_slots -= site.latency_slots
+        self.batch_slots = self._slots / max(1, self._sites)
+
+    def resize(self, site: _Site) -> None:
+        """Follows a change of the worker's reserved slots."""
+        ledger = site.ledger
+        slots = ledger.worker.slots - ledger.reserved_slots
+        if slots != site.batch_slots:
+            disturbing = site.disturbing
+            self.remove(site)
+            self.add(site)
+            self.move(site, disturbing)
+
+    def move(self, site: _Site, disturbing: int) -> None:
+        """Replaces the number of disturbing tasks on a site."""
+        before, site.disturbing = site.disturbing, disturbing
+        self._disturbing += disturbing - before
+        if bool(before) == bool(disturbing):
+            return
+        sign = 1 if disturbing else -1
+        self._open_slots += sign * site.batch_slots
+        self._quiet_latency_slots -= sign * site.latency_slots
+
+    def opens(self, site: _Site, latency_tasks: int) -> bool:
+        """Tells whether a disturbing task may be placed on a site.
+
+        A quiet site is opened only once those open before are mostly taken,
+        and while the others have room for the latency-critical tasks.
+        """
+        if site.disturbing:
+            return True
+        if self._disturbing < _FILLED * self._open_slots:
+            return False
+        left = self._quiet_latency_slots - site.latency_slots
+        return left >= latency_tasks * _LATENCY_HEADROOM
+
+
 class _Spread:
     """Counts of running latency-critical tasks by rack and zone."""
 
--- a/tests/amaranthflow/placement.feature
+++ b/tests/amaranthflow/placement.feature
@@ -41,3 +41,16 @@
     When placement loses worker 0
     And placement chooses for latency-critical "quote" 2 times
     Then placement has used workers "1"
+
+  Scenario: placement keeps disturbing batch tasks together
+    Given a placement fleet of 4 workers
+    And placement knows that "noisy" slows "quote" by 0.2
+    When placement chooses for latency-critical "quote" 1 times
+    And placement chooses for 5 batch tasks "noisy"
+    Then placement has put "noisy" on 1 workers
+
+  Scenario: placement leaves quiet workers for latency-critical tasks
+    Given a placement fleet of 2 workers
+    And placement knows that "noisy" slows "quote" by 0.2
+    When placement chooses for latency-critical "quote" 1 times
+    Then placement has no worker for batch "noisy"
--- a/tests/steps/placement_steps.py
+++ b/tests/steps/placement_steps.py
@@ -1,5 +1,6 @@
 """Steps for placement.feature."""
 
+import collections
 import math
 
 import behave
@@ -17,7 +18,8 @@
 
 
 class _Fleet:
-    def __init__(self, count, model=None, rack_size=4):
+    def __init__(self, count, model=None, rack_size=4, reserved=1):
+        self.reserved = reserved
         self.model = model or interference.InterferenceModel()
         self.placer = placement.InterferencePlacer(model=self.model)
         self.ledgers = {}
@@ -33,7 +35,7 @@
                 slots=8,
                 connections=60,
             )
-            ledger = world.WorkerLedger(worker=worker, reserved_slots=1)
+            ledger = world.WorkerLedger(worker=worker, reserved_slots=reserved)
             self.ledgers[worker.worker_id] = ledger
             self.placer.add(ledger)
 
@@ -112,6 +114,8 @@
 
 
 def _plain_batch_cost(fleet, task, ledger):
+    if not _plain_opens(fleet, task, ledger):
+        return math.inf
     excess = fleet.model.excess
     batch = [o for o in ledger.tasks.values() if o.kind is task.kind]
     latency = [o for o in ledger.tasks.values() if o.kind is not task.kind]
@@ -131,6 +135,35 @@
     return cost + _plain_expected(fleet, task, batch)
 
 
+def _plain_disturbs(fleet, task_class):
+    """One worker full of the class passes the limit."""
+    classes = {
+        o.task_class for _, o in _running(fleet, world.TaskKind.LATENCY)
+    }
+    total = sum(fleet.model.excess(one, task_class) for one in classes)
+    slots = 8 - fleet.reserved
+    limit = fleet.placer.slowdown_limit - 1.0
+    return bool(classes) and total / len(classes) * slots > limit
+
+
+def _plain_opens(fleet, task, ledger):
+    if not _plain_disturbs(fleet, task.task_class):
+        return True
+    disturbing = collections.Counter(
+        worker.worker_id
+        for worker, other in _running(fleet, world.TaskKind.BATCH)
+        if _plain_disturbs(fleet, other.task_class)
+    )
+    if ledger.worker.worker_id in disturbing:
+        return True
+    open_slots = len(disturbing) * (8 - fleet.reserved)
+    if disturbing.total() < 0.7 * open_slots:
+        return False
+    quiet_after = len(fleet.ledgers) - len(disturbing) - 1
+    latency = len(_running(fleet, world.TaskKind.LATENCY))
+    return quiet_after * fleet.reserved >= 1.3 * latency
+
+
 def _plain_expected(fleet, task, batch):
     excess = fleet.model.excess
     victims = [
@@ -157,7 +190,7 @@
     @hypothesis.settings(max_examples=60)
     @hypothesis.given(st.integers(1, 9), st.lists(event, max_size=40))
     def check(count, events):
-        fleet = _Fleet(count, model, rack_size=2)
+        fleet = _Fleet(count, model, rack_size=2, reserved=3)
         for is_latency, number, other in events:
             if other < 25:
                 _release(fleet, other)
@@ -285,3 +318,21 @@
 @behave.then('the placement reason tells "{text}"')
 def step_reason(context, text):
     assert text in context.fleet.chosen[-1].reason
+
+
+@behave.when('placement chooses for {count:d} batch tasks "{name}"')
+def step_batch(context, count, name):
+    for _ in range(count):
+        assert context.fleet.start(
+            context.fleet.task(world.TaskKind.BATCH, name)
+        )
+
+
+@behave.then('placement has put "{name}" on {count:d} workers')
+def step_put(context, name, count):
+    workers = {
+        worker.worker_id
+        for worker, task in _running(context.fleet, world.TaskKind.BATCH)
+        if task.task_class == name
+    }
+    assert len(workers) == count, workers
