--- a/packages/amaranthflow-standins/src/amaranthflow_standins/demo.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/demo.py
@@ -140,6 +140,8 @@
                 group.create_task(faults.run(scenario))
             scenarios.tell(f'{self._load.unfinished} still under way')
             await self._load.finish(_FINISH_LIMIT_S)
+            if self._load.errors:
+                raise DemoFailed(f'the load failed: {self._load.errors[0]!r}')
         finally:
             progress.cancel()
 
@@ -294,8 +296,9 @@
 
 
 def _change(key: str, **body) -> world_pb2.Change:
+    change_id = 'demo-' + key.replace('/', '-')
     return world_pb2.Change(
-        change_id=f'demo-{key}', key=key, operator='demo', **body
+        change_id=change_id, key=key, operator='demo', **body
     )
 
 
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/load.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/load.py
@@ -45,7 +45,10 @@
 
 
 class Load:
-    """Drives the load of all tenants and records what they see."""
+    """Drives the load of all tenants and records what they see.
+
+    :ivar errors: faults of the load itself; its records are then partial.
+    """
 
     def __init__(
         self,
@@ -63,6 +66,7 @@
         self._rng = rng
         self._tenants = tenants
         self._seen = seen
+        self.errors: list[BaseException] = []
         self._tasks: set[asyncio.Task] = set()
         self._job_numbers = dict.fromkeys(
             (tenant.tenant_id for tenant in tenants), 0
@@ -123,7 +127,12 @@
     def _spawn(self, work: t.Coroutine) -> None:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._note_done)
+
+    def _note_done(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.errors.append(task.exception())
 
     def _new_request(
         self, tenant: TenantLoad, prefix: str
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/observations.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/observations.py
@@ -89,6 +89,8 @@
 
     :ivar leaving_at_s: when the platform began to list a worker as leaving.
     :ivar died_at_s: when a worker was made to die.
+    :ivar killed_at_s: when an instance was killed.
+    :ivar drained_at_s: when an instance was told to drain.
     :ivar exit_codes: of the instances that were drained.
     :ivar foreign_reads: reads of another tenant's job that were answered.
     :ivar rules_broken: machine rules that an instance was seen to break.
@@ -102,6 +104,8 @@
     )
     leaving_at_s: dict[str, float] = dataclasses.field(default_factory=dict)
     died_at_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    killed_at_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    drained_at_s: dict[str, float] = dataclasses.field(default_factory=dict)
     exit_codes: dict[str, int | None] = dataclasses.field(default_factory=dict)
     foreign_reads: list[str] = dataclasses.field(default_factory=list)
     rules_broken: list[str] = dataclasses.field(default_factory=list)
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/report.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/report.py
@@ -11,6 +11,7 @@
 from . import observations
 
 _SHOWN_BREACHES = 10
+_SHOWN_SLOW = 5
 _MEDIAN_TARGET_MS = 15.0
 _P99_TARGET_MS = 100.0
 _JSON_PROMISES = (
@@ -67,7 +68,14 @@
 
     def table(self) -> str:
         """Returns a table for people."""
-        rows = [*self._request_rows(), *self._job_rows(), *self._idle_rows()]
+        rows = [
+            *self._request_rows(),
+            *self._slow_rows(),
+            *self._job_rows(),
+            *self._worker_rows(),
+            *self._outage_rows(),
+            *self._idle_rows(),
+        ]
         rows += [
             (f'broken: {promise.value}', str(self.count(promise)))
             for promise in checks.Promise
@@ -114,6 +122,36 @@
         for phase, count in sorted(phases.items()):
             yield f'  {phase}', str(count)
         yield '  evictions', str(checks.evictions(self.seen))
+        yield '  leases lapsed', str(checks.lapses(self.seen))
+
+    def _worker_rows(self) -> t.Iterator[tuple[str, str]]:
+        peaks = [worker.peaks for worker in self.seen.workers]
+        yield (
+            'highest use of a worker',
+            f'{max(p.slots for p in peaks)} slots,'
+            f' {max(p.connections for p in peaks)} connections,'
+            f' {max(p.cores for p in peaks):g} cores,'
+            f' {max(p.memory_mb for p in peaks)} MB',
+        )
+
+    def _outage_rows(self) -> t.Iterator[tuple[str, str]]:
+        if self.seen.outage is None:
+            return
+        idempotent = checks.answered_share(self.seen, True)
+        other = checks.answered_share(self.seen, False)
+        yield 'answered without the log', f'{idempotent:.1%} of idempotent'
+        yield '', f'{other:.1%} of non-idempotent'
+
+    def _slow_rows(self) -> t.Iterator[tuple[str, str]]:
+        sent = [req for req in self.seen.requests if req.tries]
+        sent.sort(key=lambda req: req.duration_s, reverse=True)
+        for req in sent[:_SHOWN_SLOW]:
+            tries = ', '.join(
+                f'{one.instance_id} {one.ended_s - one.sent_s:.3f} s'
+                f' {one.reason.strip()}'
+                for one in req.tries
+            )
+            yield 'slow request', tries
 
     def _idle_rows(self) -> t.Iterator[tuple[str, str]]:
         yield (
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/scenarios.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/scenarios.py
@@ -52,6 +52,7 @@
         killed, drained, _ = list(self._fleet.instances)
         await self._pass(0.3)
         tell(f'{killed} is killed')
+        self._seen.killed_at_s[killed] = self._clock.monotonic()
         await self._fleet.kill(killed)
         await self._pass(0.1)
         tell('instance-4 replaces it')
@@ -61,6 +62,7 @@
         await self._pass(0.2)
         tell(f'{drained} is drained')
         begun_s = self._clock.monotonic()
+        self._seen.drained_at_s[drained] = begun_s
         code = await self._fleet.drain(drained, DRAIN_LIMIT_S)
         self._seen.exit_codes[drained] = code
         took_s = self._clock.monotonic() - begun_s
--- a/tests/amaranthflow_standins/checks.feature
+++ b/tests/amaranthflow_standins/checks.feature
@@ -152,3 +152,31 @@
     And a checked answer to "q1" that is right
     And a checked request run of "q1" from 1.25 to 1.75
     Then the checks measure an added latency of 0.5 s
+
+  Scenario: a request cut off by an instance that drains is found
+    Given a checked instance that drains since 1.5
+    And a checked request "q1" that is idempotent
+    And a checked try of "q1" at 1 to 2 that ended "MAY_HAVE_RUN"
+    Then the checks find "ungraceful_stop"
+
+  Scenario: a lease that lapses after a drain is found
+    Given a checked instance that drains since 1.5
+    And a checked job "j1" that is idempotent and ended "completed"
+    And a checked run of "j1" attempt 1 from 1 to 2 that ended "lease lapsed"
+    Then the checks find "ungraceful_stop"
+    And the checks count 0 evictions
+
+  Scenario: a lease that an instance killed before had granted may lapse
+    Given a checked instance that drains since 1.5
+    And a checked instance that was killed at 1
+    And a checked job "j1" that is idempotent and ended "completed"
+    And a checked run of "j1" attempt 1 from 1 to 2 that ended "lease lapsed"
+    Then the checks find nothing
+
+  Scenario: only tasks of jobs that nobody cancelled count as evicted
+    Given a checked job "j1" that is idempotent and ended "completed"
+    And a checked run of "j1" attempt 1 from 1 to 2 that ended "stopped"
+    And a checked job "j2" that is idempotent and ended "cancelled"
+    And a checked cancellation of "j2"
+    And a checked run of "j2" attempt 1 from 1 to 2 that ended "stopped"
+    Then the checks count 1 evictions
--- a/tests/steps/checks_steps.py
+++ b/tests/steps/checks_steps.py
@@ -253,3 +253,23 @@
 def step_percentile(context, percent, low, high, value):
     values = list(range(high, low - 1, -1))
     assert report.percentile(values, percent) == value
+
+
+@behave.given('a checked instance that drains since {at_s:g}')
+def step_drains(context, at_s):
+    _seen(context).drained_at_s['i1'] = at_s
+
+
+@behave.given('a checked instance that was killed at {at_s:g}')
+def step_killed(context, at_s):
+    _seen(context).killed_at_s['i2'] = at_s
+
+
+@behave.given('a checked cancellation of "{job_id}"')
+def step_cancel(context, job_id):
+    _job(context, job_id).cancel_sent = True
+
+
+@behave.then('the checks count {count:d} evictions')
+def step_evictions(context, count):
+    assert checks.evictions(_seen(context)) == count
