--- a/packages/amaranthflow-standins/src/amaranthflow_standins/checks.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/checks.py
@@ -259,7 +259,7 @@
                     subject=req.request_id,
                     detail=f'no answer from {instance_id}, which drained',
                 )
-        killed_s = max(seen.killed_at_s.values(), default=0.0)
+        killed_s = max(seen.killed_at_s.values(), default=-math.inf)
         for run in _lapsed(seen, max(begun_s, killed_s + KILL_LAPSE_S)):
             yield Breach(
                 promise=Promise.GRACEFUL_STOP,
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/load.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/load.py
@@ -185,11 +185,13 @@
                 return
             if not _may_retry(reply, record.idempotent):
                 return
-            if self._clock.monotonic() > give_up_s:
-                return
             avoid.add(instance_id)
-            if reply.outcome.told:
-                await self._pause(reply.retry_after_ms or _RETRY_MS)
+            pause_ms = _RETRY_MS if reply.outcome.told else 0
+            if len(avoid) >= len(self._balancer.ready):
+                pause_ms = reply.retry_after_ms or pause_ms
+            if self._clock.monotonic() + pause_ms / 1000 > give_up_s:
+                return
+            await self._pause(pause_ms)
 
     async def _pause(self, delay_ms: float) -> None:
         await self._clock.sleep(delay_ms / 1000 * self._rng.uniform(0.5, 1.0))
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/report.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/report.py
@@ -144,6 +144,7 @@
 
     def _slow_rows(self) -> t.Iterator[tuple[str, str]]:
         sent = [req for req in self.seen.requests if req.tries]
+        begun_s = min((req.tries[0].sent_s for req in sent), default=0.0)
         sent.sort(key=lambda req: req.duration_s, reverse=True)
         for req in sent[:_SHOWN_SLOW]:
             tries = ', '.join(
@@ -151,7 +152,11 @@
                 f' {one.reason.strip()}'
                 for one in req.tries
             )
-            yield 'slow request', tries
+            at_s = req.tries[0].sent_s - begun_s
+            yield (
+                'slow request',
+                f'{req.duration_s:.3f} s at {at_s:.1f} s: {tries}',
+            )
 
     def _idle_rows(self) -> t.Iterator[tuple[str, str]]:
         yield (
