Change ids may hold slashes

Cause: the demo names its changes after their keys and was refused. Change: a wider character set for change ids only.

--- a/packages/amaranthflow/src/amaranthflow/validation.py
+++ b/packages/amaranthflow/src/amaranthflow/validation.py
@@ -10,6 +10,7 @@
 MAX_JOB_PAYLOAD_BYTES = 64 * 1024
 MAX_SERVICE_TIMEOUT_MS = 4000  # no request may outlast a task lease
 _ID_EXTRA = frozenset('-_.:')
+_CHANGE_ID_EXTRA = _ID_EXTRA | {'/', '@'}
 _BODIES = {
     'service': 'service_id',
     'tenant': 'tenant_id',
@@ -19,8 +20,11 @@
 _POLICY_KEY = 'policy/global'
 
 
-def check_id(name: str, value: str) -> None:
-    """Raises RequestRefused unless the value is usable as an id."""
+def check_id(name: str, value: str, extra: frozenset[str] = _ID_EXTRA) -> None:
+    """Raises RequestRefused unless the value is usable as an id.
+
+    :param extra: characters allowed besides ASCII letters and digits.
+    """
     if not value:
         raise exceptions.RequestRefused(f'{name} is empty')
     if len(value) > MAX_ID_LENGTH:
@@ -28,7 +32,7 @@
             f'{name} is longer than {MAX_ID_LENGTH} characters'
         )
     for char in value:
-        if not (char.isascii() and (char.isalnum() or char in _ID_EXTRA)):
+        if not (char.isascii() and (char.isalnum() or char in extra)):
             raise exceptions.RequestRefused(f'{name} has a wrong character')
 
 
@@ -52,7 +56,7 @@
 
 def check_change(change: world_pb2.Change) -> None:
     """Raises RequestRefused unless key and body belong together."""
-    check_id('change_id', change.change_id)
+    check_id('change_id', change.change_id, _CHANGE_ID_EXTRA)
     kind, _, name = change.key.partition('/')
     if kind not in _BODIES:
         raise exceptions.RequestRefused(f'unknown kind of key {change.key!r}')
