Peer channels behind a protocol

Cause: the daemon's parts could not be driven without real connections. Change: PeerChannel and its gRPC form; links are made by the node. Conclusion: fleets of parts can run in one process over a fake clock.

--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/node.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/node.py
@@ -19,6 +19,7 @@
 
 from . import logs
 from . import metrics
+from . import peer_channel
 from . import settings
 
 _MS_PER_S = 1000
@@ -26,14 +27,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PlatformLinks:
-    """Connections to the platform.
+    """Connections to the platform and to other instances.
 
     :ivar connect: makes the link to a worker.
+    :ivar connect_peer: opens a channel to a peer's "IP:PORT".
     """
 
     log: platform.LogService
     instances: platform.InstanceList
     connect: t.Callable[[world.Worker], platform.WorkerLink]
+    connect_peer: t.Callable[[str], peer_channel.PeerChannel]
 
 
 class AppliedListener(t.Protocol):
--- /dev/null
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/peer_channel.py
@@ -0,0 +1,104 @@
+"""Channels to other instances."""
+
+import asyncio
+import typing as t
+
+import grpc.aio
+
+from amaranthflow import exceptions
+from amaranthflow_schema.v1 import peer_pb2
+from amaranthflow_schema.v1 import peer_pb2_grpc
+
+_MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+OPTIONS = (
+    ('grpc.max_receive_message_length', _MAX_MESSAGE_BYTES),
+    ('grpc.max_send_message_length', _MAX_MESSAGE_BYTES),
+)
+_CLIENT_OPTIONS = (
+    *OPTIONS,
+    ('grpc.enable_http_proxy', 0),
+    ('grpc.use_local_subchannel_pool', 1),
+    ('grpc.initial_reconnect_backoff_ms', 100),
+    ('grpc.max_reconnect_backoff_ms', 1000),
+)
+
+_Reply = t.TypeVar('_Reply')
+
+
+class PeerChannel(t.Protocol):
+    """One connection to a peer.
+
+    Every call raises RequestUncertain where there is no answer, also when
+    the channel is closed during it.
+    """
+
+    async def heartbeat(
+        self, req: peer_pb2.HeartbeatRequest, timeout_s: float
+    ) -> peer_pb2.HeartbeatReply:
+        """Tells about this instance and asks about the peer."""
+
+    async def execute(
+        self, req: peer_pb2.ExecuteRequest, timeout_s: float
+    ) -> peer_pb2.ExecuteReply:
+        """Runs a request on a worker of the peer."""
+
+    async def fetch_state(
+        self, req: peer_pb2.FetchStateRequest, timeout_s: float
+    ) -> bytes:
+        """Returns the peer's state as a serialized snapshot."""
+
+    async def close(self) -> None:
+        """Ends the calls in progress and closes the connection."""
+
+
+class GrpcChannel:
+    """Implements ``PeerChannel`` over gRPC."""
+
+    def __init__(self, *, address: str):
+        self._channel = grpc.aio.insecure_channel(
+            address, options=_CLIENT_OPTIONS
+        )
+        self._stub = peer_pb2_grpc.PeerStub(self._channel)
+        self._closed = False
+
+    async def heartbeat(
+        self, req: peer_pb2.HeartbeatRequest, timeout_s: float
+    ) -> peer_pb2.HeartbeatReply:
+        """Tells about this instance and asks about the peer."""
+        return await self._answer(self._stub.Heartbeat(req, timeout=timeout_s))
+
+    async def execute(
+        self, req: peer_pb2.ExecuteRequest, timeout_s: float
+    ) -> peer_pb2.ExecuteReply:
+        """Runs a request on a worker of the peer."""
+        return await self._answer(self._stub.Execute(req, timeout=timeout_s))
+
+    async def fetch_state(
+        self, req: peer_pb2.FetchStateRequest, timeout_s: float
+    ) -> bytes:
+        """Returns the peer's state as a serialized snapshot."""
+        call = self._stub.FetchState(req, timeout=timeout_s)
+        return await self._answer(_join_chunks(call))
+
+    async def close(self) -> None:
+        """Ends the calls in progress and closes the connection."""
+        self._closed = True
+        await self._channel.close()
+
+    async def _answer(self, call: t.Awaitable[_Reply]) -> _Reply:
+        try:
+            return await call
+        except grpc.aio.AioRpcError as exc:
+            raise exceptions.RequestUncertain(
+                f'the peer gave no answer: {exc.code().name}'
+            ) from exc
+        except asyncio.CancelledError:
+            if not self._closed:
+                raise
+            raise exceptions.RequestUncertain(
+                'the connection to the peer was replaced'
+            ) from None
+
+
+async def _join_chunks(call) -> bytes:
+    return b''.join([chunk.data async for chunk in call])
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/peers.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/peers.py
@@ -3,29 +3,17 @@
 import asyncio
 import typing as t
 
-import grpc
-import grpc.aio
-
 from amaranthflow import exceptions
 from amaranthflow import ids
 from amaranthflow import membership
 from amaranthflow import state as state_lib
 from amaranthflow_schema.v1 import peer_pb2
-from amaranthflow_schema.v1 import peer_pb2_grpc
 
 from . import logs
 from . import metrics
 from . import node as node_lib
 
 _REPLY_GRACE_S = 0.1
-_CHANNEL_OPTIONS = (
-    ('grpc.max_receive_message_length', 64 * 1024 * 1024),
-    ('grpc.max_send_message_length', 64 * 1024 * 1024),
-    ('grpc.enable_http_proxy', 0),
-    ('grpc.use_local_subchannel_pool', 1),
-    ('grpc.initial_reconnect_backoff_ms', 100),
-    ('grpc.max_reconnect_backoff_ms', 1000),
-)
 
 
 class PeerLink:
@@ -83,38 +71,23 @@
         """
         if not self.in_touch or self.suspect:
             raise exceptions.NotReady('the owner is not in touch')
-        channel = self._channel
         timeout_s = req.timeout_ms / 1000 + _REPLY_GRACE_S
-        try:
-            reply = await self._stub.Execute(req, timeout=timeout_s)
-        except grpc.aio.AioRpcError as exc:
-            raise exceptions.RequestUncertain(
-                f'the owner gave no answer: {exc.code().name}'
-            ) from exc
-        except asyncio.CancelledError:
-            if channel is self._channel:
-                raise
-            raise exceptions.RequestUncertain(
-                'the connection to the owner was replaced'
-            ) from None
+        reply = await self._channel.execute(req, timeout_s)
         if (reply.request_id, reply.attempt) != (req.request_id, req.attempt):
             raise exceptions.RequestUncertain('the answer is to another one')
         return reply
 
     def _open(self) -> None:
-        self._channel = grpc.aio.insecure_channel(
-            self.info.peer_address, options=_CHANNEL_OPTIONS
-        )
-        self._stub = peer_pb2_grpc.PeerStub(self._channel)
+        connect = self._node.links.connect_peer
+        self._channel = connect(self.info.peer_address)
         self._opened_at = self._node.clock.monotonic()
 
     async def _heartbeat(self) -> None:
         asked_at = self._node.clock.monotonic()
-        req = self._beat()
         timeout_s = self._node.cfg.heartbeat_s
         try:
-            reply = await self._stub.Heartbeat(req, timeout=timeout_s)
-        except grpc.aio.AioRpcError:
+            reply = await self._channel.heartbeat(self._beat(), timeout_s)
+        except exceptions.RequestUncertain:
             self.in_touch = self.in_touch and not self.suspect
             return
         self._note(reply, asked_at)
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/process.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/process.py
@@ -24,6 +24,7 @@
 from . import logs
 from . import node as node_lib
 from . import operators
+from . import peer_channel
 from . import peer_service
 from . import peers as peers_lib
 from . import router as router_lib
@@ -34,11 +35,7 @@
 
 _NOTICE_S = 1.0
 _DRAIN_POLL_S = 0.05
-_SERVER_OPTIONS = (
-    ('grpc.max_receive_message_length', 64 * 1024 * 1024),
-    ('grpc.max_send_message_length', 64 * 1024 * 1024),
-    ('grpc.so_reuseport', 0),
-)
+_SERVER_OPTIONS = (*peer_channel.OPTIONS, ('grpc.so_reuseport', 0))
 
 
 class Process:
@@ -187,6 +184,7 @@
         log=adapters.HttpLogService(session=session, url=cfg.log_url),
         instances=adapters.HttpInstanceList(session=session, url=cfg.list_url),
         connect=connect,
+        connect_peer=lambda address: peer_channel.GrpcChannel(address=address),
     )
 
 
