--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/metrics.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/metrics.py
@@ -9,7 +9,7 @@
 
 from . import settings
 
-_PREFIX = 'amaranthflow'
+PREFIX = 'amaranthflow'
 _UNSAFE = re.compile(r'[^A-Za-z0-9_-]')
 
 
@@ -134,7 +134,7 @@
 
     def __init__(self, *, host: str, port: int):
         ipv6 = ipaddress.ip_address(host).version == 6
-        super().__init__(host, port, prefix=_PREFIX, ipv6=ipv6)
+        super().__init__(host, port, prefix=PREFIX, ipv6=ipv6)
         self._sock.setblocking(False)
 
 
