--- a/packages/amaranthflow/src/amaranthflow/follower.py
+++ b/packages/amaranthflow/src/amaranthflow/follower.py
@@ -47,13 +47,24 @@
         self._state = state
         self._listener = listener
         self._replay: snapshots.Replay | None = None
+        self._started = state.next_offset > 0
         self.reachable = False
         self.caught_up = False
 
+    @property
+    def snapshot_missing(self) -> bool:
+        """True where the log keeps neither its beginning nor a snapshot.
+
+        Only a peer's state helps then.
+        """
+        return self._replay is not None and self._replay.missing
+
     async def run(self) -> t.NoReturn:
         """Follows the log until cancelled."""
         while True:
             try:
+                if not self._started:
+                    await self._seek()
                 await self.step(_LONG_POLL_S)
             except exceptions.OffsetExpired:
                 await self._restart()
@@ -68,18 +79,16 @@
         self.reachable = True
         for entry in page.entries:
             self._take(entry)
-        if self._replay is None and (
-            self._state.next_offset == page.next_offset
-        ):
+        if self._replay is not None:
+            self._continue_replay()
+        elif self._state.next_offset == page.next_offset:
             self.caught_up = True
             self._listener.on_confirmed(asked_at)
 
     def adopt(self, snapshot: records_pb2.Snapshot) -> None:
         """Starts from a peer's state where it is newer than this one."""
         if snapshot.at_offset > self._state.next_offset:
-            self._replay = None
-            self._state.load(snapshot)
-            self._listener.on_loaded()
+            self._load(snapshot)
 
     def _position(self) -> ids.Offset:
         if self._replay is not None:
@@ -87,32 +96,52 @@
         return self._state.next_offset
 
     async def _restart(self) -> None:
-        """Looks for a snapshot from the oldest kept entry on."""
+        """Looks for a snapshot among the entries that the log still keeps."""
+        self.caught_up = False
         try:
-            first = await self._log.first_offset()
+            await self._seek()
         except exceptions.PlatformError:
             self.reachable = False
             await self._clock.sleep(_RETRY_S)
-            return
-        self.caught_up = False
-        self._replay = snapshots.Replay(start=first)
+
+    async def _seek(self) -> None:
+        first = await self._log.first_offset()
+        page = await self._log.read(first, 0)
+        self._started = True
+        self._replay = snapshots.Replay(first=first, end=page.next_offset)
+        self._continue_replay()
 
     def _take(self, entry: platform.Entry) -> None:
         if self._replay is None:
             self._apply(entry)
             return
         self._replay.add(entry)
+        if self._replay.found() is not None:
+            self._continue_replay()
+
+    def _continue_replay(self) -> None:
+        """Ends the replay where it has a start, or begins it earlier."""
         snapshot = self._replay.found()
         if snapshot is None:
+            self._replay = self._replay.widened() or self._replay
             return
         entries = self._replay.entries_from(snapshot.at_offset)
         self._replay = None
-        self._state.load(snapshot)
-        self._listener.on_loaded()
+        if snapshot.at_offset >= self._state.next_offset:
+            self._load(snapshot)
         for kept in entries:
             self._apply(kept)
 
+    def _load(self, snapshot: records_pb2.Snapshot) -> None:
+        self._started = True
+        self._replay = None
+        self._state.load(snapshot)
+        self._listener.on_loaded()
+
     def _apply(self, entry: platform.Entry) -> None:
+        # A peer's state may have been adopted while the page was read.
+        if entry.offset < self._state.next_offset:
+            return
         try:
             applied = self._state.apply(entry.offset, entry.data)
         except exceptions.InvalidRecord as exc:
--- a/packages/amaranthflow/src/amaranthflow/journal.py
+++ b/packages/amaranthflow/src/amaranthflow/journal.py
@@ -20,7 +20,6 @@
 MAX_BATCH_BYTES = 512 * 1024
 _RETRY_FIRST_S = 0.05
 _RETRY_MAX_S = 2.0
-_READ_BACK_S = 1.0
 
 
 @dataclasses.dataclass(eq=False, slots=True, kw_only=True)
@@ -32,6 +31,12 @@
     size: int
     handed_on: bool = False
 
+    def fail(self, exc: exceptions.AmaranthflowError) -> None:
+        """Ends the wait with an error; the waiter may be gone already."""
+        if not self.fut.done():
+            self.fut.set_exception(exc)
+            self.fut.exception()
+
 
 class Journal:
     """The one writer of a member.
@@ -107,8 +112,10 @@
             return
         if batch.writer != self.member.instance or self._batch_seen:
             return
-        self._batch_seen = True
-        self._landed.set()
+        if not applied.results:
+            self._resolve(_refused_as_replaced())
+            return
+        self._resolve(None)
         for pending, result in zip(self._batch, applied.results, strict=True):
             if not pending.fut.done():
                 pending.fut.set_result(result)
@@ -118,10 +125,11 @@
         position = state.writers.get(self.member.instance)
         if position is None or self._batch_seen:
             return
-        if self._is_current(position.incarnation, position.sequence):
-            self._batch_seen = True
-            self._landed.set()
-            self._fail_batch('the result of the record was not seen')
+        own = (self.member.incarnation, self._sequence)
+        if (position.incarnation, position.sequence) >= own:
+            self._resolve(
+                exceptions.RequestUncertain('its result was not seen')
+            )
 
     async def run(self) -> t.NoReturn:
         """Sends batches until cancelled."""
@@ -149,15 +157,13 @@
 
     def _abandon(self, pending: _Pending) -> None:
         if pending.handed_on:
-            pending.fut.set_exception(
+            pending.fail(
                 exceptions.RequestUncertain('the log has not confirmed it')
             )
             return
         if pending in self._queue:
             self._queue.remove(pending)
-        pending.fut.set_exception(
-            exceptions.NotReady('the log does not take records now')
-        )
+        pending.fail(exceptions.NotReady('the log does not take records now'))
 
     def _take_batch(self) -> None:
         self._batch = []
@@ -178,26 +184,28 @@
 
     async def _send_batch(self) -> None:
         delay_s = _RETRY_FIRST_S
-        uncertain = False
         while not self._batch_seen:
-            try:
-                uncertain = True
-                await self._append()
-                self.reachable = True
-            except exceptions.PlatformUncertain:
-                self.reachable = False
-            except exceptions.PlatformError:
-                self.reachable = False
-                if not any(p.handed_on for p in self._batch):
-                    uncertain = False
-            if await self._wait_landed(delay_s):
+            if self._surely_absent() and self._drop_abandoned():
+                return
+            if await self._try_append():
+                await self._landed.wait()
                 return
-            if not uncertain and self._drop_abandoned():
+            if await self._wait_landed(delay_s):
                 return
             jitter = self._rng.uniform(0.5, 1.0)
             await self._clock.sleep(delay_s * jitter)
             delay_s = min(delay_s * 2, _RETRY_MAX_S)
 
+    async def _try_append(self) -> bool:
+        """Sends the batch once; True where the log has confirmed it."""
+        try:
+            await self._append()
+        except (exceptions.PlatformError, exceptions.PlatformUncertain):
+            self.reachable = False
+            return False
+        self.reachable = True
+        return True
+
     async def _append(self) -> None:
         """Sends the batch once and marks its records as handed on.
 
@@ -230,9 +238,8 @@
         """Waits for the follower to see the batch."""
         if self._batch_seen:
             return True
-        wait_s = _READ_BACK_S if self.reachable else at_most_s
         landed = asyncio.ensure_future(self._landed.wait())
-        timer = asyncio.ensure_future(self._clock.sleep(wait_s))
+        timer = asyncio.ensure_future(self._clock.sleep(at_most_s))
         try:
             await asyncio.wait(
                 {landed, timer}, return_when=asyncio.FIRST_COMPLETED
@@ -242,6 +249,10 @@
             timer.cancel()
         return self._batch_seen
 
+    def _surely_absent(self) -> bool:
+        """Tells whether no try of the batch can be in the log."""
+        return not any(pending.handed_on for pending in self._batch)
+
     def _drop_abandoned(self) -> bool:
         """Drops records nobody waits for; True when none is left."""
         self._batch = [p for p in self._batch if not p.fut.done()]
@@ -251,7 +262,15 @@
         self._batch_seen = True
         return True
 
-    def _fail_batch(self, reason: str) -> None:
+    def _resolve(self, exc: exceptions.AmaranthflowError | None) -> None:
+        """Ends the batch, with an error for all who wait for it if given."""
+        self._batch_seen = True
+        self._landed.set()
+        if exc is None:
+            return
         for pending in self._batch:
-            if not pending.fut.done():
-                pending.fut.set_exception(exceptions.RequestUncertain(reason))
+            pending.fail(exc)
+
+
+def _refused_as_replaced() -> exceptions.NotReady:
+    return exceptions.NotReady('a newer process of this instance has written')
