--- a/packages/amaranthflow-cli/src/amaranthflow_cli/main.py
+++ b/packages/amaranthflow-cli/src/amaranthflow_cli/main.py
@@ -328,6 +328,8 @@
         )
         answer = calls.send(addresses, req)
         sys.stdout.buffer.write(answer)
+        if sys.stdout.isatty():
+            sys.stdout.buffer.write(b'\n')
         sys.stdout.buffer.flush()
 
 
