Configuration: exact sums, reviews without effect, safe moves of workers

Change: slack.py keeps capacity less guarantees in millionths of a core as steps over time, one pass per change that takes something away, none for one that only gives. A change without a booking carries the log's time of entry. A removed worker may come back, and its address be used again, 60 s after it left. Withdrawals take back what has the lead time. Cores are limited to 1,000,000.

--- a/packages/amaranthflow/src/amaranthflow/configuration.py
+++ b/packages/amaranthflow/src/amaranthflow/configuration.py
@@ -10,24 +10,44 @@
 
 from . import exceptions
 from . import results
+from . import slack
 from . import validation
-from . import world
 
 MIN_BOOKING_LEAD_MS = 10_000
 KEEP_CHANGE_IDS_MS = 24 * 3600 * 1000
+# Leases of tasks on a removed worker have lapsed by then, on any clock.
+REJOIN_MS = 60_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Version:
     """One version of a key; in force from ``effective_at_ms`` on.
 
-    ``effective_at_ms`` is 0 for a change that took effect at once.
+    That is the log's time of entry for a change that was not booked.
     """
 
     version: int
     change: world_pb2.Change
     effective_at_ms: int
 
+    @property
+    def kind(self) -> str:
+        """Kind of the change's body."""
+        return self.change.WhichOneof('body')
+
+    @property
+    def settled_at_ms(self) -> int:
+        """Time from which nothing asks for the version before this one."""
+        wait_ms = REJOIN_MS if self.kind == 'remove' else 0
+        return self.effective_at_ms + wait_ms
+
+
+class _Due(t.NamedTuple):
+    """A version that makes an earlier one superfluous at a time."""
+
+    at_ms: int
+    key: str
+
 
 class Timeline:
     """Versions of one key, ordered by version and by effective time."""
@@ -48,27 +68,59 @@
         """Returns the versions that are not in force yet."""
         return tuple(v for v in self.versions if v.effective_at_ms > now_ms)
 
+    def withdrawable(self, now_ms: int) -> tuple[Version, ...]:
+        """Returns the versions that no clock may have put in force yet."""
+        return self.booked(now_ms + MIN_BOOKING_LEAD_MS - 1)
+
     def drop_superseded(self, now_ms: int) -> None:
-        """Forgets the versions before the one in force."""
+        """Forgets versions that nothing asks for any more."""
         while len(self.versions) > 1:
-            if self.versions[1].effective_at_ms > now_ms:
+            if self.versions[1].settled_at_ms > now_ms:
                 return
             del self.versions[0]
 
+    def due(self, settled_ms: int) -> list[_Due]:
+        """Returns when to look at the versions kept again."""
+        return [
+            _Due(version.settled_at_ms, self.key)
+            for index, version in enumerate(self.versions)
+            if index or version.settled_at_ms > settled_ms
+        ]
+
+    def addresses(self) -> set[str]:
+        """Addresses of the worker in any version kept."""
+        return {
+            v.change.worker.address
+            for v in self.versions
+            if v.kind == 'worker'
+        }
+
+    def steps(self) -> list[slack.Step]:
+        """Returns what each version changes in the slack."""
+        steps = []
+        before = slack.ZERO
+        for version in self.versions:
+            amount = _amount(version.change)
+            change = amount.minus(before)
+            steps.append(slack.Step(version.effective_at_ms, change))
+            before = amount
+        return steps
+
 
 def _body(change: world_pb2.Change):
     kind = change.WhichOneof('body')
     return None if kind == 'remove' else getattr(change, kind)
 
 
-def _sum_size(change: world_pb2.Change) -> world.Size:
-    """Returns what a change adds to the sum of capacity or guarantees."""
+def _amount(change: world_pb2.Change) -> slack.Amount:
+    """Returns what a change adds to capacity less guarantees."""
     kind = change.WhichOneof('body')
     if kind == 'tenant':
-        return world.Size.from_message(change.tenant.guarantee)
+        guarantee = slack.Amount.from_message(change.tenant.guarantee)
+        return slack.ZERO.minus(guarantee)
     if kind == 'worker':
-        return world.Size.from_message(change.worker.capacity)
-    return world.NOTHING
+        return slack.Amount.from_message(change.worker.capacity)
+    return slack.ZERO
 
 
 class Configuration:
@@ -82,8 +134,10 @@
         self._decided: collections.OrderedDict[
             str, records_pb2.AppliedChange
         ] = collections.OrderedDict()
-        self._settled = {'tenant': world.NOTHING, 'worker': world.NOTHING}
-        self._with_bookings: set[str] = set()
+        self._slack = slack.Slack()
+        self._settled_ms = 0
+        self._due: list[_Due] = []
+        self._addresses: dict[str, str] = {}
         self.revision = 0
 
     def check(self, change: world_pb2.Change, now_ms: int) -> results.Result:
@@ -95,8 +149,11 @@
         timeline = self._timelines.get(change.key) or Timeline(key=change.key)
         if change.expected_version != timeline.version:
             return self._conflict(change, timeline)
-        reason = self._check_time(change, timeline, now_ms)
-        reason = reason or self._check_sum(change, now_ms)
+        reason = (
+            self._check_time(change, timeline, now_ms)
+            or self._check_place(change, timeline, now_ms)
+            or self._check_sum(change, timeline, now_ms)
+        )
         if reason:
             return results.refused(reason)
         return results.Result(accepted=True, version=timeline.version + 1)
@@ -107,6 +164,7 @@
         :param now_ms: the log's time, the same on every instance.
         """
         self._forget_changes(now_ms)
+        self._settle(now_ms)
         known = self._decided.get(change.change_id)
         if known is not None:
             return results.Result(
@@ -150,13 +208,13 @@
         return found
 
     def next_booking_ms(self, now_ms: int) -> int | None:
-        """Returns the earliest effective time after now."""
-        times = [
-            version.effective_at_ms
-            for timeline in self._timelines.values()
-            for version in timeline.booked(now_ms)
-        ]
-        return min(times, default=None)
+        """Returns the earliest time after now at which a version settles.
+
+        That is the effective time of a booking, for a removal also the
+        time at which the worker may come back.
+        """
+        index = bisect.bisect_right(self._due, now_ms, key=lambda d: d.at_ms)
+        return self._due[index].at_ms if index < len(self._due) else None
 
     def dump(self, snapshot: records_pb2.Snapshot) -> None:
         """Adds all keys and decided change ids to a snapshot."""
@@ -173,8 +231,11 @@
     def load(self, snapshot: records_pb2.Snapshot) -> None:
         """Replaces the content by a snapshot's."""
         self._timelines = {}
-        self._settled = {'tenant': world.NOTHING, 'worker': world.NOTHING}
-        self._with_bookings = set()
+        self._slack = slack.Slack()
+        self._slack.advance(snapshot.log_time_ms)
+        self._settled_ms = snapshot.log_time_ms
+        self._due = []
+        self._addresses = {}
         for state in snapshot.keys:
             timeline = Timeline(key=state.key)
             timeline.version = state.version
@@ -187,7 +248,7 @@
                 for entry in state.timeline
             ]
             self._timelines[state.key] = timeline
-            self._note_size(state.key, snapshot.log_time_ms)
+            self._index(timeline)
         self._decided = collections.OrderedDict(
             (change.change_id, change) for change in snapshot.changes
         )
@@ -209,7 +270,7 @@
             return f'a booking needs {MIN_BOOKING_LEAD_MS} ms of lead'
         booked = timeline.booked(now_ms)
         if change.WhichOneof('body') == 'withdraw':
-            return '' if booked else f'{change.key} has no booking'
+            return _check_withdrawal(change, timeline, now_ms)
         if booked and at_ms <= booked[-1].effective_at_ms:
             last = booked[-1]
             return (
@@ -218,27 +279,81 @@
             )
         return ''
 
-    def _enter(self, change, version: int, now_ms: int) -> None:
-        timeline = self._timelines.setdefault(
-            change.key, Timeline(key=change.key)
+    def _check_place(self, change, timeline: Timeline, now_ms: int) -> str:
+        """Keeps two owners from admitting work to one machine."""
+        if change.WhichOneof('body') != 'worker':
+            return ''
+        user = self._addresses.get(change.worker.address, change.key)
+        if user != change.key:
+            return f'{user} has the address {change.worker.address}'
+        if not timeline.versions:
+            return ''
+        last = timeline.versions[-1]
+        if last.kind == 'remove':
+            first_ms = last.effective_at_ms + REJOIN_MS
+            if (change.effective_at_ms or now_ms) < first_ms:
+                return (
+                    f'{change.key} may come back {REJOIN_MS} ms after it left'
+                )
+            return ''
+        new, old = change.worker, last.change.worker
+        if (new.rack_id, new.address) != (old.rack_id, old.address):
+            return f'{change.key} changes rack or address, remove it first'
+        return ''
+
+    def _check_sum(self, change, timeline: Timeline, now_ms: int) -> str:
+        """Checks that guarantees fit the capacity at every later moment."""
+        after = _versions_after(change, timeline, now_ms)
+        steps = slack.negated(timeline.steps()) + after.steps()
+        first_ms = change.effective_at_ms or now_ms
+        shortage = self._slack.first_shortage(steps, first_ms)
+        if shortage is None:
+            return ''
+        return (
+            f'guarantees would exceed the capacity'
+            f' at {shortage.at_ms} by {shortage.slack.shortage()}'
         )
-        self._forget_size(change.key)
-        timeline.version = version
-        if change.WhichOneof('body') == 'withdraw':
-            booked = len(timeline.booked(now_ms))
-            del timeline.versions[len(timeline.versions) - booked :]
+
+    def _enter(self, change, version: int, now_ms: int) -> None:
+        timeline = self._timelines.get(change.key)
+        if timeline is None:
+            timeline = Timeline(key=change.key)
         else:
-            timeline.versions.append(
-                Version(
-                    version=version,
-                    change=change,
-                    effective_at_ms=change.effective_at_ms,
-                )
-            )
+            self._unindex(timeline)
+        timeline = _versions_after(change, timeline, now_ms)
+        timeline.version = version
         timeline.drop_superseded(now_ms)
-        self._note_size(change.key, now_ms)
+        self._timelines[change.key] = timeline
+        self._index(timeline)
         self.revision += 1
 
+    def _settle(self, now_ms: int) -> None:
+        """Forgets what became superfluous by the log's time."""
+        self._slack.advance(now_ms)
+        count = bisect.bisect_right(self._due, now_ms, key=lambda d: d.at_ms)
+        keys = {due.key for due in self._due[:count]}
+        timelines = [self._timelines[key] for key in keys]
+        for timeline in timelines:
+            self._unindex(timeline)
+            timeline.drop_superseded(now_ms)
+        self._settled_ms = now_ms
+        for timeline in timelines:
+            self._index(timeline)
+
+    def _index(self, timeline: Timeline) -> None:
+        self._slack.add(timeline.steps())
+        for due in timeline.due(self._settled_ms):
+            bisect.insort(self._due, due)
+        for address in timeline.addresses():
+            self._addresses[address] = timeline.key
+
+    def _unindex(self, timeline: Timeline) -> None:
+        self._slack.subtract(timeline.steps())
+        for due in timeline.due(self._settled_ms):
+            del self._due[bisect.bisect_left(self._due, due)]
+        for address in timeline.addresses():
+            del self._addresses[address]
+
     def _forget_changes(self, now_ms: int) -> None:
         limit_ms = now_ms - KEEP_CHANGE_IDS_MS
         while self._decided:
@@ -247,78 +362,31 @@
                 return
             self._decided.popitem(last=False)
 
-    def _check_sum(self, change: world_pb2.Change, now_ms: int) -> str:
-        """Checks that guarantees fit the capacity at every later moment."""
-        if change.key.partition('/')[0] not in ('tenant', 'worker'):
-            return ''
-        self._settle(now_ms)
-        for at_ms in self._moments(change, now_ms):
-            promised = self._total('tenant', change, at_ms, now_ms)
-            capacity = self._total('worker', change, at_ms, now_ms)
-            if not promised.fits(capacity):
-                return (
-                    f'guarantees of {promised.cores:g} cores and'
-                    f' {promised.memory_mb} MB exceed the capacity of'
-                    f' {capacity.cores:g} cores and {capacity.memory_mb} MB'
-                    f' at {at_ms}'
-                )
-        return ''
 
-    def _moments(self, change: world_pb2.Change, now_ms: int) -> list[int]:
-        first_ms = change.effective_at_ms or now_ms
-        moments = {first_ms}
-        for key in self._with_bookings:
-            for version in self._timelines[key].booked(now_ms):
-                moments.add(version.effective_at_ms)
-        return sorted(m for m in moments if m >= first_ms)
-
-    def _total(self, kind, change, at_ms: int, now_ms: int) -> world.Size:
-        total = self._settled[kind]
-        keys = {k for k in self._with_bookings if k.startswith(f'{kind}/')}
-        if change.key.startswith(f'{kind}/') and change.key not in keys:
-            total = total.minus(self._settled_size(change.key))
-            keys.add(change.key)
-        for key in keys:
-            total = total.plus(self._size_with(key, change, at_ms, now_ms))
-        return total
-
-    def _size_with(self, key, change, at_ms: int, now_ms: int) -> world.Size:
-        """Returns a key's size at a time as if the change were applied."""
-        if key == change.key and change.WhichOneof('body') != 'withdraw':
-            return _sum_size(change)
-        if key == change.key:
-            at_ms = now_ms
-        version = self._timelines[key].in_force(at_ms)
-        return _sum_size(version.change) if version else world.NOTHING
+def _versions_after(change, timeline: Timeline, now_ms: int) -> Timeline:
+    """Copies a timeline and enters a change into it."""
+    after = Timeline(key=timeline.key)
+    after.versions = list(timeline.versions)
+    if change.WhichOneof('body') == 'withdraw':
+        count = len(timeline.withdrawable(now_ms))
+        del after.versions[len(after.versions) - count :]
+        return after
+    after.versions.append(
+        Version(
+            version=timeline.version + 1,
+            change=change,
+            effective_at_ms=change.effective_at_ms or now_ms,
+        )
+    )
+    return after
 
-    def _settle(self, now_ms: int) -> None:
-        """Moves keys whose bookings have passed to the settled totals."""
-        for key in list(self._with_bookings):
-            self._forget_size(key)
-            self._timelines[key].drop_superseded(now_ms)
-            self._note_size(key, now_ms)
 
-    def _settled_size(self, key: str) -> world.Size:
-        timeline = self._timelines.get(key)
-        if timeline is None or not timeline.versions:
-            return world.NOTHING
-        return _sum_size(timeline.versions[0].change)
-
-    def _forget_size(self, key: str) -> None:
-        kind = key.partition('/')[0]
-        if key in self._with_bookings:
-            self._with_bookings.discard(key)
-        elif kind in self._settled:
-            size = self._settled_size(key)
-            self._settled[kind] = self._settled[kind].minus(size)
-
-    def _note_size(self, key: str, now_ms: int) -> None:
-        kind = key.partition('/')[0]
-        versions = self._timelines[key].versions
-        if kind not in self._settled or not versions:
-            return
-        if len(versions) > 1 or versions[0].effective_at_ms > now_ms:
-            self._with_bookings.add(key)
-            return
-        size = _sum_size(versions[0].change)
-        self._settled[kind] = self._settled[kind].plus(size)
+def _check_withdrawal(change, timeline: Timeline, now_ms: int) -> str:
+    if timeline.withdrawable(now_ms):
+        return ''
+    if timeline.booked(now_ms):
+        return (
+            f'what is booked for {change.key} is due within'
+            f' {MIN_BOOKING_LEAD_MS} ms'
+        )
+    return f'{change.key} has no booking'
--- /dev/null
+++ b/packages/amaranthflow/src/amaranthflow/slack.py
@@ -0,0 +1,156 @@
+"""Capacity less guarantees over time, in whole numbers.
+
+Sums of floating-point cores depend on the order of addition, and instances
+add in different orders. Every instance must decide alike, so sums are kept
+in millionths of a core.
+"""
+
+import bisect
+import typing as t
+
+from amaranthflow_schema.v1 import world_pb2
+
+_MICROS_PER_CORE = 1_000_000
+
+
+class Amount(t.NamedTuple):
+    """An exact size; negative parts are a shortage."""
+
+    micro_cores: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    @classmethod
+    def from_message(cls, message: world_pb2.Size) -> 'Amount':
+        """Copies a schema message with finite cores."""
+        return cls(
+            round(message.cores * _MICROS_PER_CORE),
+            message.memory_mb,
+            message.accelerators,
+        )
+
+    def plus(self, other: 'Amount') -> 'Amount':
+        """Returns the sum."""
+        return Amount(
+            self.micro_cores + other.micro_cores,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def minus(self, other: 'Amount') -> 'Amount':
+        """Returns the difference."""
+        return Amount(
+            self.micro_cores - other.micro_cores,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    @property
+    def short(self) -> bool:
+        """True where any part is negative."""
+        return min(self) < 0
+
+    def shortage(self) -> str:
+        """The negative parts in words."""
+        parts = (
+            (self.micro_cores / _MICROS_PER_CORE, 'cores'),
+            (self.memory_mb, 'MB'),
+            (self.accelerators, 'accelerators'),
+        )
+        return ', '.join(f'{-n:g} {unit}' for n, unit in parts if n < 0)
+
+
+ZERO = Amount()
+
+
+class Step(t.NamedTuple):
+    """A change of the slack at a time."""
+
+    at_ms: int
+    amount: Amount
+
+
+class Shortage(t.NamedTuple):
+    """The first moment at which guarantees exceed the capacity."""
+
+    at_ms: int
+    slack: Amount
+
+
+class Slack:
+    """The slack now and the steps that are booked."""
+
+    def __init__(self):
+        self._settled_ms = 0
+        self._now = ZERO
+        self._times: list[int] = []
+        self._booked: dict[int, Amount] = {}
+
+    def advance(self, now_ms: int) -> None:
+        """Settles the steps whose time has come."""
+        count = bisect.bisect_right(self._times, now_ms)
+        for at_ms in self._times[:count]:
+            self._now = self._now.plus(self._booked.pop(at_ms))
+        del self._times[:count]
+        self._settled_ms = max(self._settled_ms, now_ms)
+
+    def add(self, steps: t.Iterable[Step]) -> None:
+        """Adds steps; those whose time has come count at once."""
+        for step in steps:
+            if step.at_ms <= self._settled_ms:
+                self._now = self._now.plus(step.amount)
+            else:
+                self._book(step)
+
+    def subtract(self, steps: t.Iterable[Step]) -> None:
+        """Takes steps back."""
+        self.add(negated(steps))
+
+    def first_shortage(
+        self, steps: t.Iterable[Step], first_ms: int
+    ) -> Shortage | None:
+        """Returns the first shortage from a time on if steps were added.
+
+        None at once where the steps take nothing away at any time.
+        """
+        extra = _summed(steps)
+        if not _takes_away(extra):
+            return None
+        slack = self._now
+        for at_ms in sorted({first_ms, *extra, *self._times}):
+            slack = slack.plus(extra.get(at_ms, ZERO))
+            slack = slack.plus(self._booked.get(at_ms, ZERO))
+            if slack.short and at_ms >= first_ms:
+                return Shortage(at_ms, slack)
+        return None
+
+    def _book(self, step: Step) -> None:
+        if step.at_ms not in self._booked:
+            bisect.insort(self._times, step.at_ms)
+            self._booked[step.at_ms] = ZERO
+        total = self._booked[step.at_ms].plus(step.amount)
+        self._booked[step.at_ms] = total
+        if total == ZERO:
+            del self._booked[step.at_ms]
+            del self._times[bisect.bisect_left(self._times, step.at_ms)]
+
+
+def negated(steps: t.Iterable[Step]) -> list[Step]:
+    """Turns what is added into what is taken away."""
+    return [Step(step.at_ms, ZERO.minus(step.amount)) for step in steps]
+
+
+def _summed(steps: t.Iterable[Step]) -> dict[int, Amount]:
+    extra: dict[int, Amount] = {}
+    for step in steps:
+        extra[step.at_ms] = extra.get(step.at_ms, ZERO).plus(step.amount)
+    return extra
+
+
+def _takes_away(extra: dict[int, Amount]) -> bool:
+    total = ZERO
+    for at_ms in sorted(extra):
+        total = total.plus(extra[at_ms])
+        if total.short:
+            return True
+    return False
--- a/packages/amaranthflow/src/amaranthflow/validation.py
+++ b/packages/amaranthflow/src/amaranthflow/validation.py
@@ -9,6 +9,7 @@
 MAX_ID_LENGTH = 128
 MAX_JOB_PAYLOAD_BYTES = 64 * 1024
 MAX_SERVICE_TIMEOUT_MS = 4000  # no request may outlast a task lease
+MAX_CORES = 1_000_000
 _ID_EXTRA = frozenset('-_.:')
 _BODIES = {
     'service': 'service_id',
@@ -33,8 +34,8 @@
 
 
 def check_size(name: str, size: world_pb2.Size) -> None:
-    """Raises RequestRefused for negative or non-finite cores."""
-    if not math.isfinite(size.cores) or size.cores < 0:
+    """Raises RequestRefused for cores outside 0..MAX_CORES."""
+    if not 0 <= size.cores <= MAX_CORES:
         raise exceptions.RequestRefused(f'{name} has wrong cores')
 
 
