Decisions wired into the daemon: fair queue, health, placement, relief

Cause: the daemon still placed first-fit in order of submission, rebuilt workers' ledgers at each change of their description (a worker whose capacity was changed would have lost count of what ran there), and bookings of workers took effect only with the next record. Change: JobQueue over the replicated jobs, worker health, learned sizes and interference fed by usage reports, relief steps, moves off leaving workers, ConfigWatch that fires at booked times, sites changed in place, desired owners cached, parts separated from servers.

--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/batch.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/batch.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import typing as t
-import zlib
 
 from amaranthflow import decisions
 from amaranthflow import exceptions
+from amaranthflow import health
 from amaranthflow import ids
 from amaranthflow import jobs
 from amaranthflow import platform
@@ -13,13 +13,13 @@
 from amaranthflow import world
 from amaranthflow_schema.v1 import records_pb2
 
+from . import jobqueue
 from . import logs
 from . import metrics
 from . import node as node_lib
 from . import sites as sites_lib
 
 _TICK_S = 0.05
-_STEAL_MS = 500
 _RECORD_TIMEOUT_S = 2.0
 _END_RETRY_S = 0.5
 _MAX_LAUNCHES = 256
@@ -32,23 +32,6 @@
 }
 
 
-def task_id_of(entry: jobs.JobEntry, attempt: int) -> ids.TaskId:
-    """Names the task of one attempt; unique over all tenants."""
-    return ids.batch_task_id(ids.JobId(str(entry.key)), attempt)
-
-
-def _task_of(entry: jobs.JobEntry, attempt: int) -> world.Task:
-    return world.Task(
-        task_id=task_id_of(entry, attempt),
-        tenant_id=entry.key.tenant_id,
-        task_class=ids.TaskClass(entry.job.task_class),
-        kind=world.TaskKind.BATCH,
-        size=world.Size.from_message(entry.job.declared),
-        urgent=entry.job.urgent,
-        evictions=entry.evictions,
-    )
-
-
 class BatchRunner:
     """Starts attempts, follows them through reports and records their end.
 
@@ -56,13 +39,23 @@
     recorded once the worker says so, or once its lease has surely ended.
     """
 
-    def __init__(self, *, node: node_lib.Node, placer: world.Placer):
+    def __init__(
+        self,
+        *,
+        node: node_lib.Node,
+        placer: world.Placer,
+        queue: jobqueue.JobQueue,
+        health: health.WorkerHealth,
+    ):
         self._node = node
+        self._queue = queue
+        self._health = health
         self._placer = placer
         self._launching: set[jobs.JobKey] = set()
         self._ending: set[ids.TaskId] = set()
         self._sent_at: dict[ids.TaskId, float] = {}
         self._unsent: set[ids.TaskId] = set()
+        self._moving: set[ids.TaskId] = set()
         self._checkpointed_at: dict[ids.TaskId, float] = {}
         self._wakeup = asyncio.Event()
         self.sites: sites_lib.Sites | None = None
@@ -94,23 +87,42 @@
         """Begins the launch of each waiting job that has room here."""
         if self._node.draining or not self._node.journal.reachable:
             return
-        for entry in self._candidates():
+        now_ms = self._node.clock.wall_ms()
+        unfit = self._health.avoid(now_ms)
+        for entry, task in self._queue.candidates():
             if len(self._launching) >= _MAX_LAUNCHES:
                 return
-            task = _task_of(entry, entry.attempt + 1)
-            placement = self._placer.choose(task, entry.failed_workers)
-            if placement is None:
-                continue
-            site = self.sites.by_id[placement.worker_id]
-            if site.admits and site.ledger.reserve(task):
-                self._placer.changed(placement.worker_id)
-                self._launching.add(entry.key)
-                self._explain(
-                    entry, decisions.DecisionKind.PLACED, placement.reason
-                )
-                self._node.spawn(
-                    self._launch(entry, task, site), f'launch {entry.key}'
-                )
+            if entry.key not in self._launching:
+                self._place(entry, task, unfit)
+
+    def _place(
+        self,
+        entry: jobs.JobEntry,
+        task: world.Task,
+        unfit: frozenset[ids.WorkerId],
+    ) -> None:
+        avoid = unfit.union(self._failed_on(entry))
+        placement = self._placer.choose(task, avoid)
+        if placement is None:
+            return
+        site = self.sites.by_id[placement.worker_id]
+        if not site.admits or not site.ledger.reserve(task):
+            return
+        self._placer.changed(placement.worker_id)
+        self._launching.add(entry.key)
+        self._queue.launched(entry, task)
+        self._health.started(
+            placement.worker_id, task.task_id, self._node.clock.wall_ms()
+        )
+        self._explain(entry, decisions.DecisionKind.PLACED, placement.reason)
+        self._node.spawn(
+            self._launch(entry, task, site), f'launch {entry.key}'
+        )
+
+    def _failed_on(self, entry: jobs.JobEntry) -> list[str]:
+        """Workers on which the job failed, while there are others."""
+        workers = len(self.sites.by_id)
+        return entry.failed_workers if workers > 1 else []
 
     async def reconcile(
         self,
@@ -132,7 +144,7 @@
                 self._stop_stale(site, report, asked_at)
             else:
                 self._sent_at.pop(report.task_id, None)
-                self._adopt(site, _task_of(entry, entry.attempt))
+                self._adopt(site, self._queue.task_of(entry, entry.attempt))
                 self._follow(site, entry, report)
                 keep.append(report.task_id)
         if not site.serving:
@@ -163,28 +175,6 @@
             if task.kind is world.TaskKind.BATCH
         )
 
-    def _candidates(self) -> t.Iterator[jobs.JobEntry]:
-        """Waiting jobs that this instance may place, in order.
-
-        A job has one home among the owners, which spares contention for
-        its next attempt; another owner takes it after a while.
-        """
-        owners = sorted(
-            {
-                h.owner.instance
-                for h in self._node.state.racks.holdings.values()
-                if not h.released
-            }
-        )
-        now_ms = self._node.clock.wall_ms()
-        for entry in list(self._node.state.jobs.waiting.values()):
-            if entry.key in self._launching or not owners:
-                continue
-            home = owners[zlib.crc32(str(entry.key).encode()) % len(owners)]
-            waited_ms = now_ms - entry.changed_at_ms
-            if home == self._node.member.instance or waited_ms > _STEAL_MS:
-                yield entry
-
     async def _launch(
         self,
         entry: jobs.JobEntry,
@@ -200,6 +190,7 @@
                 else:
                     self._release(site, task.task_id)
                     self._unsent.add(task.task_id)
+                    self._queue.failed(entry)
             finally:
                 self._launching.discard(entry.key)
 
@@ -270,7 +261,7 @@
 
     def _recorded(self, site) -> dict[ids.TaskId, jobs.JobEntry]:
         there = self._node.state.jobs.on_worker.get(site.worker.worker_id, {})
-        return {task_id_of(e, e.attempt): e for e in there.values()}
+        return {jobqueue.task_id_of(e, e.attempt): e for e in there.values()}
 
     def _missing(self, site, recorded, reported, asked_at: float):
         """Tasks of ours that the worker does not report.
@@ -338,9 +329,10 @@
     def _follow(self, site, entry, report: platform.TaskReport) -> None:
         """Cancels a running task, or has it checkpointed now and then."""
         if entry.cancel_requested:
-            self._node.spawn(
-                self._stop(site, report.task_id), f'stop {report.task_id}'
-            )
+            self.stop(site, report.task_id, 'cancelled')
+            return
+        if site.departing:
+            self.move(site, report.task_id, 'the worker is leaving')
             return
         if report.checkpoint and report.checkpoint != entry.checkpoint:
             self._record_checkpoint(site, entry, report.checkpoint)
@@ -355,6 +347,45 @@
                 f'checkpoint {report.task_id}',
             )
 
+    def move(
+        self, site: sites_lib.WorkerSite, task_id: ids.TaskId, reason: str
+    ) -> None:
+        """Checkpoints the task and stops it, in the background."""
+        if task_id not in self._moving:
+            self._moving.add(task_id)
+            self._node.spawn(self._move(site, task_id), f'move {task_id}')
+
+    def stop(
+        self, site: sites_lib.WorkerSite, task_id: ids.TaskId, reason: str
+    ) -> None:
+        """Stops the task, in the background."""
+        if task_id not in self._moving:
+            self._node.spawn(self._stop(site, task_id), f'stop {task_id}')
+
+    async def _move(
+        self, site: sites_lib.WorkerSite, task_id: ids.TaskId
+    ) -> None:
+        """Stops a task that can resume; another one runs on.
+
+        The worker's next report tells how the task has ended.
+        """
+        try:
+            if await self._can_resume(site, task_id):
+                await self._stop(site, task_id)
+        finally:
+            self._moving.discard(task_id)
+
+    async def _can_resume(
+        self, site: sites_lib.WorkerSite, task_id: ids.TaskId
+    ) -> bool:
+        try:
+            await site.link.checkpoint(task_id)
+        except exceptions.AmaranthflowError as exc:
+            logs.log_event('checkpoint failed', reason=exc.reason)
+            entry = self._recorded(site).get(task_id)
+            return entry is not None and entry.job.idempotent
+        return True
+
     async def _checkpoint(self, site, entry, task_id: ids.TaskId) -> None:
         try:
             checkpoint = await site.link.checkpoint(task_id)
@@ -395,7 +426,7 @@
         job_id, attempt = ids.split_batch_task_id(task_id)
         entry = self._node.state.jobs.jobs.get(jobs.JobKey.parse(job_id))
         if entry is not None:
-            return _task_of(entry, attempt)
+            return self._queue.task_of(entry, attempt)
         return world.Task(
             task_id=task_id,
             tenant_id=ids.TenantId(''),
@@ -421,6 +452,7 @@
         if task_id in self._ending:
             return
         self._ending.add(task_id)
+        self._judge(site, entry, task_id, outcome, reason)
         ended = records_pb2.AttemptEnded(
             job_id=str(entry.key),
             attempt=entry.attempt,
@@ -454,6 +486,27 @@
             self._ending.discard(task_id)
             self._unsent.discard(task_id)
 
+    def _judge(self, site, entry, task_id, outcome, reason: str) -> None:
+        """Tells the worker's health how an attempt ended."""
+        worker_id = site.worker.worker_id
+        job_id = ids.JobId(str(entry.key))
+        now_ms = self._node.clock.wall_ms()
+        found: tuple[health.Finding, ...] = ()
+        if outcome == jobs.Outcome.OUTCOME_COMPLETED:
+            found = self._health.succeeded(worker_id, job_id, task_id, now_ms)
+        elif outcome == jobs.Outcome.OUTCOME_FAILED:
+            found = self._health.failed(
+                worker_id, job_id, task_id, reason, now_ms
+            )
+        else:
+            self._health.stopped(worker_id, task_id)
+        for finding in found:
+            self._node.explain(
+                finding.subject_id,
+                decisions.DecisionKind.QUARANTINED,
+                f'{finding.kind.value}: {finding.reason}',
+            )
+
     def _note_recorded(self, entry: jobs.JobEntry, ended) -> None:
         name = jobs.Outcome.Name(ended.outcome)
         labels = {
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/dispatch.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/dispatch.py
@@ -52,6 +52,7 @@
         self._node = node
         self._placer = placer
         self._sites = sites
+        self._tenants: set[str] = set()
         self.queue: admission.AdmissionQueue[_Reservation] = (
             admission.AdmissionQueue(
                 clock=node.clock,
@@ -61,6 +62,15 @@
         )
         sites.on_room.append(self.queue.wake)
 
+    def on_config(self) -> None:
+        """Applies the tenants' weights."""
+        bodies = self._node.state.config.bodies('tenant', self._node.now_ms())
+        for tenant_id, tenant in bodies.items():
+            self.queue.configure(ids.TenantId(tenant_id), tenant.weight)
+        for tenant_id in self._tenants - bodies.keys():
+            self.queue.remove_tenant(ids.TenantId(tenant_id))
+        self._tenants = set(bodies)
+
     async def execute(
         self, req: peer_pb2.ExecuteRequest
     ) -> peer_pb2.ExecuteReply:
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/node.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/node.py
@@ -53,6 +53,7 @@
     """What all parts of the process share. One for each process.
 
     :ivar draining: set by the graceful shutdown, never cleared.
+    :ivar config_generation: counts changes of the configuration in force.
     """
 
     def __init__(
@@ -75,6 +76,7 @@
         self.latency = latency.LatencyBook()
         self.decisions = decisions.DecisionLog()
         self.draining = False
+        self.config_generation = 0
         self.listeners: list[AppliedListener] = []
         self._tasks: set[asyncio.Task] = set()
         self.ownership = ownership.Ownership(
--- /dev/null
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/parts.py
@@ -0,0 +1,141 @@
+"""Puts the parts of the daemon together; opens no server."""
+
+import asyncio
+import random
+
+from amaranthflow import clock as clock_lib
+from amaranthflow import health
+from amaranthflow import interference
+from amaranthflow import placement
+from amaranthflow import sizes
+
+from . import batch
+from . import dispatch
+from . import entry as entry_lib
+from . import jobqueue
+from . import node as node_lib
+from . import observer as observer_lib
+from . import peers as peers_lib
+from . import router as router_lib
+from . import settings
+from . import sites as sites_lib
+from . import steward as steward_lib
+from . import submissions as submissions_lib
+from . import watch
+
+_NOTICE_S = 1.0
+_DRAIN_POLL_S = 0.05
+
+
+class Parts:
+    """All parts of one daemon, connected."""
+
+    def __init__(
+        self,
+        *,
+        cfg: settings.Settings,
+        clock: clock_lib.Clock,
+        links: node_lib.PlatformLinks,
+        rng: random.Random,
+    ):
+        self._cfg = cfg
+        self.node = node_lib.Node(cfg=cfg, clock=clock, links=links, rng=rng)
+        self._build_owner(rng)
+        self._build_entry()
+        self._subscribe()
+
+    def start(self) -> None:
+        """Starts the tasks of all parts."""
+        node = self.node
+        node.spawn(node.follower.run(), 'follower')
+        node.spawn(node.journal.run(), 'journal')
+        node.spawn(self.watch.run(), 'bookings')
+        node.spawn(self.dispatcher.queue.run(), 'admission queue')
+        node.spawn(self.runner.run(), 'batch runner')
+        node.spawn(self.steward.run(), 'steward')
+        node.spawn(self.steward.watch_list(), 'list')
+
+    async def drain(self) -> bool:
+        """Leaves the balancer, ends what is under way, hands over.
+
+        Returns False where that took longer than the settings allow.
+        """
+        self.node.draining = True
+        work = asyncio.ensure_future(self._hand_over_all())
+        timer = asyncio.ensure_future(self.node.clock.sleep(self._cfg.drain_s))
+        done, _ = await asyncio.wait(
+            {work, timer}, return_when=asyncio.FIRST_COMPLETED
+        )
+        work.cancel()
+        timer.cancel()
+        return work in done
+
+    def _build_owner(self, rng: random.Random) -> None:
+        """Makes the parts that own workers."""
+        node = self.node
+        model = interference.InterferenceModel()
+        learned = sizes.SizeModel()
+        self.placer = placement.InterferencePlacer(model=model)
+        self.queue = jobqueue.JobQueue(node=node, sizes=learned)
+        self.runner = batch.BatchRunner(
+            node=node,
+            placer=self.placer,
+            queue=self.queue,
+            health=health.WorkerHealth(rng=rng, jobs=health.JobHealth()),
+        )
+        self.observer = observer_lib.UsageObserver(
+            node=node, placer=self.placer, sizes=learned, model=model
+        )
+        self.observer.mover = self.runner
+        self.sites = sites_lib.Sites(
+            node=node,
+            placer=self.placer,
+            reconciler=self.runner,
+            observer=self.observer,
+        )
+        self.runner.sites = self.sites
+        self.dispatcher = dispatch.Dispatcher(
+            node=node, placer=self.placer, sites=self.sites
+        )
+
+    def _build_entry(self) -> None:
+        """Makes the parts that serve callers and keep the fleet."""
+        node = self.node
+        self.peers = peers_lib.Peers(node=node, load=self.sites.load)
+        self.steward = steward_lib.Steward(
+            node=node, peers=self.peers, sites=self.sites, runner=self.runner
+        )
+        self.router = router_lib.Router(
+            node=node,
+            peers=self.peers,
+            sites=self.sites,
+            dispatcher=self.dispatcher,
+        )
+        self.submissions = submissions_lib.Submissions(node=node)
+        self.entry = entry_lib.Entry(
+            node=node, router=self.router, submissions=self.submissions
+        )
+
+    def _subscribe(self) -> None:
+        self.watch = watch.ConfigWatch(node=self.node)
+        self.watch.listeners += [
+            self.sites,
+            self.queue,
+            self.router,
+            self.dispatcher,
+        ]
+        self.node.listeners += [
+            self.watch,
+            self.sites,
+            self.peers,
+            self.queue,
+            self.steward,
+            self.runner,
+        ]
+
+    async def _hand_over_all(self) -> None:
+        # The balancer needs a moment to see that this instance is leaving.
+        await self.node.clock.sleep(_NOTICE_S)
+        await self.steward.leave()
+        while self.entry.in_progress:
+            await self.node.clock.sleep(_DRAIN_POLL_S)
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/process.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/process.py
@@ -12,29 +12,19 @@
 from amaranthflow import adapters
 from amaranthflow import clock as clock_lib
 from amaranthflow import http_calls
-from amaranthflow import naive
 from amaranthflow import world
 from amaranthflow_schema.v1 import operators_pb2_grpc
 from amaranthflow_schema.v1 import peer_pb2_grpc
 
-from . import batch
-from . import dispatch
-from . import entry as entry_lib
 from . import guards
 from . import logs
 from . import node as node_lib
 from . import operators
+from . import parts
 from . import peer_channel
 from . import peer_service
-from . import peers as peers_lib
-from . import router as router_lib
 from . import settings
-from . import sites as sites_lib
-from . import steward as steward_lib
-from . import submissions as submissions_lib
 
-_NOTICE_S = 1.0
-_DRAIN_POLL_S = 0.05
 _SERVER_OPTIONS = (*peer_channel.OPTIONS, ('grpc.so_reuseport', 0))
 
 
@@ -51,59 +41,23 @@
             level=self._cfg.log_level, instance_id=self._cfg.instance_id
         )
         async with http_calls.new_session() as session:
-            self._build(session)
+            self._parts = parts.Parts(
+                cfg=self._cfg,
+                clock=clock_lib.SystemClock(),
+                links=_links(self._cfg, session),
+                rng=random.Random(),
+            )
             server = await self._serve()
             guards.check_process()
-            self._start()
+            self._parts.start()
+            logs.log_event('started', member=str(self._parts.node.member))
             await self._wait_for_signal()
             await self._drain()
             await server.stop(grace=1.0)
-            await self._node.cancel_tasks()
+            await self._parts.node.cancel_tasks()
         stop_logs()
         return 0
 
-    def _build(self, session: aiohttp.ClientSession) -> None:
-        cfg = self._cfg
-        node = node_lib.Node(
-            cfg=cfg,
-            clock=clock_lib.SystemClock(),
-            links=_links(cfg, session),
-            rng=random.Random(),
-        )
-        placer = naive.FirstFitPlacer()
-        self._node = node
-        self._runner = batch.BatchRunner(node=node, placer=placer)
-        self._sites = sites_lib.Sites(
-            node=node, placer=placer, reconciler=self._runner
-        )
-        self._runner.sites = self._sites
-        self._peers = peers_lib.Peers(node=node, load=self._sites.load)
-        self._dispatcher = dispatch.Dispatcher(
-            node=node, placer=placer, sites=self._sites
-        )
-        self._steward = steward_lib.Steward(
-            node=node,
-            peers=self._peers,
-            sites=self._sites,
-            runner=self._runner,
-        )
-        router = router_lib.Router(
-            node=node,
-            peers=self._peers,
-            sites=self._sites,
-            dispatcher=self._dispatcher,
-        )
-        self._submissions = submissions_lib.Submissions(node=node)
-        self._entry = entry_lib.Entry(
-            node=node, router=router, submissions=self._submissions
-        )
-        node.listeners += [
-            self._sites,
-            self._peers,
-            self._steward,
-            self._runner,
-        ]
-
     async def _serve(self) -> grpc.aio.Server:
         """Opens both servers.
 
@@ -112,17 +66,17 @@
         server = grpc.aio.server(options=_SERVER_OPTIONS)
         peer_pb2_grpc.add_PeerServicer_to_server(
             peer_service.PeerService(
-                node=self._node,
-                peers=self._peers,
-                dispatcher=self._dispatcher,
+                node=self._parts.node,
+                peers=self._parts.peers,
+                dispatcher=self._parts.dispatcher,
             ),
             server,
         )
         operators_pb2_grpc.add_OperatorsServicer_to_server(
             operators.OperatorService(
-                node=self._node,
-                sites=self._sites,
-                submissions=self._submissions,
+                node=self._parts.node,
+                sites=self._parts.sites,
+                submissions=self._parts.submissions,
             ),
             server,
         )
@@ -134,23 +88,13 @@
 
     async def _serve_http(self) -> None:
         listener = _bind('http_address', self._cfg.http_address)
-        app = self._entry.make_app()
+        app = self._parts.entry.make_app()
         self._http: sanic.server.AsyncioServer = await app.create_server(
             sock=listener, return_asyncio_server=True, access_log=False
         )
         await self._http.startup()
         await self._http.start_serving()
 
-    def _start(self) -> None:
-        node = self._node
-        node.spawn(node.follower.run(), 'follower')
-        node.spawn(node.journal.run(), 'journal')
-        node.spawn(self._dispatcher.queue.run(), 'admission queue')
-        node.spawn(self._runner.run(), 'batch runner')
-        node.spawn(self._steward.run(), 'steward')
-        node.spawn(self._steward.watch_list(), 'list')
-        logs.log_event('started', member=str(node.member))
-
     async def _wait_for_signal(self) -> None:
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -158,16 +102,9 @@
         await self._stop.wait()
 
     async def _drain(self) -> None:
-        """Leaves the balancer, ends what is under way, hands over."""
+        """Ends what is under way, hands over and closes the servers."""
         logs.log_event('draining')
-        self._node.draining = True
-        try:
-            async with asyncio.timeout(self._cfg.drain_s):
-                await self._node.clock.sleep(_NOTICE_S)
-                await self._steward.leave()
-                while self._entry.in_progress:
-                    await self._node.clock.sleep(_DRAIN_POLL_S)
-        except TimeoutError:
+        if not await self._parts.drain():
             logs.log_event('drain timed out', level=logs.WARNING)
         self._http.close()
         await self._http.wait_closed()
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/router.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/router.py
@@ -73,8 +73,18 @@
         self._policy = retry.RetryPolicy(
             backoff=retry.Backoff(rng=node.rng), max_attempts=_MAX_ATTEMPTS
         )
+        self._tenants: set[str] = set()
         self.budgets = retry.RetryBudgets()
 
+    def on_config(self) -> None:
+        """Applies the tenants' retry budgets."""
+        bodies = self._node.state.config.bodies('tenant', self._node.now_ms())
+        for tenant in bodies.values():
+            self.budgets.configure(tenant)
+        for tenant_id in self._tenants - bodies.keys():
+            self.budgets.remove_tenant(ids.TenantId(tenant_id))
+        self._tenants = set(bodies)
+
     async def call(self, req: CallerRequest) -> peer_pb2.ExecuteReply:
         """Returns the whole answer to this request.
 
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/sites.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/sites.py
@@ -1,5 +1,6 @@
 """Workers of the racks that this instance owns."""
 
+import asyncio
 import typing as t
 
 from amaranthflow import exceptions
@@ -14,6 +15,7 @@
 
 _POLLS_PER_LEASE = 4
 _POLL_TIMEOUT_S = 1.0
+_RETIRE_POLL_S = 0.25
 
 
 class Reconciler(t.Protocol):
@@ -31,10 +33,22 @@
         """All leases on a worker that does not answer have ended."""
 
 
+class Observer(t.Protocol):
+    """Learns from a worker's usage and relieves it."""
+
+    async def observe(self, site: 'WorkerSite') -> None:
+        """Asks for the worker's newest measurements and acts on them."""
+
+    def forget(self, site: 'WorkerSite') -> None:
+        """Drops what is known of a worker that was given up."""
+
+
 class WorkerSite:
     """One worker, its ledger and the task that keeps in touch with it.
 
     :ivar leaving: the platform's list calls the worker leaving.
+    :ivar retired: the configuration no longer names the worker; it is kept
+        until nothing runs on it.
     :ivar known: the worker has told what it runs since this instance took
         the rack over. Nothing is started before.
     :ivar renewed_at: monotonic time after which no lease on the worker can
@@ -48,10 +62,12 @@
         worker: world.Worker,
         epoch: ids.Epoch,
         reconciler: Reconciler,
+        observer: Observer,
         on_change: t.Callable[['WorkerSite'], None],
     ):
         self._node = node
         self._reconciler = reconciler
+        self._observer = observer
         self._on_change = on_change
         self.worker = worker
         self.epoch = epoch
@@ -59,6 +75,7 @@
         self.ledger = world.WorkerLedger(worker=worker)
         self.ledger.leaving = True
         self.leaving = False
+        self.retired = False
         self.known = False
         self.answering = False
         self.renewed_at = node.clock.monotonic()
@@ -70,6 +87,11 @@
             self.worker.rack_id
         )
 
+    @property
+    def departing(self) -> bool:
+        """True when the worker gets no new work and is to be emptied."""
+        return self.leaving or self.retired
+
     @property
     def serving(self) -> bool:
         """True once the takeover of the worker's rack is complete."""
@@ -79,16 +101,28 @@
     def update(self) -> None:
         """Opens or closes the ledger for new work."""
         open_now = self.known and self.answering and self.serving
-        closed = self.leaving or not open_now
+        closed = self.departing or not open_now
         if closed != self.ledger.leaving:
             self.ledger.leaving = closed
             self._on_change(self)
 
+    def replace(self, worker: world.Worker, epoch: ids.Epoch) -> None:
+        """Takes a changed description of the worker; its tasks stay."""
+        if worker.address != self.worker.address:
+            self.link = self._node.links.connect(worker)
+            self.known = False
+        self.worker = worker
+        self.ledger.worker = worker
+        self.epoch = epoch
+        self.update()
+
     async def run(self) -> t.NoReturn:
         """Polls the worker until cancelled."""
         pause_s = self._node.cfg.task_lease_s / _POLLS_PER_LEASE
         while True:
             await self.poll()
+            if self.answering:
+                await self._observer.observe(self)
             await self._node.clock.sleep(pause_s)
 
     async def poll(self) -> None:
@@ -152,7 +186,10 @@
 
 
 class Sites:
-    """All sites of this instance, kept in step with the configuration."""
+    """All sites of this instance, kept in step with the configuration.
+
+    :ivar on_room: called when a worker may have got room.
+    """
 
     def __init__(
         self,
@@ -160,43 +197,48 @@
         node: node_lib.Node,
         placer: world.Placer,
         reconciler: Reconciler,
+        observer: Observer,
     ):
         self._node = node
         self._placer = placer
         self._reconciler = reconciler
-        self._tasks: dict[ids.WorkerId, t.Any] = {}
+        self._observer = observer
+        self._tasks: dict[ids.WorkerId, asyncio.Task] = {}
         self._leaving: frozenset[str] = frozenset()
-        self._seen: tuple = ()
         self.by_id: dict[ids.WorkerId, WorkerSite] = {}
         self.on_room: list[t.Callable[[], None]] = []
 
     def on_applied(self, applied: state_lib.Applied) -> None:
-        """Follows changes of the configuration and of ownership."""
-        state = self._node.state
-        seen = (state.config.revision, state.view_offset)
-        if seen != self._seen:
-            self._seen = seen
+        """Follows changes of ownership."""
+        if applied.offset == self._node.state.view_offset:
             self.refresh()
 
     def on_loaded(self) -> None:
         """Starts anew from the replaced state."""
         self.refresh()
 
+    def on_config(self) -> None:
+        """Follows changes of workers and services."""
+        self.refresh()
+
     def refresh(self) -> None:
-        """Adds and removes sites, and applies reserved slots."""
-        wanted = self._wanted()
-        for worker_id in list(self.by_id):
-            site = self.by_id[worker_id]
-            if wanted.get(worker_id) != (site.worker, site.epoch):
+        """Adds, changes and removes sites, and applies reserved slots."""
+        epochs = {
+            h.rack_id: h.epoch
+            for h in self._node.state.racks.owned_by(self._node.member)
+        }
+        wanted = self._wanted(epochs)
+        for worker_id, site in list(self.by_id.items()):
+            if site.worker.rack_id not in epochs:
                 self._remove(worker_id)
-        for worker_id, (worker, epoch) in wanted.items():
+            elif worker_id not in wanted:
+                self._retire(site)
+            else:
+                self._update(site, wanted[worker_id], epochs)
+        for worker_id, worker in wanted.items():
             if worker_id not in self.by_id:
-                self._add(worker, epoch)
-        reserved = self._reserved_slots()
-        for site in self.by_id.values():
-            if site.ledger.reserved_slots != reserved:
-                site.ledger.reserved_slots = reserved
-                self._placer.changed(site.worker.worker_id)
+                self._add(worker, epochs[worker.rack_id])
+        self._reserve_slots()
 
     def note_leaving(self, names: frozenset[str]) -> None:
         """Takes the workers that the platform's list calls leaving."""
@@ -232,22 +274,25 @@
             s for s in self.by_id.values() if s.worker.rack_id == rack_id
         )
 
-    def _wanted(self) -> dict[ids.WorkerId, tuple[world.Worker, ids.Epoch]]:
-        state = self._node.state
-        epochs = {
-            h.rack_id: h.epoch for h in state.racks.owned_by(self._node.member)
+    def _wanted(
+        self, epochs: t.Mapping[ids.RackId, ids.Epoch]
+    ) -> dict[ids.WorkerId, world.Worker]:
+        if not epochs:
+            return {}
+        bodies = self._node.state.config.bodies('worker', self._node.now_ms())
+        return {
+            ids.WorkerId(body.worker_id): world.Worker.from_message(body)
+            for body in bodies.values()
+            if body.rack_id in epochs
         }
-        wanted = {}
-        bodies = state.config.bodies('worker', self._node.now_ms())
-        for body in bodies.values():
-            worker = world.Worker.from_message(body)
-            if worker.rack_id in epochs:
-                wanted[worker.worker_id] = (worker, epochs[worker.rack_id])
-        return wanted
-
-    def _reserved_slots(self) -> int:
+
+    def _reserve_slots(self) -> None:
         bodies = self._node.state.config.bodies('service', self._node.now_ms())
-        return sum(body.reserved_slots for body in bodies.values())
+        reserved = sum(body.reserved_slots for body in bodies.values())
+        for site in self.by_id.values():
+            if site.ledger.reserved_slots != reserved:
+                site.ledger.reserved_slots = reserved
+                self._placer.changed(site.worker.worker_id)
 
     def _add(self, worker: world.Worker, epoch: ids.Epoch) -> None:
         site = WorkerSite(
@@ -255,21 +300,55 @@
             worker=worker,
             epoch=epoch,
             reconciler=self._reconciler,
+            observer=self._observer,
             on_change=self._note_change,
         )
         site.leaving = worker.worker_id in self._leaving
         self.by_id[worker.worker_id] = site
         self._placer.add(site.ledger)
         self._tasks[worker.worker_id] = self._node.spawn(
-            site.run(), f'worker {worker.worker_id}'
+            self._run(site), f'worker {worker.worker_id}'
         )
 
+    def _update(self, site: WorkerSite, worker: world.Worker, epochs) -> None:
+        epoch = epochs[worker.rack_id]
+        site.retired = False
+        if (site.worker, site.epoch) == (worker, epoch):
+            site.update()
+            return
+        # The placer may index a worker by what has changed.
+        self._placer.remove(worker.worker_id)
+        site.replace(worker, epoch)
+        self._placer.add(site.ledger)
+
+    def _retire(self, site: WorkerSite) -> None:
+        site.retired = True
+        site.update()
+
+    async def _run(self, site: WorkerSite) -> None:
+        """Runs a site until it is retired and empty."""
+        running = asyncio.ensure_future(site.run())
+        try:
+            while not (site.retired and not site.ledger.tasks):
+                await self._node.clock.sleep(_RETIRE_POLL_S)
+                if running.done():
+                    running.result()
+        finally:
+            running.cancel()
+        self._tasks.pop(site.worker.worker_id, None)
+        self._forget(site.worker.worker_id)
+
     def _note_change(self, site: WorkerSite) -> None:
         self._placer.changed(site.worker.worker_id)
         for listener in self.on_room:
             listener()
 
     def _remove(self, worker_id: ids.WorkerId) -> None:
-        del self.by_id[worker_id]
-        self._placer.remove(worker_id)
         self._tasks.pop(worker_id).cancel()
+        self._forget(worker_id)
+
+    def _forget(self, worker_id: ids.WorkerId) -> None:
+        site = self.by_id.pop(worker_id, None)
+        if site is not None:
+            self._placer.remove(worker_id)
+            self._observer.forget(site)
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/steward.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/steward.py
@@ -53,6 +53,8 @@
         self._takeovers: dict[ids.RackId, ids.Epoch] = {}
         self._moving: set[ids.RackId] = set()
         self._misplaced_since: dict[ids.RackId, float] = {}
+        self._desired_basis: tuple | None = None
+        self._desired_now: t.Mapping[ids.RackId, ids.InstanceId] = {}
         self._listed: set[str] = set()
         self._absent: frozenset[str] = frozenset()
         self._snapshot_offset = 0
@@ -323,6 +325,8 @@
     def _note_list(
         self, listed: t.Mapping[str, platform.InstancePhase]
     ) -> None:
+        # An instance that was never listed may be too new to be there.
+        self._listed = {n for n in self._listed if self._is_named(n)}
         self._listed.update(listed)
         leaving = {
             name
@@ -336,6 +340,17 @@
                 if member.instance in self._absent:
                     self._node.ownership.note_gone(member)
 
+    def _is_named(self, name: str) -> bool:
+        """Tells whether a worker, a member or an open view has the name."""
+        state = self._node.state
+        if name in state.members.members or name in self._sites.by_id:
+            return True
+        return any(
+            member.instance == name
+            for view in state.members.views
+            for member in view.members
+        )
+
     async def _write(self, record: records_pb2.Record) -> None:
         kind = record.WhichOneof('kind')
         try:
--- /dev/null
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/watch.py
@@ -0,0 +1,74 @@
+"""Tells when the configuration in force has changed, bookings included."""
+
+import asyncio
+import typing as t
+
+from amaranthflow import state as state_lib
+
+from . import node as node_lib
+
+_LONGEST_SLEEP_S = 60.0
+_MS_PER_S = 1000
+
+
+class ConfigListener(t.Protocol):
+    """Is told of each change of the configuration in force."""
+
+    def on_config(self) -> None:
+        """Something in force has changed."""
+
+
+class ConfigWatch:
+    """Notifies after each applied change and when a booking takes effect.
+
+    A booking takes effect by the instance's clock at its own time, whether
+    the log answers then or not.
+    """
+
+    def __init__(self, *, node: node_lib.Node):
+        self._node = node
+        self._revision = -1
+        self._changed = asyncio.Event()
+        self.listeners: list[ConfigListener] = []
+
+    def on_applied(self, applied: state_lib.Applied) -> None:
+        """Notifies where the batch changed the configuration."""
+        if self._node.state.config.revision != self._revision:
+            self._notify()
+
+    def on_loaded(self) -> None:
+        """Notifies after the state was replaced."""
+        self._notify()
+
+    async def run(self) -> t.NoReturn:
+        """Waits for bookings until cancelled."""
+        while True:
+            self._changed.clear()
+            now_ms = self._node.now_ms()
+            next_ms = self._node.state.config.next_booking_ms(now_ms)
+            if next_ms is None:
+                await self._changed.wait()
+                continue
+            await self._sleep((next_ms - now_ms) / _MS_PER_S)
+            if self._node.now_ms() >= next_ms:
+                self._notify()
+
+    async def _sleep(self, seconds: float) -> None:
+        """Sleeps, shorter where the configuration changes meanwhile."""
+        sleep_s = min(seconds, _LONGEST_SLEEP_S)
+        timer = asyncio.ensure_future(self._node.clock.sleep(sleep_s))
+        changed = asyncio.ensure_future(self._changed.wait())
+        try:
+            await asyncio.wait(
+                {timer, changed}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            timer.cancel()
+            changed.cancel()
+
+    def _notify(self) -> None:
+        self._revision = self._node.state.config.revision
+        self._node.config_generation += 1
+        self._changed.set()
+        for listener in self.listeners:
+            listener.on_config()
