Ownership: releases that are not relied on too early, views close sooner

Cause, found by following the safety argument and shown by scenarios: - a claimant that released a rack before its own wait was over made the next owner serve at once, beside the first owner's majority right. - an owner whose release got no reply served on, and the record that landed later let the next owner serve beside it. - the only process of a fleet, started anew, waited for itself for ever. - a view of few members stayed open until its own members had seen the claim, although a majority had seen the following view: with one paused member of three, the other two never took a rack over (3 of 22 red). - a late answer could set back a newer grant, and a member that answers stayed marked as gone. - a rack that was released still took records of starts. Change: RackReleased says whether the takeover was complete (taken_over), Ownership.begin_release and cancel_release make and guard it, open views are measured by the view that follows them, a newer process of an instance counts as the end of the older one also when it is this one or has only joined.

--- a/packages/amaranthflow-standins/src/amaranthflow_standins/clock.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/clock.py
@@ -12,11 +12,18 @@
 
     :param start_s: monotonic time at the start.
     :param start_wall_ms: Unix time in ms at the start.
+    :param settle_turns: turns of the event loop in which woken tasks come
+        to rest.
     """
 
     def __init__(
-        self, *, start_s: float = 0.0, start_wall_ms: int = 1_700_000_000_000
+        self,
+        *,
+        start_s: float = 0.0,
+        start_wall_ms: int = 1_700_000_000_000,
+        settle_turns: int = _SETTLE_TURNS,
     ):
+        self._settle_turns = settle_turns
         self._start_s = start_s
         self._now_s = start_s
         self._start_wall_ms = start_wall_ms
@@ -62,9 +69,9 @@
         self._now_s = target_s
         await self.settle()
 
-    async def settle(self, turns: int = _SETTLE_TURNS) -> None:
+    async def settle(self, turns: int | None = None) -> None:
         """Lets ready tasks run for a number of turns of the event loop."""
-        for _ in range(turns):
+        for _ in range(self._settle_turns if turns is None else turns):
             await asyncio.sleep(0)
 
     def _wake_next(self) -> None:
--- a/packages/amaranthflow/src/amaranthflow/follower.py
+++ b/packages/amaranthflow/src/amaranthflow/follower.py
@@ -12,7 +12,8 @@
 from . import state as state_lib
 
 _LONG_POLL_S = 0.5
-_RETRY_S = 0.1
+_RETRY_FIRST_S = 0.1
+_RETRY_MAX_S = 0.5
 
 
 class Listener(t.Protocol):
@@ -47,6 +48,7 @@
         self._state = state
         self._listener = listener
         self._replay: snapshots.Replay | None = None
+        self._retry_s = _RETRY_FIRST_S
         self._started = state.next_offset > 0
         self.reachable = False
         self.caught_up = False
@@ -69,14 +71,14 @@
             except exceptions.OffsetExpired:
                 await self._restart()
             except exceptions.PlatformError:
-                self.reachable = False
-                await self._clock.sleep(_RETRY_S)
+                await self._pause()
 
     async def step(self, wait_s: float) -> None:
         """Reads and applies one page."""
         asked_at = self._clock.monotonic()
         page = await self._log.read(self._position(), wait_s)
         self.reachable = True
+        self._retry_s = _RETRY_FIRST_S
         for entry in page.entries:
             self._take(entry)
         if self._replay is not None:
@@ -95,14 +97,18 @@
             return self._replay.next_offset
         return self._state.next_offset
 
+    async def _pause(self) -> None:
+        self.reachable = False
+        await self._clock.sleep(self._retry_s)
+        self._retry_s = min(2 * self._retry_s, _RETRY_MAX_S)
+
     async def _restart(self) -> None:
         """Looks for a snapshot among the entries that the log still keeps."""
         self.caught_up = False
         try:
             await self._seek()
         except exceptions.PlatformError:
-            self.reachable = False
-            await self._clock.sleep(_RETRY_S)
+            await self._pause()
 
     async def _seek(self) -> None:
         first = await self._log.first_offset()
--- a/packages/amaranthflow/src/amaranthflow/ownership.py
+++ b/packages/amaranthflow/src/amaranthflow/ownership.py
@@ -14,6 +14,8 @@
 
 import typing as t
 
+from amaranthflow_schema.v1 import records_pb2
+
 from . import clock as clock_lib
 from . import ids
 from . import membership
@@ -46,6 +48,8 @@
         self._seen: dict[ids.Member, ids.Offset] = {}
         self._gone: set[ids.Member] = set()
         self._serving: dict[ids.RackId, ids.Epoch] = {}
+        self._taken_over: dict[ids.RackId, ids.Epoch] = {}
+        self._releasing: dict[ids.RackId, ids.Epoch] = {}
 
     def note_log_confirmed(self, asked_at: float) -> None:
         """The state holds all that the log kept at a monotonic time."""
@@ -58,7 +62,9 @@
         seen = self._seen.get(peer, ids.Offset(0))
         self._seen[peer] = max(seen, view_offset)
         if view_offset <= self._state.view_offset:
-            self._grants[peer] = asked_at
+            newest = self._grants.get(peer, asked_at)
+            self._grants[peer] = max(newest, asked_at)
+        self._gone.discard(peer)
         self._note_replaced(peer)
 
     def note_gone(self, member: ids.Member) -> None:
@@ -87,23 +93,64 @@
         return holding.owner == self.member
 
     def serve(self, rack_id: ids.RackId, epoch: ids.Epoch) -> None:
-        """Allows work on a rack; its takeover is complete."""
-        self._serving[rack_id] = epoch
+        """Allows work on a rack; its takeover is complete.
+
+        Without effect while a release of the rack may be in the log: the
+        next owner relies on it and waits for nothing.
+        """
+        self._taken_over[rack_id] = epoch
+        if self._releasing.get(rack_id) != epoch:
+            self._serving[rack_id] = epoch
 
     def cease(self, rack_id: ids.RackId) -> None:
         """Admits no more work on a rack."""
         self._serving.pop(rack_id, None)
 
+    def begin_release(
+        self, rack_id: ids.RackId, epoch: ids.Epoch
+    ) -> records_pb2.RackReleased:
+        """Admits no more work on a rack; returns the record of its release.
+
+        The caller writes the record once no request runs there.
+        """
+        self.cease(rack_id)
+        self._releasing[rack_id] = epoch
+        return records_pb2.RackReleased(
+            rack_id=rack_id,
+            instance_id=self.member.instance,
+            incarnation=self.member.incarnation,
+            epoch=epoch,
+            taken_over=self._taken_over.get(rack_id) == epoch,
+        )
+
+    def cancel_release(self, rack_id: ids.RackId, epoch: ids.Epoch) -> None:
+        """Serves on; called only if the release is surely not in the log.
+
+        Without effect where the takeover was not complete.
+        """
+        if self._releasing.get(rack_id) == epoch:
+            del self._releasing[rack_id]
+        if self._taken_over.get(rack_id) == epoch:
+            self.serve(rack_id, epoch)
+
     def serving(self) -> t.Mapping[ids.RackId, ids.Epoch]:
         """Racks whose takeover is complete, by epoch."""
         return self._serving
 
     def open_views(self, before: ids.Offset) -> tuple[membership.View, ...]:
-        """Views older than an offset that may still carry a right."""
+        """Views older than an offset that may still carry a right.
+
+        An owner whose newest view is followed by another one has not seen
+        that other one, so a majority that has seen it grants nothing to
+        the owner any more. Views without a following one are measured by
+        the given offset.
+        """
+        views = [v for v in self._state.members.views if v.offset < before]
+        limits = [*(v.offset for v in views[1:]), before]
         return tuple(
             view
-            for view in self._state.members.views
-            if view.offset < before and not self._closed(view, before)
+            for view, since in zip(views, limits, strict=True)
+            if not self._closed(view, since)
         )
 
     async def wait_out(self, claim_offset: ids.Offset) -> None:
@@ -144,10 +191,22 @@
         passed = sum(
             1
             for member in view.members
-            if member in self._gone or self._seen_by(member) >= since
+            if self._is_gone(member) or self._seen_by(member) >= since
         )
         return passed >= view.majority
 
+    def _is_gone(self, member: ids.Member) -> bool:
+        """Tells whether a member will never answer again.
+
+        A newer process of its instance, be it this one or one that has
+        joined, began after it had ended.
+        """
+        if member.instance == self.member.instance:
+            return member.incarnation < self.member.incarnation
+        current = self._state.members.current(member.instance)
+        replaced = current and current.incarnation > member.incarnation
+        return bool(replaced) or member in self._gone
+
     def _seen_by(self, member: ids.Member) -> ids.Offset:
         if member == self.member:
             return self._state.view_offset
--- a/packages/amaranthflow/src/amaranthflow/racks.py
+++ b/packages/amaranthflow/src/amaranthflow/racks.py
@@ -14,8 +14,10 @@
 
     :ivar epoch: counts the claims; a record that names an old one is void.
     :ivar released: the owner gave the rack up and admits nothing there.
-    :ivar handed_over: the owner before this one released the rack, so that
-        its successor has no old right to wait out.
+    :ivar taken_over: released by an owner that had waited out all earlier
+        ones.
+    :ivar handed_over: the rack was taken over when it was released to this
+        owner, which has no old right to wait out.
     """
 
     rack_id: ids.RackId
@@ -24,6 +26,7 @@
     claim_offset: ids.Offset
     released: bool = False
     handed_over: bool = False
+    taken_over: bool = False
 
 
 class RackTable:
@@ -40,7 +43,10 @@
     def is_owner(
         self, rack_id: ids.RackId, member: ids.Member, epoch: int
     ) -> bool:
-        """Tells whether the member owns the rack under this epoch."""
+        """Tells whether the member owns the rack under this epoch.
+
+        True after a release also, until another member claims the rack.
+        """
         holding = self.holdings.get(rack_id)
         return (
             holding is not None
@@ -63,7 +69,7 @@
             owner=member,
             epoch=ids.Epoch(record.after_epoch + 1),
             claim_offset=offset,
-            handed_over=holding is None or holding.released,
+            handed_over=holding is None or holding.taken_over,
         )
         return results.ACCEPTED
 
@@ -72,9 +78,21 @@
         rack_id = ids.RackId(record.rack_id)
         if not self.is_owner(rack_id, member, record.epoch):
             return results.refused('the member does not own the rack')
-        self.holdings[rack_id].released = True
+        holding = self.holdings[rack_id]
+        if holding.released:
+            return results.refused('the member has released the rack')
+        holding.released = True
+        # A claimant that gives up early leaves the wait to the next one.
+        holding.taken_over = record.taken_over or holding.handed_over
         return results.ACCEPTED
 
+    def may_start(
+        self, rack_id: ids.RackId, member: ids.Member, epoch: int
+    ) -> bool:
+        """Tells whether the member may record starts on the rack."""
+        owner = self.is_owner(rack_id, member, epoch)
+        return owner and not self.holdings[rack_id].released
+
     def owned_by(self, member: ids.Member) -> tuple[RackHolding, ...]:
         """Returns the member's racks that it has not released."""
         return tuple(
@@ -95,6 +113,7 @@
                 released=holding.released,
                 claim_offset=holding.claim_offset,
                 handed_over=holding.handed_over,
+                taken_over=holding.taken_over,
             )
 
     def load(self, snapshot: records_pb2.Snapshot) -> None:
@@ -112,4 +131,5 @@
                 claim_offset=ids.Offset(state.claim_offset),
                 released=state.released,
                 handed_over=state.handed_over,
+                taken_over=state.taken_over,
             )
--- a/packages/amaranthflow/src/amaranthflow/state.py
+++ b/packages/amaranthflow/src/amaranthflow/state.py
@@ -195,7 +195,7 @@
 
     def _apply_attempt_started(self, record, writer, offset):
         rack_id = ids.RackId(record.rack_id)
-        if not self.racks.is_owner(rack_id, writer, record.rack_epoch):
+        if not self.racks.may_start(rack_id, writer, record.rack_epoch):
             return results.refused('the writer does not own the rack')
         return self.jobs.start(record, self.log_time_ms)
 
