--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/batch.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/batch.py
@@ -23,6 +23,7 @@
 _RECORD_TIMEOUT_S = 2.0
 _END_RETRY_S = 0.5
 _MAX_LAUNCHES = 256
+_ELSEWHERE_MS = 2000
 _CHECKPOINT_S = 5.0
 _CHECKPOINTS_PER_S = 20
 _OUTCOMES = {
@@ -119,10 +120,19 @@
             self._launch(entry, task, site), f'launch {entry.key}'
         )
 
-    def _failed_on(self, entry: jobs.JobEntry) -> list[str]:
-        """Workers on which the job failed, while there are others."""
-        workers = len(self.sites.by_id)
-        return entry.failed_workers if workers > 1 else []
+    def _failed_on(self, entry: jobs.JobEntry) -> t.Collection[str]:
+        """Workers that the job should not be tried on again now.
+
+        Where it has failed on all workers here, other owners get time to
+        try it on theirs; then only its last worker is avoided.
+        """
+        failed = entry.failed_workers
+        if not failed or set(self.sites.by_id) - set(failed):
+            return failed
+        waited_ms = self._node.clock.wall_ms() - entry.changed_at_ms
+        if waited_ms < _ELSEWHERE_MS:
+            return failed
+        return failed[-1:] if len(self.sites.by_id) > 1 else ()
 
     async def reconcile(
         self,
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/node.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/node.py
@@ -139,9 +139,13 @@
         task.add_done_callback(self._note_done)
         return task
 
+    def running_tasks(self) -> tuple[asyncio.Task, ...]:
+        """Returns the tasks that have not ended."""
+        return tuple(self._tasks)
+
     async def cancel_tasks(self) -> None:
         """Cancels all tasks and waits for their end."""
-        tasks = tuple(self._tasks)
+        tasks = self.running_tasks()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -160,6 +164,7 @@
 
     def on_confirmed(self, asked_at: float) -> None:
         """Renews the proof that rests on the log."""
+        self.journal.note_readable()
         self.ownership.note_log_confirmed(asked_at)
 
     def on_invalid(self, exc: exceptions.InvalidRecord) -> None:
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/options.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/options.py
@@ -144,6 +144,12 @@
         text='Allowance for clocks that run at different rates.',
         bad_values=_NOT_POSITIVE,
     ),
+    Option(
+        name='list_delay_s',
+        unit='SECONDS',
+        text="Longest delay of the platform's list of instances.",
+        bad_values=_NOT_POSITIVE,
+    ),
     Option(
         name='batch_delay_ms',
         unit='MILLISECONDS',
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/settings.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/settings.py
@@ -54,6 +54,7 @@
     fence_s: float = 2.0
     task_lease_s: float = 4.0
     clock_margin_s: float = 0.25
+    list_delay_s: float = 30.0
     batch_delay_ms: float = 5.0
     log_appends_per_s: float = 300.0
     max_body_bytes: int = 1024 * 1024
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/steward.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/steward.py
@@ -325,6 +325,12 @@
     def _note_list(
         self, listed: t.Mapping[str, platform.InstancePhase]
     ) -> None:
+        """Takes over which workers leave and which instances are gone.
+
+        A name that was listed before and is not any more has gone. Of a
+        member that was never seen listed, only its age tells: the list may
+        be behind by as much as the settings say, but not by more.
+        """
         # An instance that was never listed may be too new to be there.
         self._listed = {n for n in self._listed if self._is_named(n)}
         self._listed.update(listed)
@@ -333,23 +339,35 @@
             for name, phase in listed.items()
             if phase is platform.InstancePhase.LEAVING
         }
-        self._absent = frozenset(self._listed - listed.keys())
-        self._sites.note_leaving(frozenset(leaving) | self._absent)
+        missing = self._listed - listed.keys()
+        self._sites.note_leaving(frozenset(leaving | missing))
+        gone = {m for m in self._named_members() if self._is_gone(m, listed)}
+        for member in gone:
+            self._node.ownership.note_gone(member)
+        self._absent = frozenset(missing | {m.instance for m in gone})
+
+    def _is_gone(self, member: ids.Member, listed: t.Container[str]) -> bool:
+        """Tells whether a member has surely ended.
+
+        It has where a list that is newer than its start does not name it.
+        A younger one may have been started after its instance's earlier
+        process was taken off the list.
+        """
+        age_s = (self._node.clock.wall_ms() - member.incarnation) / 1000
+        limit_s = self._node.cfg.list_delay_s + self._node.cfg.clock_margin_s
+        return member.instance not in listed and age_s > limit_s
+
+    def _named_members(self) -> t.Iterator[ids.Member]:
         for view in self._node.state.members.views:
-            for member in view.members:
-                if member.instance in self._absent:
-                    self._node.ownership.note_gone(member)
+            yield from view.members
 
     def _is_named(self, name: str) -> bool:
         """Tells whether a worker, a member or an open view has the name."""
-        state = self._node.state
-        if name in state.members.members or name in self._sites.by_id:
+        if name in self._node.state.members.members:
             return True
-        return any(
-            member.instance == name
-            for view in state.members.views
-            for member in view.members
-        )
+        if name in self._sites.by_id:
+            return True
+        return any(m.instance == name for m in self._named_members())
 
     async def _write(self, record: records_pb2.Record) -> None:
         kind = record.WhichOneof('kind')
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/local_fleet.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/local_fleet.py
@@ -1,149 +1,431 @@
-"""A small fleet on this machine, to try the operators' pages with.
-
-``python -m amaranthflow_standins.local_fleet FOLDER`` starts the platform's
-stand-ins, six workers in three racks and three instances in two availability
-zones on loopback ports, and configures the workers. FOLDER then holds ``env``
-(variables of ``amaranthflow`` for a shell to read), ``pids`` and the logs. An
-instance that ends is taken off the platform's list. The fleet runs until
-SIGINT or SIGTERM and ends all that it started.
+"""A fleet of the daemon's parts in one process, over a fake clock.
+
+The parts are the daemon's own; only sockets are replaced. Faults are set
+between steps of time, so that a run is the same each time.
 """
 
 import asyncio
-import pathlib
-import signal
-import sys
+import dataclasses
+import random
 import typing as t
 
-import aiohttp
-
+from amaranthflow import exceptions
 from amaranthflow import ids
+from amaranthflow import platform
+from amaranthflow import world
+from amaranthflow_daemon import node as node_lib
+from amaranthflow_daemon import parts as parts_lib
+from amaranthflow_daemon import peer_service
+from amaranthflow_daemon import router
+from amaranthflow_daemon import settings
+from amaranthflow_schema.v1 import peer_pb2
+from amaranthflow_schema.v1 import records_pb2
 from amaranthflow_schema.v1 import world_pb2
 
-from . import fleet as fleet_lib
-from . import standin_process
+from . import clock as clock_lib
+from . import gate as gate_lib
+from . import history
+from . import instances
+from . import log as log_lib
+from . import machine as machine_lib
+from . import waiting
+from . import worker as worker_lib
 
-_ZONES = ('kozhikode', 'kozhikode', 'kannur')
-_WORKERS_PER_RACK = 2
-_CORES = 32.0
-_MEMORY_MB = 125_000
-_SLOTS = 8
-_CONNECTIONS = 60
-_SEED = 1
-_POLL_S = 0.2
-_ATTEMPTS = 100
+TENANT = ids.TenantId('tenant-a')
+SERVICE = ids.ServiceId('plans')
+_PEER_LATENCY_S = 0.001
+_LIST_DELAY_S = 2.0
+_CHANGE_TIMEOUT_S = 5.0
 
 
-async def _start(fleet: fleet_lib.Fleet) -> None:
-    await fleet.start_platform(
-        standin_process.ProcessSpec(seed=_SEED, platform=True)
-    )
-    worker_ids = [
-        f'rack-{rack + 1}-{n + 1}'
-        for rack in range(len(_ZONES))
-        for n in range(_WORKERS_PER_RACK)
-    ]
-    await fleet.start_workers(
-        standin_process.ProcessSpec(
-            seed=_SEED,
-            worker_ids=worker_ids,
-            cores=_CORES,
-            memory_mb=_MEMORY_MB,
-            slots=_SLOTS,
-            connections=_CONNECTIONS,
-        )
-    )
-    for index, zone in enumerate(_ZONES):
-        instance_id = ids.InstanceId(f'instance-{index + 1}')
-        await fleet.start_instance(instance_id, ids.ZoneId(zone))
-
-
-async def _wait_until_ready(fleet: fleet_lib.Fleet) -> None:
-    for _ in range(_ATTEMPTS):
-        replies = [await fleet.status(i) for i in fleet.instances.values()]
-        if all(reply is not None and reply.ready for reply in replies):
-            return
-        await asyncio.sleep(_POLL_S)
-    raise RuntimeError('the instances do not become ready')
-
-
-async def _configure(fleet: fleet_lib.Fleet) -> None:
-    for worker_id, address in fleet.worker_addresses.items():
-        reason = await fleet.send_change(_change(worker_id, address))
-        if reason:
-            raise RuntimeError(f'{worker_id}: {reason}')
-
-
-def _change(worker_id: str, address: str) -> world_pb2.Change:
-    rack_id = worker_id.rpartition('-')[0]
-    zone = _ZONES[int(rack_id.rpartition('-')[2]) - 1]
-    return world_pb2.Change(
-        change_id=f'local-{worker_id}',
-        key=f'worker/{worker_id}',
-        operator='local-fleet',
-        worker=world_pb2.Worker(
-            worker_id=worker_id,
-            address=address,
-            rack_id=rack_id,
-            zone_id=zone,
-            region_id='kerala',
-            capacity=world_pb2.Size(cores=_CORES, memory_mb=_MEMORY_MB),
-            slots=_SLOTS,
-            connections=_CONNECTIONS,
-        ),
-    )
+@dataclasses.dataclass(slots=True, kw_only=True)
+class LocalInstance:
+    """One instance of a local fleet."""
 
+    parts: parts_lib.Parts
+    gate: gate_lib.Gate
+    service: peer_service.PeerService
 
-def _write_files(fleet: fleet_lib.Fleet, folder: pathlib.Path) -> None:
-    instances = fleet.instances.values()
-    peers = ','.join(i.peer_address for i in instances)
-    http = ','.join(i.http_address for i in instances)
-    pids = [f'{i.instance_id} {i.process.pid}\n' for i in instances]
-    (folder / 'pids').write_text(''.join(pids))
-    # Last: whoever waits for this file may start.
-    (folder / 'env').write_text(
-        f'export AMARANTHFLOW_ADDRESS={peers}\n'
-        f'export AMARANTHFLOW_HTTP_ADDRESS={http}\n'
-    )
+    @property
+    def name(self) -> ids.InstanceId:
+        """Id of the instance."""
+        return self.parts.node.member.instance
 
 
-async def _keep_list(fleet: fleet_lib.Fleet, stop: asyncio.Event) -> None:
-    """Takes ended instances off the platform's list until told to stop."""
-    while not stop.is_set():
-        for instance in fleet.ended_by_themselves():
-            instance.signalled = True
-            await fleet.set_phase(instance.instance_id, None)
-        await asyncio.sleep(_POLL_S)
+class _LocalChannel:
+    """Implements the daemon's ``PeerChannel`` without a network."""
 
+    def __init__(self, *, fleet: 'LocalFleet', source: str, address: str):
+        self._fleet = fleet
+        self._source = source
+        self._address = address
+        self._closed = asyncio.Event()
 
-async def _run(folder: pathlib.Path) -> None:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    async with aiohttp.ClientSession() as session:
-        fleet = fleet_lib.Fleet(session=session, logs=folder)
+    async def heartbeat(
+        self, req: peer_pb2.HeartbeatRequest, timeout_s: float
+    ) -> peer_pb2.HeartbeatReply:
+        """Asks the peer's service."""
+        return await self._call('Heartbeat', req, timeout_s)
+
+    async def execute(
+        self, req: peer_pb2.ExecuteRequest, timeout_s: float
+    ) -> peer_pb2.ExecuteReply:
+        """Asks the peer's service."""
+        return await self._call('Execute', req, timeout_s)
+
+    async def fetch_state(
+        self, req: peer_pb2.FetchStateRequest, timeout_s: float
+    ) -> bytes:
+        """Asks the peer's service."""
+        return await self._call('FetchState', req, timeout_s)
+
+    async def close(self) -> None:
+        """Ends the calls in progress."""
+        self._closed.set()
+
+    async def _call(self, method: str, req, timeout_s: float):
+        work = asyncio.ensure_future(self._deliver(method, req))
+        # What was sent goes on at the other end, whoever waits here.
+        self._fleet.keep(work)
+        closed = asyncio.ensure_future(self._closed.wait())
+        timer = asyncio.ensure_future(self._fleet.clock.sleep(timeout_s))
         try:
-            await _start(fleet)
-            await _wait_until_ready(fleet)
-            await _configure(fleet)
-            _write_files(fleet, folder)
-            print(f'ready; . {folder / "env"}', flush=True)
-            await _keep_list(fleet, stop)
+            await asyncio.wait(
+                {work, closed, timer}, return_when=asyncio.FIRST_COMPLETED
+            )
         finally:
-            await fleet.close()
+            closed.cancel()
+            timer.cancel()
+        if not work.done():
+            raise exceptions.RequestUncertain('the peer gave no answer')
+        return work.result()
 
+    async def _deliver(self, method: str, req):
+        clock = self._fleet.clock
+        await clock.sleep(_PEER_LATENCY_S)
+        peer = await self._fleet.reach(self._source, self._address)
+        answer = getattr(peer.service, method)(req, None)
+        if method == 'FetchState':
+            reply = b''.join([chunk.data async for chunk in answer])
+        else:
+            reply = await answer
+        await clock.sleep(_PEER_LATENCY_S)
+        await peer.gate.wait()
+        await self._fleet.reach(peer.name, self._source)
+        return reply
 
-def main(argv: t.Sequence[str]) -> int:
-    """Runs the fleet; returns the exit code."""
-    if len(argv) != 1:
-        print(__doc__, file=sys.stderr)
-        return 2
-    folder = pathlib.Path(argv[0])
-    folder.mkdir(parents=True, exist_ok=True)
-    (folder / 'env').unlink(missing_ok=True)
-    asyncio.run(_run(folder))
-    return 0
 
+class LocalFleet:
+    """Instances, workers, log and list, with faults between them.
+
+    :param racks: number of racks, with ``workers_per_rack`` workers each.
+    """
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        racks: int = 2,
+        workers_per_rack: int = 2,
+        log: log_lib.LogStandin | None = None,
+    ):
+        self.clock = clock_lib.FakeClock()
+        self.rng = random.Random(seed)
+        self.log = log or log_lib.LogStandin(
+            clock=self.clock, rng=random.Random(seed + 1), latency_s=0.002
+        )
+        self.list = instances.InstanceListStandin(
+            clock=self.clock, delay_s=_LIST_DELAY_S
+        )
+        self.instances: dict[str, LocalInstance] = {}
+        self.workers = [
+            _worker(rack, index)
+            for rack in range(racks)
+            for index in range(workers_per_rack)
+        ]
+        self.machines = {
+            worker.worker_id: machine_lib.Machine(
+                worker=worker,
+                clock=self.clock,
+                rng=random.Random(f'{seed}/{worker.worker_id}'),
+            )
+            for worker in self.workers
+        }
+        self._links: dict[str, worker_lib.WorkerStandin] = {
+            worker_id: worker_lib.WorkerStandin(
+                machine=machine, clock=self.clock, timeout_s=1.0
+            )
+            for worker_id, machine in self.machines.items()
+        }
+        self._cuts: set[frozenset[str]] = set()
+        self._kept: set[asyncio.Task] = set()
+
+    def start(self, name: str, zone: str = 'zone-1', **values) -> None:
+        """Starts an instance; one of the same name must be dead."""
+        gate = gate_lib.Gate()
+        clock = gate_lib.GatedClock(clock=self.clock, gate=gate)
+        cfg = settings.Settings.checked(
+            instance_id=name,
+            zone=zone,
+            http_address='127.0.0.1:1001',
+            peer_address='127.0.0.1:1002',
+            log_url='http://127.0.0.1:1003',
+            list_url='http://127.0.0.1:1004',
+            **values,
+        )
+        # Peers are found by name here, there are no sockets.
+        cfg = dataclasses.replace(cfg, peer_address=name)
+        parts = parts_lib.Parts(
+            cfg=cfg,
+            clock=clock,
+            links=self._platform_links(name, gate),
+            rng=random.Random(self.rng.random()),
+        )
+        service = peer_service.PeerService(
+            node=parts.node, peers=parts.peers, dispatcher=parts.dispatcher
+        )
+        self.instances[name] = LocalInstance(
+            parts=parts, gate=gate, service=service
+        )
+        self.list.set_phase(name, platform.InstancePhase.LIVE)
+        parts.start()
+
+    async def kill(self, name: str) -> None:
+        """Ends an instance without warning."""
+        instance = self.instances.pop(name)
+        instance.gate.kill()
+        for task in instance.parts.node.running_tasks():
+            task.cancel()
+        self.list.set_phase(name, None)
+        await self.clock.settle()
+
+    async def drain(self, name: str) -> bool:
+        """Shuts an instance down gracefully; returns whether it could."""
+        parts = self.instances[name].parts
+        work = asyncio.ensure_future(parts.drain())
+        while not work.done():
+            await self.clock.run_for(0.1)
+        for task in parts.node.running_tasks():
+            task.cancel()
+        del self.instances[name]
+        self.list.set_phase(name, None)
+        return work.result()
+
+    def cut(self, one: str, other: str) -> None:
+        """Lets nothing pass between two instances any more."""
+        self._cuts.add(frozenset((one, other)))
+
+    def heal(self) -> None:
+        """Removes all cuts."""
+        self._cuts.clear()
+
+    async def reach(self, source: str, target: str) -> LocalInstance:
+        """Returns the target once it can be reached and runs."""
+        while True:
+            if frozenset((source, target)) in self._cuts:
+                await self.clock.sleep(0.05)
+                continue
+            instance = self.instances.get(target)
+            if instance is None:
+                raise exceptions.RequestUncertain('the connection is reset')
+            await instance.gate.wait()
+            return instance
+
+    def keep(self, task: asyncio.Task) -> None:
+        """Keeps work that nobody waits for until it ends."""
+        self._kept.add(task)
+        task.add_done_callback(self._forget)
+
+    async def configure(self, through: str) -> None:
+        """Enters the workers, one tenant and its service."""
+        for worker in self.workers:
+            await self.change(
+                through, f'worker/{worker.worker_id}', _worker_body(worker)
+            )
+        tenant = world_pb2.Tenant(tenant_id=TENANT, weight=1.0)
+        await self.change(through, f'tenant/{TENANT}', tenant)
+        service = world_pb2.Service(
+            service_id=SERVICE,
+            tenant_id=TENANT,
+            size=world_pb2.Size(cores=1, memory_mb=100),
+            timeout_ms=1000,
+            reserved_slots=2,
+            task_class='plan',
+        )
+        await self.change(through, f'service/{SERVICE}', service)
+
+    async def change(self, through: str, key: str, body, **fields):
+        """Sends a change through an instance and returns its result."""
+        change = world_pb2.Change(
+            change_id=f'{key}/{self.rng.random()}', key=key, **fields
+        )
+        kind = key.partition('/')[0]
+        getattr(change, kind).CopyFrom(body)
+        record = records_pb2.Record(change=change)
+        journal = self.instances[through].parts.node.journal
+        return await self.finish(journal.write(record, _CHANGE_TIMEOUT_S))
 
-if __name__ == '__main__':
-    sys.exit(main(sys.argv[1:]))
+    async def finish(self, work: t.Awaitable, at_most_s: float = 60.0):
+        """Moves time on until some work is done; returns its result."""
+        task = asyncio.ensure_future(work)
+        until = self.clock.monotonic() + at_most_s
+        while not task.done() and self.clock.monotonic() < until:
+            await self.clock.run_for(0.05)
+        if not task.done():
+            task.cancel()
+            raise TimeoutError('the work is not done in time')
+        return task.result()
+
+    async def call(
+        self, through: str, request_id: str, idempotent: bool = True
+    ) -> peer_pb2.ExecuteReply:
+        """Sends a request through an instance."""
+        req = router.CallerRequest(
+            request_id=ids.RequestId(request_id),
+            tenant_id=TENANT,
+            service_id=SERVICE,
+            payload=payload_of(request_id),
+            idempotent=idempotent,
+        )
+        return await self.instances[through].parts.router.call(req)
+
+    async def submit(self, through: str, job_id: str, run_s: float, **fields):
+        """Submits a batch job through an instance."""
+        job = self.make_job(job_id, run_s, **fields)
+        submissions = self.instances[through].parts.submissions
+        return await self.finish(submissions.submit(job))
+
+    def make_job(self, job_id: str, run_s: float, **fields) -> world_pb2.Job:
+        """Describes a batch job of a given run time."""
+        payload = f'{{"run_ms": {round(run_s * 1000)}, "label": "{job_id}"}}'
+        return world_pb2.Job(
+            job_id=job_id,
+            tenant_id=TENANT,
+            task_class='sort',
+            declared=world_pb2.Size(cores=1, memory_mb=100),
+            payload=payload.encode(),
+            **fields,
+        )
+
+    def job(self, job_id: str):
+        """Describes a job as some running instance knows it."""
+        instance = max(
+            self.instances.values(),
+            key=lambda i: i.parts.node.state.next_offset,
+        )
+        return instance.parts.submissions.show(TENANT, job_id)
+
+    def owner(self, rack_id: str) -> str:
+        """Returns the instance that owns a rack by the newest state."""
+        newest = max(
+            (i.parts.node.state for i in self.instances.values()),
+            key=lambda state: state.next_offset,
+        )
+        return newest.racks.holdings[ids.RackId(rack_id)].owner.instance
+
+    def serving(self, rack_id: str) -> list[str]:
+        """Returns the instances that would admit work on a rack now."""
+        return [
+            name
+            for name, instance in self.instances.items()
+            if instance.parts.node.ownership.admits(ids.RackId(rack_id))
+        ]
+
+    def runs(self, subject_part: str) -> list[history.Run]:
+        """Returns the runs on all workers whose subject has a part."""
+        return [
+            run
+            for machine in self.machines.values()
+            for run in machine.history.runs
+            if subject_part in run.subject
+        ]
+
+    def violations(self) -> list[history.Violation]:
+        """Returns each time that a worker's limit was exceeded."""
+        return [
+            violation
+            for machine in self.machines.values()
+            for violation in machine.history.violations
+        ]
+
+    def overlaps(self) -> list[tuple[history.Run, history.Run]]:
+        """Returns pairs of runs of one batch job at the same time."""
+        by_job: dict[ids.JobId, list[history.Run]] = {}
+        for run in self.runs('job:'):
+            job_id, _ = ids.split_batch_task_id(ids.TaskId(run.subject))
+            by_job.setdefault(job_id, []).append(run)
+        return [
+            (first, second)
+            for runs in by_job.values()
+            for index, first in enumerate(runs)
+            for second in runs[index + 1 :]
+            if _overlap(first, second)
+        ]
+
+    async def close(self) -> None:
+        """Ends all tasks."""
+        for name in list(self.instances):
+            await self.kill(name)
+        for machine in self.machines.values():
+            await machine.close()
+        await waiting.cancel(*self._kept)
+
+    def _platform_links(
+        self, name: str, gate: gate_lib.Gate
+    ) -> node_lib.PlatformLinks:
+        def connect(worker: world.Worker) -> platform.WorkerLink:
+            link = self._links[worker.worker_id]
+            return gate_lib.Gated(target=link, gate=gate)
+
+        def connect_peer(address: str) -> _LocalChannel:
+            channel = _LocalChannel(fleet=self, source=name, address=address)
+            return gate_lib.Gated(target=channel, gate=gate)
+
+        return node_lib.PlatformLinks(
+            log=gate_lib.Gated(target=self.log, gate=gate),
+            instances=gate_lib.Gated(target=self.list, gate=gate),
+            connect=connect,
+            connect_peer=connect_peer,
+        )
+
+    def _forget(self, task: asyncio.Task) -> None:
+        self._kept.discard(task)
+        if not task.cancelled():
+            task.exception()
+
+
+def payload_of(request_id: str) -> bytes:
+    """Returns the payload that ``call`` sends."""
+    return b'payload of ' + request_id.encode()
+
+
+def _overlap(first: history.Run, second: history.Run) -> bool:
+    starts = max(first.started_s, second.started_s)
+    ends = [run.ended_s for run in (first, second) if run.ended_s is not None]
+    return not ends or starts < min(ends)
+
+
+def _worker(rack: int, index: int) -> world.Worker:
+    return world.Worker(
+        worker_id=ids.WorkerId(f'worker-{rack}-{index}'),
+        address=f'127.0.0.1:{2000 + rack * 100 + index}',
+        rack_id=ids.RackId(f'rack-{rack}'),
+        zone_id=ids.ZoneId('zone-1'),
+        capacity=world.Size(cores=32, memory_mb=125_000),
+        slots=8,
+        connections=60,
+    )
+
+
+def _worker_body(worker: world.Worker) -> world_pb2.Worker:
+    return world_pb2.Worker(
+        worker_id=worker.worker_id,
+        address=worker.address,
+        rack_id=worker.rack_id,
+        zone_id=worker.zone_id,
+        capacity=world_pb2.Size(
+            cores=worker.capacity.cores, memory_mb=worker.capacity.memory_mb
+        ),
+        slots=worker.slots,
+        connections=worker.connections,
+    )
--- a/packages/amaranthflow/src/amaranthflow/journal.py
+++ b/packages/amaranthflow/src/amaranthflow/journal.py
@@ -131,6 +131,15 @@
                 exceptions.RequestUncertain('its result was not seen')
             )
 
+    def note_readable(self) -> None:
+        """The log answers readers again.
+
+        Without a batch on its way only the next append can tell whether it
+        takes records too, so the journal counts as reachable until then.
+        """
+        if self._batch_seen:
+            self.reachable = True
+
     async def run(self) -> t.NoReturn:
         """Sends batches until cancelled."""
         while True:
--- /dev/null
+++ b/tests/steps/fleet_steps.py
@@ -0,0 +1,434 @@
+"""Steps for fleet.feature."""
+
+import asyncio
+
+import behave
+
+from amaranthflow import exceptions
+from amaranthflow import ids
+from amaranthflow import platform
+from amaranthflow import verdict
+from amaranthflow_schema.v1 import world_pb2
+from amaranthflow_standins import fleet_fuzz
+from amaranthflow_standins import history
+from amaranthflow_standins import local_fleet
+
+_CHECK_S = 0.1
+_FUZZ_STEPS = 100
+
+
+def _run(context, work):
+    return context.loop.run_until_complete(work)
+
+
+async def _advance(fleet, seconds):
+    left_s = seconds
+    while left_s > 1e-9:
+        await fleet.clock.run_for(min(_CHECK_S, left_s))
+        left_s -= _CHECK_S
+        _check(fleet)
+
+
+def _check(fleet):
+    for rack in ('rack-0', 'rack-1'):
+        assert len(fleet.serving(rack)) < 2, fleet.serving(rack)
+    assert not fleet.violations(), fleet.violations()
+    assert not fleet.overlaps(), fleet.overlaps()
+
+
+def _close(context):
+    _run(context, context.fleet.close())
+    context.loop.close()
+
+
+@behave.given('a fleet of {count:d} instances')
+def step_fleet(context, count):
+    context.loop = asyncio.new_event_loop()
+    context.fleet = local_fleet.LocalFleet(seed=1)
+    context.add_cleanup(_close, context)
+    _run(context, _start(context.fleet, count))
+
+
+async def _start(fleet, count):
+    for index in range(count):
+        fleet.start(f'i{index}')
+    await fleet.clock.run_for(2.0)
+    await fleet.configure('i0')
+    await fleet.clock.run_for(5.0)
+
+
+@behave.when('the fleet runs for {seconds:g} s')
+def step_run(context, seconds):
+    _run(context, _advance(context.fleet, seconds))
+
+
+@behave.when('fleet job "{job}" of {seconds:g} s is submitted')
+def step_submit(context, job, seconds):
+    _submit(context, job, seconds, idempotent=True)
+
+
+@behave.when('non-idempotent fleet job "{job}" of {seconds:g} s is submitted')
+def step_submit_once(context, job, seconds):
+    _submit(context, job, seconds, idempotent=False)
+
+
+@behave.when('failing fleet job "{job}" is submitted')
+def step_submit_failing(context, job):
+    for machine in context.fleet.machines.values():
+        machine.set_faults(fails_everything=True)
+    _submit(context, job, 1.0, idempotent=True)
+
+
+def _submit(context, job, seconds, idempotent):
+    name = next(iter(context.fleet.instances))
+    work = context.fleet.submit(name, job, seconds, idempotent=idempotent)
+    _run(context, work)
+
+
+@behave.when('fleet job "{job}" is cancelled')
+def step_cancel(context, job):
+    instance = next(iter(context.fleet.instances.values()))
+    work = instance.parts.submissions.cancel(local_fleet.TENANT, job)
+    _run(context, context.fleet.finish(work))
+
+
+def _newest_state(fleet):
+    states = (i.parts.node.state for i in fleet.instances.values())
+    return max(states, key=lambda state: state.next_offset)
+
+
+def _entry(fleet, job):
+    jobs = _newest_state(fleet).jobs.jobs
+    return next(e for key, e in jobs.items() if key.job_id == job)
+
+
+@behave.when('the fleet instance that runs job "{job}" is killed')
+@behave.when('the fleet instance that owns job "{job}" is killed')
+def step_kill_owner_of_job(context, job):
+    owner = context.fleet.owner(_entry(context.fleet, job).rack_id)
+    _run(context, context.fleet.kill(owner))
+
+
+@behave.when('the fleet owner of "{rack}" is killed')
+def step_kill_owner(context, rack):
+    _run(context, context.fleet.kill(context.fleet.owner(rack)))
+
+
+@behave.when('fleet instance "{name}" is killed')
+def step_kill(context, name):
+    _run(context, context.fleet.kill(name))
+
+
+@behave.when('all fleet instances but one are killed')
+def step_kill_most(context):
+    for name in sorted(context.fleet.instances)[1:]:
+        _run(context, context.fleet.kill(name))
+
+
+@behave.when('fleet instance "{name}" starts')
+def step_start(context, name):
+    _run(context, _start_one(context.fleet, name))
+
+
+async def _start_one(fleet, name):
+    fleet.start(name)
+
+
+@behave.when('the fleet owner of "{rack}" is paused')
+def step_pause(context, rack):
+    context.paused = context.fleet.owner(rack)
+    context.fleet.instances[context.paused].gate.pause()
+
+
+@behave.when('the paused fleet instances resume')
+def step_resume(context):
+    context.fleet.instances[context.paused].gate.resume()
+
+
+@behave.when('the fleet owner of "{rack}" is cut from all others')
+def step_cut(context, rack):
+    owner = context.fleet.owner(rack)
+    for name in context.fleet.instances:
+        if name != owner:
+            context.fleet.cut(owner, name)
+
+
+@behave.when('the fleet log is down')
+def step_log_down(context):
+    context.fleet.log.set_faults(down=True)
+
+
+@behave.when('the fleet log answers again')
+def step_log_up(context):
+    context.fleet.log.set_faults(down=False)
+
+
+@behave.when('the fleet log loses {count:d} replies')
+def step_lose_replies(context, count):
+    context.fleet.log.set_faults(lose_replies=count)
+
+
+def _worker_of(context, job):
+    return context.fleet.machines[_entry(context.fleet, job).worker_id]
+
+
+@behave.when('the fleet worker that runs job "{job}" dies')
+def step_worker_dies(context, job):
+    _worker_of(context, job).set_faults(dead=True)
+
+
+@behave.when('the fleet worker that runs job "{job}" freezes')
+def step_worker_freezes(context, job):
+    _worker_of(context, job).set_faults(frozen=True)
+
+
+@behave.when('the fleet worker that runs job "{job}" is leaving')
+def step_worker_leaves(context, job):
+    context.left = _worker_of(context, job).worker.worker_id
+    context.fleet.list.set_phase(context.left, platform.InstancePhase.LEAVING)
+
+
+@behave.when('the fleet workers die')
+def step_workers_die(context):
+    for machine in context.fleet.machines.values():
+        machine.set_faults(dead=True)
+
+
+@behave.when('the fleet workers return')
+def step_workers_return(context):
+    for machine in context.fleet.machines.values():
+        machine.set_faults(dead=False, frozen=False)
+
+
+@behave.when('the fleet worker that runs job "{job}" is given {slots:d} slots')
+def step_change_slots(context, job, slots):
+    worker_id = _entry(context.fleet, job).worker_id
+    _change_slots(context, worker_id, slots)
+
+
+@behave.when(
+    'a fleet booking lowers worker "{worker}" to {slots:d} slots in'
+    ' {seconds:d} s'
+)
+def step_book_slots(context, worker, slots, seconds):
+    at_ms = context.fleet.clock.wall_ms() + seconds * 1000
+    _change_slots(context, worker, slots, effective_at_ms=at_ms)
+
+
+def _change_slots(context, worker_id, slots, **fields):
+    fleet = context.fleet
+    timelines = _newest_state(fleet).config.timelines()
+    key = f'worker/{worker_id}'
+    timeline = next(line for line in timelines if line.key == key)
+    body = world_pb2.Worker()
+    body.CopyFrom(timeline.versions[-1].change.worker)
+    body.slots = slots
+    name = next(iter(fleet.instances))
+    work = fleet.change(
+        name, key, body, expected_version=timeline.version, **fields
+    )
+    result = _run(context, work)
+    assert result.accepted, result.reason
+
+
+@behave.then(
+    'the fleet owner of "{rack}" counts {slots:d} slots on "{worker}"'
+)
+def step_count_slots(context, rack, slots, worker):
+    owner = context.fleet.instances[context.fleet.owner(rack)]
+    site = owner.parts.sites.by_id[ids.WorkerId(worker)]
+    assert site.ledger.worker.slots == slots, site.ledger.worker.slots
+
+
+@behave.then(
+    'the fleet ledger of the worker that runs job "{job}" holds {count:d} task'
+)
+def step_ledger(context, job, count):
+    entry = _entry(context.fleet, job)
+    owner = context.fleet.instances[context.fleet.owner(entry.rack_id)]
+    site = owner.parts.sites.by_id[entry.worker_id]
+    assert site.ledger.worker.slots == 7, site.ledger.worker
+    assert len(site.ledger.tasks) == count, site.ledger.tasks
+
+
+def _job_runs(context, job):
+    runs = context.fleet.runs(f'/{job}:')
+    return sorted(runs, key=lambda run: run.started_s)
+
+
+@behave.then('fleet job "{job}" is "{phase}" after {count:d} runs')
+def step_job_after(context, job, phase, count):
+    step_job(context, job, phase)
+    runs = _job_runs(context, job)
+    assert len(runs) == count, runs
+
+
+@behave.then('fleet job "{job}" is "{phase}"')
+def step_job(context, job, phase):
+    reply = context.fleet.job(job)
+    assert reply.phase == phase, reply
+
+
+@behave.then('the last fleet run of job "{job}" resumed from a checkpoint')
+def step_resumed(context, job):
+    assert _job_runs(context, job)[-1].checkpoint
+
+
+@behave.then('each fleet rack is served')
+def step_all_served(context):
+    for rack in ('rack-0', 'rack-1'):
+        assert len(context.fleet.serving(rack)) == 1, rack
+
+
+@behave.then('fleet rack "{rack}" is not served')
+def step_not_served(context, rack):
+    assert not context.fleet.serving(rack)
+
+
+@behave.then('fleet rack "{rack}" is served by another instance')
+def step_served_by_other(context, rack):
+    serving = context.fleet.serving(rack)
+    assert len(serving) == 1, serving
+    assert serving != [context.paused], serving
+
+
+async def _told(fleet, name, request_id, idempotent):
+    try:
+        reply = await fleet.call(name, request_id, idempotent)
+    except exceptions.AmaranthflowError as exc:
+        return exc.verdict
+    assert reply.payload, reply
+    return verdict.Verdict.COMPLETED
+
+
+def _call(context, name, request_id, idempotent=True):
+    work = _told(context.fleet, name, request_id, idempotent)
+    return _run(context, context.fleet.finish(work))
+
+
+@behave.then('fleet call "{request}" through each instance is answered')
+def step_calls_answered(context, request):
+    for name in list(context.fleet.instances):
+        told = _call(context, name, f'{request}-{name}')
+        assert told is verdict.Verdict.COMPLETED, (name, told)
+
+
+@behave.then('a fleet job submitted now is refused as not run')
+def step_job_refused(context):
+    name = next(iter(context.fleet.instances))
+    try:
+        _run(context, context.fleet.submit(name, 'refused', 1.0))
+    except exceptions.AmaranthflowError as exc:
+        assert exc.verdict is verdict.Verdict.NOT_RUN, exc
+    else:
+        raise AssertionError('the job was accepted')
+    assert not _job_runs(context, 'refused')
+
+
+@behave.then('a non-idempotent fleet call now is refused as not run')
+def step_call_refused(context):
+    name = next(iter(context.fleet.instances))
+    told = _call(context, name, 'once', idempotent=False)
+    assert told is verdict.Verdict.NOT_RUN, told
+    assert not context.fleet.runs('once')
+
+
+@behave.when(
+    'non-idempotent fleet call "{request}" is sent through each instance'
+)
+def step_send_once(context, request):
+    context.told = [
+        _call(context, name, request, idempotent=False)
+        for name in list(context.fleet.instances)
+    ]
+
+
+@behave.then('fleet call "{request}" has {count:d} runs and was answered once')
+def step_ran_once(context, request, count):
+    runs = [r for r in context.fleet.runs(request) if r.subject == request]
+    assert len(runs) == count, runs
+    answered = context.told.count(verdict.Verdict.COMPLETED)
+    assert answered == 1, context.told
+
+
+@behave.then('every answer to the fleet call is "{label}"')
+def step_every_answer(context, label):
+    assert {told.label for told in context.told} == {label}, context.told
+
+
+@behave.then('fleet calls of {seconds:g} s run on other workers')
+def step_other_workers(context, seconds):
+    fleet = context.fleet
+    since_s = fleet.clock.monotonic()
+    for index in range(int(seconds * 10)):
+        name = sorted(fleet.instances)[index % len(fleet.instances)]
+        _call(context, name, f'busy-{index}')
+    new = [r for r in fleet.runs('busy-') if r.started_s >= since_s]
+    assert len(new) >= int(seconds * 10), len(new)
+    assert context.left not in {run.worker_id for run in new}
+
+
+@behave.when('the fleet instance that owns job "{job}" drains under calls')
+def step_drain(context, job):
+    fleet = context.fleet
+    owner = fleet.owner(_entry(fleet, job).rack_id)
+    context.told = {}
+    _run(context, _drain_under_calls(fleet, owner, context.told))
+
+
+async def _drain_under_calls(fleet, owner, told):
+    drain = asyncio.ensure_future(fleet.instances[owner].parts.drain())
+    calls = []
+    index = 0
+    while not drain.done():
+        for name in sorted(fleet.instances):
+            request_id = f'drain-{index}'
+            index += 1
+            calls.append(
+                asyncio.ensure_future(_note(fleet, name, request_id, told))
+            )
+        await _advance(fleet, _CHECK_S)
+    await fleet.finish(asyncio.gather(*calls))
+    assert drain.result(), 'the drain took too long'
+    await fleet.kill(owner)
+
+
+async def _note(fleet, name, request_id, told):
+    told[request_id] = await _told(fleet, name, request_id, True)
+
+
+@behave.then('each fleet call was answered or truly not run')
+def step_drained_calls(context):
+    assert len(context.told) > 10, context.told
+    for request_id, told in context.told.items():
+        runs = [
+            run
+            for run in context.fleet.runs(request_id)
+            if run.kind is history.RunKind.REQUEST
+            and run.subject == request_id
+        ]
+        assert told is not verdict.Verdict.MAY_HAVE_RUN, request_id
+        completed = told is verdict.Verdict.COMPLETED
+        assert bool(runs) == completed, (request_id, told, runs)
+
+
+@behave.then('fleet instance "{name}" is ready')
+def step_ready(context, name):
+    node = context.fleet.instances[name].parts.node
+    assert node.ready
+    assert node.joined
+
+
+@behave.then('fleet instance "{name}" is not ready')
+def step_not_ready(context, name):
+    assert not context.fleet.instances[name].parts.node.ready
+
+
+@behave.then(
+    'a fleet with random failures of seed {seed:d} keeps its promises'
+)
+def step_fuzz(context, seed):
+    fuzz = fleet_fuzz.FleetFuzz(seed=seed)
+    broken = _run(context, fuzz.run(_FUZZ_STEPS))
+    assert not broken, broken
+    assert len(fuzz.events) > 5, fuzz.events
