--- a/packages/amaranthflow-standins/src/amaranthflow_standins/demo.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/demo.py
@@ -326,16 +326,28 @@
         choices=[scenario.value for scenario in scenarios.Scenario],
         default=scenarios.Scenario.INSTANCE_LOSS.value,
     )
+    parser.add_argument(
+        '--logs',
+        type=pathlib.Path,
+        help='folder that keeps the output of all processes',
+    )
     return parser.parse_args(argv)
 
 
+def _log_folder(wanted: pathlib.Path | None) -> pathlib.Path:
+    if wanted is None:
+        return pathlib.Path(tempfile.mkdtemp(prefix='amaranthflow-demo-'))
+    wanted.mkdir(parents=True, exist_ok=True)
+    return wanted
+
+
 def main(argv: t.Sequence[str] | None = None) -> int:
     """Runs the demo; returns 0, or 1 where a promise was broken.
 
-    The logs of all processes are kept only if it returns 1.
+    The output of all processes is kept if it returns 1 or ``--logs`` asks.
     """
     arguments = _parse(argv)
-    logs = pathlib.Path(tempfile.mkdtemp(prefix='amaranthflow-demo-'))
+    logs = _log_folder(arguments.logs)
     code = 1
     try:
         code = asyncio.run(_run(arguments, logs))
@@ -343,7 +355,7 @@
         scenarios.tell(f'failed: {exc}')
     except KeyboardInterrupt:
         scenarios.tell('interrupted')
-    if code == 0:
+    if code == 0 and arguments.logs is None:
         with contextlib.suppress(OSError):
             shutil.rmtree(logs)
     else:
