Daemon: refuse requests at once where no worker is open

Cause: load summaries of peers are up to a heartbeat old. A request sent to an instance that had just handed over its last open rack, while another rack's takeover still waited, joined the admission queue, which nothing woke; it was refused after its whole timeout. Change: reserving raises NotReady where no worker is open, so the entry instance tries another owner; closing or removing workers wakes the queue, so that those who wait are refused too.

--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/dispatch.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/dispatch.py
@@ -157,6 +157,9 @@
         reply.service_time_us = int(spent_s * _US_PER_S)
 
     def _try_reserve(self, entrant: _Entrant) -> _Reservation | None:
+        if not self._sites.open:
+            # Another owner may have room, so the request must not wait here.
+            raise exceptions.NotReady('no worker of this instance is open')
         if not self._node.ownership.fresh():
             return None
         task = world.Task(
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/sites.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/sites.py
@@ -188,7 +188,8 @@
 class Sites:
     """All sites of this instance, kept in step with the configuration.
 
-    :ivar on_room: called when a worker may have got room.
+    :ivar on_room: called when workers were opened, closed or removed, and
+        when one may have got room.
     """
 
     def __init__(
@@ -239,6 +240,7 @@
             if worker_id not in self.by_id:
                 self._add(worker, epochs[worker.rack_id])
         self._reserve_slots()
+        self._tell()
 
     def note_leaving(self, names: frozenset[str]) -> None:
         """Takes the workers that the platform's list calls leaving."""
@@ -257,6 +259,11 @@
         for site in self.of_rack(rack_id):
             site.update()
 
+    @property
+    def open(self) -> bool:
+        """True while any worker of this instance takes new work."""
+        return any(not site.ledger.leaving for site in self.by_id.values())
+
     def load(self) -> peer_pb2.LoadSummary:
         """Sums the slots of the workers that admit work."""
         summary = peer_pb2.LoadSummary()
@@ -340,6 +347,9 @@
 
     def _note_change(self, site: WorkerSite) -> None:
         self._placer.changed(site.worker.worker_id)
+        self._tell()
+
+    def _tell(self) -> None:
         for listener in self.on_room:
             listener()
 
