--- a/packages/amaranthflow-standins/src/amaranthflow_standins/fleet.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/fleet.py
@@ -122,6 +122,14 @@
         await instance.process.wait()
         await self.set_phase(instance_id, None)
 
+    def pause(self, instance_id: ids.InstanceId) -> None:
+        """Stops an instance where it is; its connections stay open."""
+        self.instances[instance_id].process.send_signal(signal.SIGSTOP)
+
+    def resume(self, instance_id: ids.InstanceId) -> None:
+        """Lets a paused instance go on."""
+        self.instances[instance_id].process.send_signal(signal.SIGCONT)
+
     async def drain(
         self, instance_id: ids.InstanceId, timeout_s: float
     ) -> int | None:
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/scenarios.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/scenarios.py
@@ -18,6 +18,8 @@
     INSTANCE_LOSS = 'instance-loss'
     LOG_OUTAGE = 'log-outage'
     WORKER_LOSS = 'worker-loss'
+    INSTANCE_PAUSE = 'instance-pause'
+    LOST_REPLIES = 'lost-replies'
 
 
 class Faults:
@@ -38,12 +40,14 @@
 
     async def run(self, scenario: Scenario) -> None:
         """Runs the scenario to its end."""
-        if scenario is Scenario.INSTANCE_LOSS:
-            await self._lose_instances()
-        elif scenario is Scenario.LOG_OUTAGE:
-            await self._stop_log()
-        else:
-            await self._lose_workers()
+        causes = {
+            Scenario.INSTANCE_LOSS: self._lose_instances,
+            Scenario.LOG_OUTAGE: self._stop_log,
+            Scenario.WORKER_LOSS: self._lose_workers,
+            Scenario.INSTANCE_PAUSE: self._pause_instance,
+            Scenario.LOST_REPLIES: self._lose_replies,
+        }
+        await causes[scenario]()
 
     async def _pass(self, share: float) -> None:
         await self._clock.sleep(self._seconds * share)
@@ -96,6 +100,30 @@
         tell(f'worker {frozen} wakes')
         await self._fleet.set_worker(frozen, frozen=False)
 
+    async def _pause_instance(self) -> None:
+        paused, *_ = self._fleet.instances
+        await self._pass(0.2)
+        tell(f'{paused} is paused')
+        self._fleet.pause(paused)
+        await self._pass(0.5)
+        tell(f'{paused} wakes')
+        self._fleet.resume(paused)
+
+    async def _lose_replies(self) -> None:
+        await self._fleet.set_log(
+            lost_reply_share=0.03, lost_request_share=0.02
+        )
+        for worker_id in self._fleet.worker_addresses:
+            await self._fleet.set_worker(
+                worker_id,
+                garbage_share=0.02,
+                cut_short_share=0.02,
+                foreign_share=0.02,
+                late_share=0.02,
+                duplicated_start_share=0.3,
+                late_s=1.0,
+            )
+
 
 def tell(text: str) -> None:
     """Prints a line of progress."""
