Daemon: hold the slot of a lost request until the worker is heard again

Change: the slot of a request without an answer is freed its timeout after the worker's next answer to another question. PlatformFailed, a kind of PlatformUncertain, says that a call has ended, so that damaged answers and failures free the slot at once. Polls and renewals use the timeout of 1 s that the reckoning of lapsed leases assumes; the adapter's default was 3 s.

--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/dispatch.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/dispatch.py
@@ -19,6 +19,7 @@
 from . import sites as sites_lib
 
 _ANSWER_MARGIN_MS = 5
+_CONTACT_POLL_S = 0.1
 _MS_PER_S = 1000
 _US_PER_S = 1_000_000
 
@@ -39,7 +40,8 @@
     """Admits requests to workers' slots and calls the backend servers.
 
     A slot stays reserved until the request surely no longer runs: until
-    the answer, or until its time has passed where the answer is lost.
+    the answer, or where that is lost until the worker has answered another
+    question and the request's time has passed since.
     """
 
     def __init__(
@@ -139,14 +141,17 @@
         )
         try:
             payload = await reservation.site.link.call(call)
+        except exceptions.PlatformFailed as exc:
+            self._free(reservation)
+            raise exceptions.RequestUncertain(exc.reason) from exc
         except exceptions.PlatformUncertain as exc:
-            self._free_later(reservation, entrant.deadline_s)
+            self._free_later(reservation, started_at, timeout_ms)
             raise exceptions.RequestUncertain(exc.reason) from exc
         except exceptions.PlatformError:
             self._free(reservation)
             raise
         except asyncio.CancelledError:
-            self._free_later(reservation, entrant.deadline_s)
+            self._free_later(reservation, started_at, timeout_ms)
             raise
         self._free(reservation)
         spent_s = clock.monotonic() - started_at
@@ -187,14 +192,29 @@
         self._release(reservation)
         self.queue.wake()
 
-    def _free_later(self, reservation: _Reservation, at_s: float) -> None:
+    def _free_later(
+        self, reservation: _Reservation, sent_at: float, timeout_ms: int
+    ) -> None:
         self._node.spawn(
-            self._free_at(reservation, at_s),
+            self._free_ended(reservation, sent_at, timeout_ms),
             f'free {reservation.task.task_id}',
         )
 
-    async def _free_at(self, reservation: _Reservation, at_s: float) -> None:
+    async def _free_ended(
+        self, reservation: _Reservation, sent_at: float, timeout_ms: int
+    ) -> None:
+        """Frees a slot once a request without answer surely has ended.
+
+        A worker that stood still may begin it only when it wakes, so its
+        time counts from the worker's next answer to any question.
+        """
+        site = reservation.site
+        while (answered_at := site.answered_after(sent_at)) is None:
+            if self._sites.by_id.get(site.worker.worker_id) is not site:
+                return
+            await self._node.clock.sleep(_CONTACT_POLL_S)
         margin_s = self._node.cfg.clock_margin_s
-        left_s = at_s + margin_s - self._node.clock.monotonic()
+        ended_at = answered_at + timeout_ms / _MS_PER_S + margin_s
+        left_s = ended_at - self._node.clock.monotonic()
         await self._node.clock.sleep(max(0.0, left_s))
         self._free(reservation)
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/process.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/process.py
@@ -24,6 +24,7 @@
 from . import peer_channel
 from . import peer_service
 from . import settings
+from . import sites
 
 _SERVER_OPTIONS = (*peer_channel.OPTIONS, ('grpc.so_reuseport', 0))
 
@@ -115,7 +116,11 @@
     cfg: settings.Settings, session: aiohttp.ClientSession
 ) -> node_lib.PlatformLinks:
     def connect(worker: world.Worker) -> adapters.HttpWorkerLink:
-        return adapters.HttpWorkerLink(session=session, address=worker.address)
+        return adapters.HttpWorkerLink(
+            session=session,
+            address=worker.address,
+            timeout_s=sites.POLL_TIMEOUT_S,
+        )
 
     return node_lib.PlatformLinks(
         log=adapters.HttpLogService(session=session, url=cfg.log_url),
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/sites.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/sites.py
@@ -1,6 +1,8 @@
 """Workers of the racks that this instance owns."""
 
 import asyncio
+import collections
+import dataclasses
 import typing as t
 
 from amaranthflow import exceptions
@@ -14,8 +16,9 @@
 from . import node as node_lib
 
 _POLLS_PER_LEASE = 4
-_POLL_TIMEOUT_S = 1.0
+POLL_TIMEOUT_S = 1.0
 _RETIRE_POLL_S = 0.25
+_KEPT_CONTACTS = 16
 
 
 class Reconciler(t.Protocol):
@@ -43,6 +46,14 @@
         """Drops what is known of a worker that was given up."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Contact:
+    """A question that the worker answered, monotonic times."""
+
+    asked_at: float
+    answered_at: float
+
+
 class WorkerSite:
     """One worker, its ledger and the task that keeps in touch with it.
 
@@ -79,6 +90,9 @@
         self.known = False
         self.answering = False
         self.renewed_at = node.clock.monotonic()
+        self._contacts: collections.deque[_Contact] = collections.deque(
+            maxlen=_KEPT_CONTACTS
+        )
 
     @property
     def admits(self) -> bool:
@@ -98,6 +112,17 @@
         racks = self._node.ownership.serving()
         return racks.get(self.worker.rack_id) == self.epoch
 
+    def answered_after(self, at: float) -> float | None:
+        """Returns when a question asked after ``at`` was first answered.
+
+        None while there was no such answer: what was sent to the worker
+        before may not have begun there yet.
+        """
+        for contact in self._contacts:
+            if contact.asked_at > at:
+                return contact.answered_at
+        return None
+
     def update(self) -> None:
         """Opens or closes the ledger for new work."""
         open_now = self.known and self.answering and self.serving
@@ -133,6 +158,11 @@
         except exceptions.AmaranthflowError as exc:
             await self._note_silence(exc)
             return
+        self._contacts.append(
+            _Contact(
+                asked_at=asked_at, answered_at=self._node.clock.monotonic()
+            )
+        )
         keep = await self._reconciler.reconcile(self, reports, asked_at)
         self._note_answer()
         await self._renew(keep)
@@ -181,7 +211,7 @@
         silent_s = self._node.clock.monotonic() - self.renewed_at
         # The last renewal may have reached the worker as late as its
         # timeout allows.
-        if silent_s > _POLL_TIMEOUT_S + cfg.task_lease_s + cfg.clock_margin_s:
+        if silent_s > POLL_TIMEOUT_S + cfg.task_lease_s + cfg.clock_margin_s:
             await self._reconciler.lapsed(self)
 
 
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/machine.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/machine.py
@@ -70,7 +70,7 @@
     service_time_us: int
 
 
-class BackendFailed(exceptions.PlatformUncertain):
+class BackendFailed(exceptions.PlatformFailed):
     """The backend server began the request and failed."""
 
 
--- a/packages/amaranthflow/src/amaranthflow/exceptions.py
+++ b/packages/amaranthflow/src/amaranthflow/exceptions.py
@@ -46,6 +46,10 @@
     verdict = verdict_lib.Verdict.MAY_HAVE_RUN
 
 
+class PlatformFailed(PlatformUncertain):
+    """A call took effect at least in part and has ended without a result."""
+
+
 class OffsetExpired(PlatformError):
     """The log no longer keeps the requested offset."""
 
--- a/packages/amaranthflow/src/amaranthflow/http_calls.py
+++ b/packages/amaranthflow/src/amaranthflow/http_calls.py
@@ -16,6 +16,7 @@
 NOT_RUN = 'not-run'
 
 _NOT_RUN_STATUSES = (429, 503)
+_FAILED_STATUS = 500
 _KEEPALIVE_IDLE_S = 2
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 3
@@ -99,6 +100,7 @@
     """Accepts 200 only.
 
     :raises PlatformError: the answer says that nothing ran.
+    :raises PlatformFailed: status 500, the call has ended.
     :raises PlatformUncertain: any other status.
     """
     if resp.status == 200:
@@ -107,6 +109,8 @@
     verdict = resp.headers.get(VERDICT_HEADER)
     if resp.status in _NOT_RUN_STATUSES and verdict == NOT_RUN:
         raise exceptions.PlatformError(reason)
+    if resp.status == _FAILED_STATUS:
+        raise exceptions.PlatformFailed(reason)
     raise exceptions.PlatformUncertain(reason)
 
 
--- a/packages/amaranthflow/src/amaranthflow/worker_adapter.py
+++ b/packages/amaranthflow/src/amaranthflow/worker_adapter.py
@@ -36,15 +36,15 @@
 ) -> bytes:
     """Returns the body where it is the whole answer to this very call.
 
-    :raises PlatformUncertain: it belongs to another request or attempt, or
-        is cut short or damaged.
+    :raises PlatformUncertain: it belongs to another request or attempt.
+    :raises PlatformFailed: it is cut short or damaged.
     """
     if head.request_id != call.request_id or head.attempt != str(call.attempt):
         raise exceptions.PlatformUncertain('answer to another request')
     if head.length != str(len(body)):
-        raise exceptions.PlatformUncertain('answer is cut short')
+        raise exceptions.PlatformFailed('answer is cut short')
     if head.sha256 != hashlib.sha256(body).hexdigest():
-        raise exceptions.PlatformUncertain('answer is damaged')
+        raise exceptions.PlatformFailed('answer is damaged')
     return body
 
 
--- a/tests/amaranthflow_daemon/dispatch.feature
+++ b/tests/amaranthflow_daemon/dispatch.feature
@@ -11,3 +11,21 @@
     Then the dispatcher lets it wait
     When the dispatcher's worker closes
     Then the dispatcher has refused it as not run after 0 seconds
+
+  Scenario: a worker that stood still is not given more than its slots
+    Given a dispatcher that serves a worker of 4 slots
+    When the dispatcher's worker stands still
+    And 4 requests reach the dispatcher
+    And 3 seconds pass for the dispatcher
+    Then the dispatcher has told each that it may have run
+    When the dispatcher's worker wakes and requests arrive for 8 seconds
+    Then the dispatcher's worker has run late requests and later ones
+    And the dispatcher's worker never had more than 4 slots in use
+
+  Scenario: a request that surely ended without an answer frees its slot
+    Given a dispatcher that serves a worker of 4 slots
+    When the dispatcher's worker fails everything
+    And 4 requests reach the dispatcher
+    And 1 seconds pass for the dispatcher
+    Then the dispatcher has told each that it may have run
+    And the dispatcher has 4 free slots
