--- a/packages/amaranthflow-standins/src/amaranthflow_standins/caller.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/caller.py
@@ -17,6 +17,7 @@
 from . import observations
 
 _NOT_RUN_LABELS = ('not-run', 'not run')
+_FINAL_STATUSES = (400, 403, 404, 413)
 _MARGIN_S = 1.0
 
 
@@ -33,6 +34,11 @@
     body: bytes = b''
     retry_after_ms: int | None = None
 
+    @property
+    def is_final_refusal(self) -> bool:
+        """True where the same request would be refused anywhere."""
+        return self.status in _FINAL_STATUSES
+
     def fields(self) -> dict:
         """Returns the body as a JSON object, empty if it is none."""
         try:
@@ -81,7 +87,7 @@
         self,
         instance_id: ids.InstanceId,
         record: observations.JobRecord,
-        fields: dict,
+        fields: t.Mapping[str, t.Any],
         payload: bytes,
     ) -> Reply:
         """Submits a batch job."""
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/demo.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/demo.py
@@ -14,11 +14,11 @@
 
 from amaranthflow import clock as clock_lib
 from amaranthflow import ids
-from amaranthflow_schema.v1 import world_pb2
 
 from . import balancer as balancer_lib
 from . import caller as caller_lib
 from . import checks
+from . import demo_setup
 from . import fleet as fleet_lib
 from . import load as load_lib
 from . import observations
@@ -32,33 +32,6 @@
 _FINISH_LIMIT_S = 40.0
 _POLL_S = 0.2
 _IDLE_S = 3.0
-_SLOTS = 8
-_CONNECTIONS = 60
-_CORES = 32.0
-_MEMORY_MB = 125_000
-_REQUEST_CORES = 0.5
-_REQUEST_MEMORY_MB = 200
-_ZONES = ('kozhikode', 'kozhikode', 'kannur')
-_RACK_ZONES = ('kozhikode', 'kozhikode', 'kannur')
-_WORKERS_PER_RACK = 2
-_TENANTS = (
-    load_lib.TenantLoad(
-        tenant_id=ids.TenantId('consortium'),
-        service_id=ids.ServiceId('workshop-planning'),
-        task_class=ids.TaskClass('hide-sorting'),
-        calls_per_s=40.0,
-        jobs_per_s=5.0,
-        wave_jobs=40,
-    ),
-    load_lib.TenantLoad(
-        tenant_id=ids.TenantId('kerbrat'),
-        service_id=ids.ServiceId('shelf-talkers'),
-        task_class=ids.TaskClass('press-proofs'),
-        calls_per_s=60.0,
-        jobs_per_s=3.0,
-        wave_jobs=20,
-    ),
-)
 
 
 class DemoFailed(Exception):
@@ -76,14 +49,15 @@
         seed: int,
         seconds: float,
     ):
-        rng = random.Random(seed)
         self._seed = seed
         self._seconds = seconds
         self._clock = clock_lib.SystemClock()
         self._seen = observations.Observations()
         self._fleet = fleet_lib.Fleet(session=session, logs=logs)
         self._balancer = balancer_lib.Balancer(
-            session=session, addresses=self._fleet.http_addresses, rng=rng
+            session=session,
+            addresses=self._fleet.http_addresses,
+            rng=random.Random(seed),
         )
         caller = caller_lib.Caller(
             session=session, balancer=self._balancer, clock=self._clock
@@ -92,8 +66,8 @@
             caller=caller,
             balancer=self._balancer,
             clock=self._clock,
-            rng=rng,
-            tenants=_TENANTS,
+            seed=seed,
+            tenants=demo_setup.TENANTS,
             seen=self._seen,
         )
 
@@ -150,77 +124,22 @@
         await self._fleet.start_platform(
             standin_process.ProcessSpec(seed=self._seed, platform=True)
         )
-        racks = [f'rack-{n + 1}' for n in range(len(_RACK_ZONES))]
-        for index, rack in enumerate(racks):
-            spec = self._worker_spec(index, rack)
+        for spec in demo_setup.worker_specs(self._seed):
             await self._fleet.start_workers(spec)
-        for index, zone in enumerate(_ZONES):
+        for index, zone in enumerate(demo_setup.INSTANCE_ZONES):
             instance_id = ids.InstanceId(f'instance-{index + 1}')
-            await self._fleet.start_instance(instance_id, ids.ZoneId(zone))
+            await self._fleet.start_instance(instance_id, zone)
         await self._wait(self._all_ready, 'every instance is ready')
         await self._configure()
         await self._wait(self._all_serve, 'every instance answers requests')
 
-    def _worker_spec(
-        self, index: int, rack: str
-    ) -> standin_process.ProcessSpec:
-        size = {'cores': _REQUEST_CORES, 'memory_mb': _REQUEST_MEMORY_MB}
-        return standin_process.ProcessSpec(
-            seed=self._seed + 1000 * (index + 1),
-            worker_ids=[f'{rack}-{n + 1}' for n in range(_WORKERS_PER_RACK)],
-            cores=_CORES,
-            memory_mb=_MEMORY_MB,
-            slots=_SLOTS,
-            connections=_CONNECTIONS,
-            service_size={t.service_id: size for t in _TENANTS},
-        )
-
     async def _configure(self) -> None:
-        for change in self._changes():
+        for change in demo_setup.changes(self._fleet.worker_addresses):
             reason = await self._fleet.send_change(change)
             if reason:
                 raise DemoFailed(f'{change.key} was not accepted: {reason}')
         scenarios.tell('configuration is sent')
 
-    def _changes(self) -> t.Iterator[world_pb2.Change]:
-        for tenant in _TENANTS:
-            message = world_pb2.Tenant(
-                tenant_id=tenant.tenant_id,
-                weight=1.0,
-                quota=world_pb2.Size(cores=192, memory_mb=750_000),
-                quota_slots=48,
-                urgent_slots=8,
-                retry_ratio=0.2,
-            )
-            yield _change(f'tenant/{tenant.tenant_id}', tenant=message)
-        for tenant in _TENANTS:
-            service = world_pb2.Service(
-                service_id=tenant.service_id,
-                tenant_id=tenant.tenant_id,
-                size=world_pb2.Size(
-                    cores=_REQUEST_CORES, memory_mb=_REQUEST_MEMORY_MB
-                ),
-                timeout_ms=2000,
-                tail_limit_ms=100,
-                reserved_slots=1,
-                task_class=tenant.service_id,
-            )
-            yield _change(f'service/{tenant.service_id}', service=service)
-        for worker_id, address in self._fleet.worker_addresses.items():
-            rack_id = worker_id.rpartition('-')[0]
-            rack_index = int(rack_id.rpartition('-')[2]) - 1
-            worker = world_pb2.Worker(
-                worker_id=worker_id,
-                address=address,
-                rack_id=rack_id,
-                zone_id=_RACK_ZONES[rack_index],
-                region_id='kerala',
-                capacity=world_pb2.Size(cores=_CORES, memory_mb=_MEMORY_MB),
-                slots=_SLOTS,
-                connections=_CONNECTIONS,
-            )
-            yield _change(f'worker/{worker_id}', worker=worker)
-
     async def _wait(
         self, condition: t.Callable[[], t.Awaitable[bool]], text: str
     ) -> None:
@@ -236,18 +155,20 @@
 
     async def _all_ready(self) -> bool:
         await self._balancer.poll()
-        return len(self._balancer.ready) == len(_ZONES)
+        return len(self._balancer.ready) == len(demo_setup.INSTANCE_ZONES)
 
     async def _all_serve(self) -> bool:
         """Every rack has an owner that serves, and requests complete."""
         await self._balancer.poll()
         for instance in self._fleet.instances.values():
             status = await self._fleet.status(instance)
-            if status is None or len(status.racks) != len(_RACK_ZONES):
+            if status is None or len(status.racks) != len(
+                demo_setup.RACK_ZONES
+            ):
                 return False
             if not all(rack.owner for rack in status.racks):
                 return False
-        for tenant in _TENANTS:
+        for tenant in demo_setup.TENANTS:
             if not await self._load.probe(tenant):
                 return False
         return True
@@ -295,13 +216,6 @@
             )
 
 
-def _change(key: str, **body) -> world_pb2.Change:
-    change_id = 'demo-' + key.replace('/', '-')
-    return world_pb2.Change(
-        change_id=change_id, key=key, operator='demo', **body
-    )
-
-
 async def _run(arguments: argparse.Namespace, logs: pathlib.Path) -> int:
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector) as session:
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/machine.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/machine.py
@@ -12,48 +12,18 @@
 from amaranthflow import platform
 from amaranthflow import world
 
+from . import faults as faults_lib
 from . import history as history_lib
 from . import program
+from . import running_task
 from . import waiting
 
 _KEPT_REPORTS = 2000
 _CORES_ROUNDING = 1e-6
+_LEAST_SHARE = 0.01
 _SERVICE_TIME_SPREAD = 0.3
 
 
-class Slowdown(t.Protocol):
-    """Run time over run time alone, given the classes of the neighbours."""
-
-    def __call__(self, task_class: str, neighbours: t.Sequence[str]) -> float:
-        """Returns 1.0 for no slowdown."""
-
-
-def no_slowdown(task_class: str, neighbours: t.Sequence[str]) -> float:
-    """Neighbours do not disturb each other."""
-    return 1.0
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class WorkerFaults:
-    """What is wrong with a worker now. Shares are of answers or starts.
-
-    :ivar frozen: nothing is handled until it is cleared; tasks run on.
-    :ivar late_s: how late a late answer or a duplicated start comes.
-    :ivar interference: factor on service and run times.
-    """
-
-    dead: bool = False
-    frozen: bool = False
-    fails_everything: bool = False
-    garbage_share: float = 0.0
-    cut_short_share: float = 0.0
-    foreign_share: float = 0.0
-    late_share: float = 0.0
-    duplicated_start_share: float = 0.0
-    late_s: float = 1.0
-    interference: float = 1.0
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Answer:
     """A backend server's answer as it is sent, faults included.
@@ -74,32 +44,6 @@
     """The backend server began the request and failed."""
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
-class _RunningTask:
-    start: platform.TaskStart
-    program: program.Program
-    run: history_lib.Run
-    lease_until_s: float
-    updated_s: float
-    progress_s: float
-    rate: float = 1.0
-    share: float = 1.0
-    slowdown: float = 1.0
-    checkpoint: str = ''
-    changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
-    ended: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
-
-    def catch_up(self, now_s: float) -> None:
-        """Brings the progress up to date."""
-        self.progress_s += (now_s - self.updated_s) * self.rate
-        self.updated_s = now_s
-
-    @property
-    def left_s(self) -> float:
-        """Run time left without throttle or slowdown."""
-        return self.program.run_s - self.progress_s
-
-
 class Machine:
     """Runs requests and tasks, and records all of it.
 
@@ -120,11 +64,11 @@
         rng: random.Random,
         service_time_s: float = 0.005,
         service_sizes: t.Mapping[ids.ServiceId, world.Size] | None = None,
-        slowdown: Slowdown = no_slowdown,
+        slowdown: faults_lib.Slowdown = faults_lib.no_slowdown,
         usage_delay_s: float = 2.0,
     ):
         self.worker = worker
-        self.faults = WorkerFaults()
+        self.faults = faults_lib.WorkerFaults()
         self.history = history_lib.WorkerHistory(worker_id=worker.worker_id)
         self.slowdown = slowdown
         self._clock = clock
@@ -137,7 +81,7 @@
         self._died = asyncio.Event()
         self._active: list[history_lib.Run] = []
         self._active_services: dict[int, str] = {}
-        self._running: dict[ids.TaskId, _RunningTask] = {}
+        self._running: dict[ids.TaskId, running_task.RunningTask] = {}
         self._reports: dict[ids.TaskId, platform.TaskReport] = {}
         self._samples: list[platform.UsageReport] = []
         self._background: set[asyncio.Task] = set()
@@ -204,7 +148,8 @@
     async def tasks(self) -> tuple[platform.TaskReport, ...]:
         """Lists running and ended tasks."""
         await self._reach()
-        running = [self._report_running(t) for t in self._running.values()]
+        now_s = self._clock.monotonic()
+        running = [task.report(now_s) for task in self._running.values()]
         return (*running, *self._reports.values())
 
     async def usage(self) -> tuple[platform.UsageReport, ...]:
@@ -235,7 +180,9 @@
     async def throttle(self, task_id: ids.TaskId, share: float) -> None:
         """Limits a task to a share of its speed."""
         await self._reach()
-        self._find(task_id).share = max(share, 0.01)
+        task = self._find(task_id)
+        task.catch_up(self._clock.monotonic())
+        task.share = max(share, _LEAST_SHARE)
         self._update_rates()
 
     async def stop(self, task_id: ids.TaskId) -> platform.TaskReport:
@@ -323,7 +270,7 @@
         interference = self.faults.interference
         return self._service_time_s * spread * factor * interference
 
-    def _classes(self, without: _RunningTask | None) -> list[str]:
+    def _classes(self, without: running_task.RunningTask | None) -> list[str]:
         classes = [
             task.start.task_class
             for task in self._running.values()
@@ -370,31 +317,11 @@
             return
         if self._clock.wall_ms() > start.not_after_ms:
             raise exceptions.PlatformError('the start came too late')
-        now_s = self._clock.monotonic()
-        task_program = program.parse(start.payload)
-        run = history_lib.Run(
-            worker_id=self.worker.worker_id,
-            kind=history_lib.RunKind.TASK,
-            subject=start.task_id,
-            attempt=0,
-            tenant_id=start.tenant_id,
-            cores=start.cores,
-            memory_mb=start.memory_mb,
-            started_s=now_s,
-            checkpoint=start.checkpoint,
-            label=task_program.label,
-        )
-        task = _RunningTask(
-            start=start,
-            program=task_program,
-            run=run,
-            lease_until_s=now_s + start.lease_ms / 1000,
-            updated_s=now_s,
-            progress_s=program.progress_of(start.checkpoint),
-            checkpoint=start.checkpoint,
+        task = running_task.RunningTask.begin(
+            start, self.worker.worker_id, self._clock.monotonic()
         )
         self._running[start.task_id] = task
-        self._begin(run)
+        self._begin(task.run)
         self._update_rates()
         self._in_background(self._run_task(task))
 
@@ -405,11 +332,11 @@
         except exceptions.PlatformError:
             return
 
-    async def _run_task(self, task: _RunningTask) -> None:
-        while not task.ended.is_set():
+    async def _run_task(self, task: running_task.RunningTask) -> None:
+        while not task.ended:
             now_s = self._clock.monotonic()
             task.catch_up(now_s)
-            if task.left_s <= 1e-9 or self.faults.fails_everything:
+            if task.done or self.faults.fails_everything:
                 self._end_task(task, self._task_outcome(task))
                 return
             lease_left_s = task.lease_until_s - now_s
@@ -417,53 +344,29 @@
                 self._end_task(task, history_lib.RunOutcome.LEASE_LAPSED)
                 return
             task.changed.clear()
-            wait_s = min(task.left_s / task.rate, lease_left_s)
+            wait_s = min(task.left_s, lease_left_s)
             await waiting.wait_event(self._clock, task.changed, wait_s)
 
-    def _task_outcome(self, task: _RunningTask) -> history_lib.RunOutcome:
+    def _task_outcome(
+        self, task: running_task.RunningTask
+    ) -> history_lib.RunOutcome:
         if self.faults.fails_everything or task.program.fails:
             return history_lib.RunOutcome.FAILED
         return history_lib.RunOutcome.COMPLETED
 
-    def _end_task(self, task: _RunningTask, outcome) -> None:
+    def _end_task(self, task: running_task.RunningTask, outcome) -> None:
         task_id = task.start.task_id
         if self._running.pop(task_id, None) is None:
             return
         self._end(task.run, outcome)
-        task.ended.set()
+        task.ended = True
         task.changed.set()
-        self._reports[task_id] = self._report_ended(task, outcome)
+        self._reports[task_id] = task.report_ended()
         while len(self._reports) > _KEPT_REPORTS:
             del self._reports[next(iter(self._reports))]
         self._update_rates()
 
-    def _report_running(self, task: _RunningTask) -> platform.TaskReport:
-        left_s = task.lease_until_s - self._clock.monotonic()
-        return platform.TaskReport(
-            task_id=task.start.task_id,
-            phase=platform.TaskPhase.RUNNING,
-            lease_left_ms=max(0, round(left_s * 1000)),
-            checkpoint=task.checkpoint,
-        )
-
-    def _report_ended(
-        self, task: _RunningTask, outcome: history_lib.RunOutcome
-    ) -> platform.TaskReport:
-        phase = {
-            history_lib.RunOutcome.COMPLETED: platform.TaskPhase.COMPLETED,
-            history_lib.RunOutcome.FAILED: platform.TaskPhase.FAILED,
-        }.get(outcome, platform.TaskPhase.STOPPED)
-        completed = phase is platform.TaskPhase.COMPLETED
-        return platform.TaskReport(
-            task_id=task.start.task_id,
-            phase=phase,
-            lease_left_ms=0,
-            checkpoint=task.checkpoint,
-            result=program.result_of(task.start.payload) if completed else b'',
-            reason='' if completed else outcome.value,
-        )
-
-    def _find(self, task_id: ids.TaskId) -> _RunningTask:
+    def _find(self, task_id: ids.TaskId) -> running_task.RunningTask:
         task = self._running.get(task_id)
         if task is None:
             raise exceptions.PlatformError(f'no task {task_id} runs here')
@@ -476,22 +379,12 @@
             task.slowdown = self.faults.interference * self.slowdown(
                 task.start.task_class, self._classes(task)
             )
-            task.rate = task.share / task.slowdown
             task.changed.set()
 
     def _sample_tasks(self) -> None:
+        now_ms = self._clock.wall_ms()
         for task in self._running.values():
-            used_mb = task.program.memory_mb or task.start.memory_mb
-            sample = platform.UsageReport(
-                task_id=task.start.task_id,
-                task_class=task.start.task_class,
-                measured_at_ms=self._clock.wall_ms(),
-                cores=task.start.cores * task.share,
-                memory_mb=used_mb,
-                peak_memory_mb=used_mb,
-                slowdown=task.slowdown,
-            )
-            self._samples.append(sample)
+            self._samples.append(task.measure(now_ms))
 
     def _die(self) -> None:
         for task in list(self._running.values()):
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/observations.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/observations.py
@@ -74,7 +74,6 @@
     cancel_sent: bool = False
     phase: str = ''
     reason: str = ''
-    ended_s: float = 0.0
     right_result: bool | None = None
 
     @property
