--- a/packages/amaranthflow/src/amaranthflow/fairness.py
+++ b/packages/amaranthflow/src/amaranthflow/fairness.py
@@ -1,6 +1,5 @@
 """Order in which waiting batch tasks are tried, even-handed by tenant."""
 
-import collections
 import dataclasses
 import itertools
 import typing as t
@@ -17,7 +16,7 @@
 
 MAX_WAITING = 400_000
 MAX_TENANTS = 1024
-AGED_MS = 15 * 60_000
+AGED_MS = 5 * 60_000
 STARTS_PER_AGED = 16
 OVERTAKEN_MS = 60_000
 URGENT_OVERTAKEN_MS = 2_000
@@ -28,7 +27,7 @@
 _ORDINARY = 1
 
 
-class _LaneKey(t.NamedTuple):
+class LaneKey(t.NamedTuple):
     """Tasks of about the same size, at most 160 lanes for a tenant."""
 
     urgent: bool
@@ -38,17 +37,32 @@
     accelerators: bool
 
 
+class _Lane(t.NamedTuple):
+    tenant_id: ids.TenantId
+    key: LaneKey
+
+
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class _Entry:
     task: world.Task
     sequence: int
     pushed_at_ms: int
-    lane: _LaneKey
-    overtaken_at_ms: int | None = None
+    lane: _Lane
     started: bool = False
     parked: bool = False
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Overtaken:
+    """Since when tasks tried later start before the heads of a lane.
+
+    :ivar again: whether that happened to the present head too.
+    """
+
+    since_ms: int
+    again: bool = True
+
+
 class _Tenant:
     """State of one tenant."""
 
@@ -56,9 +70,10 @@
         self.tenant_id = tenant_id
         self.limits = shares.Limits()
         self.usage = shares.Usage()
-        self.waiting: lanes.Lanes[_LaneKey, _Entry] = lanes.Lanes()
+        self.waiting: lanes.Lanes[LaneKey, _Entry] = lanes.Lanes()
         self.parked: dict[ids.TaskId, _Entry] = {}
         self.urgent_waiting = 0
+        self.last_start_ms = 0
 
     def oldest(self) -> _Entry:
         return min(self.waiting.heads(), key=_order)
@@ -78,14 +93,12 @@
     """One pass over the candidates: what was refused in it so far."""
 
     now_ms: int
-    refused: set[tuple[ids.TenantId, _LaneKey]] = dataclasses.field(
-        default_factory=set
-    )
-    overtaken: list[_Entry] = dataclasses.field(default_factory=list)
+    refused: set[_Lane] = dataclasses.field(default_factory=set)
+    passed: list[_Lane] = dataclasses.field(default_factory=list)
 
-    def refuse(self, entry: _Entry) -> None:
-        self.refused.add((entry.task.tenant_id, entry.lane))
-        self.overtaken.append(entry)
+    def refuse(self, lane: _Lane) -> None:
+        self.refused.add(lane)
+        self.passed.append(lane)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -100,16 +113,19 @@
 
     Candidates come in this order: urgent tasks within their tenant's urgent
     slots; tasks for which a worker is held; after every ``STARTS_PER_AGED``
-    starts one task that has waited for ``AGED_MS``; tenants below their
-    guarantee; then the tenant with the least dominant share for its weight.
+    starts one of a tenant that had work waiting but no start for
+    ``AGED_MS``; tenants below their guarantee; then the tenant with the
+    least dominant share for its weight.
     Shares count slots as a resource. Within a tenant, evicted tasks come
     first and others as they came.
 
     A tenant's tasks wait in lanes by size. A head that fits nowhere closes
-    its lane for the round only. Once tasks tried later have overtaken it for
-    ``OVERTAKEN_MS`` it is listed by ``overtaken``, and the caller holds a
-    worker for it with ``hold``; at most ``hold_limit`` are held. A task
-    larger than its tenant's whole quota is parked until the quota changes.
+    its lane for the round only. Once tasks tried later have overtaken the
+    heads of a lane for ``OVERTAKEN_MS``, its head is listed by ``overtaken``
+    and the caller holds a worker for it with ``hold``; at most
+    ``hold_limit`` are held. Where the quota is what keeps it back, its
+    tenant's younger tasks wait until it fits. A task larger than its
+    tenant's whole quota is parked until the quota changes.
     """
 
     def __init__(
@@ -121,15 +137,14 @@
         self._waiting: dict[ids.TaskId, _Entry] = {}
         self._jobs: dict[ids.JobId, ids.TaskId] = {}
         self._running: dict[ids.TaskId, _Running] = {}
-        self._overtaken: collections.OrderedDict[ids.TaskId, _Entry] = (
-            collections.OrderedDict()
-        )
+        self._overtaken: dict[_Lane, _Overtaken] = {}
         self._holds = holds.Holds(limit=hold_limit)
         self._by_share = ranking.Ranking()
         self._by_urgent = ranking.Ranking()
         self._by_age = ranking.Ranking()
         self._sequence = itertools.count()
         self._starts_since_aged = 0
+        self._now_ms = 0
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -149,8 +164,10 @@
         state = self._tenant(ids.TenantId(tenant.tenant_id))
         state.limits = shares.Limits.from_message(tenant)
         entries = [*state.waiting.items(), *state.parked.values()]
-        for entry in sorted(entries, key=lambda entry: entry.sequence):
+        entries.sort(key=lambda entry: entry.sequence)
+        for entry in entries:
             self._leave_lane(state, entry)
+        for entry in entries:
             self._join_lane(state, entry)
         self._rank(state)
 
@@ -171,6 +188,7 @@
 
         :raises Overloaded: ``MAX_WAITING`` tasks wait.
         """
+        self._now_ms = max(self._now_ms, now_ms)
         if task.task_id in self._waiting or task.task_id in self._running:
             return
         if len(self._waiting) >= MAX_WAITING:
@@ -180,7 +198,7 @@
             task=task,
             sequence=next(self._sequence),
             pushed_at_ms=now_ms,
-            lane=_lane_key(task),
+            lane=_Lane(task.tenant_id, lane_key(task)),
         )
         self._waiting[task.task_id] = entry
         job = ids.split_batch_task_id(task.task_id)
@@ -208,6 +226,7 @@
         if entry is not None:
             entry.started = True
             self._remove(entry, rank=False)
+            self._clear_overtaken(entry.lane)
         if task.task_id in self._running:
             return
         state = self._tenant(task.tenant_id)
@@ -217,6 +236,7 @@
         )
         state.usage.add(task.size)
         state.usage.urgent += urgent
+        state.last_start_ms = self._now_ms
         self._starts_since_aged += 1
         self._rank(state)
 
@@ -233,16 +253,16 @@
     def share(self, tenant_id: ids.TenantId) -> shares.Share:
         """Returns how a tenant stands; an unknown one holds nothing."""
         state = self._tenants.get(tenant_id) or _Tenant(tenant_id)
-        active = {
-            other.tenant_id: other.limits.weight
+        claims = [
+            self._claim(other)
             for other in self._tenants.values()
-            if not other.idle()
-        }
-        active[tenant_id] = state.limits.weight
+            if not other.idle() and other is not state
+        ]
+        claims.append(self._claim(state))
         return shares.Share(
             tenant_id=tenant_id,
             dominant_share=self._dominant_share(state),
-            entitlement=state.limits.weight / sum(active.values()),
+            entitlement=shares.entitlements(claims)[tenant_id],
             running=state.usage.slots,
             waiting=len(state.waiting) + len(state.parked),
         )
@@ -261,6 +281,7 @@
         and ended during a round. A round ends when each lane is empty or was
         refused, so it costs at most one refusal for each lane.
         """
+        self._now_ms = max(self._now_ms, now_ms)
         visit = _Round(now_ms=now_ms)
         self._expire_holds(now_ms)
         yield from self._walk(visit, self._by_urgent, urgent=True)
@@ -269,17 +290,22 @@
         yield from self._walk(visit, self._by_share, urgent=False)
 
     def overtaken(self, now_ms: int) -> tuple[world.Task, ...]:
-        """Returns tasks for which a worker should be held, oldest first.
+        """Returns tasks for which a worker should be held.
 
-        Empty while the limit of holds is reached.
+        Those of the tenant with the least share come first. Empty while the
+        limit of holds is reached.
         """
         if self._holds.full():
             return ()
+        heads = (
+            self._tenants[lane.tenant_id].waiting.head(lane.key)
+            for lane in sorted(self._overtaken, key=self._hold_order)
+            if self._is_overtaken(lane, now_ms)
+        )
         return tuple(
             entry.task
-            for entry in self._overtaken.values()
-            if self._is_overtaken(entry, now_ms)
-            and entry.task.task_id not in self._holds
+            for entry in heads
+            if entry.task.task_id not in self._holds
             and self._tenants[entry.task.tenant_id].leaves_room(entry)
         )
 
@@ -341,11 +367,11 @@
         yield entry.task
         if not entry.started:
             if entry.task.task_id in self._waiting:
-                visit.refuse(entry)
+                visit.refuse(entry.lane)
             return
-        for passed in visit.overtaken:
-            self._mark_overtaken(passed, visit.now_ms)
-        visit.overtaken.clear()
+        for lane in visit.passed:
+            self._mark_overtaken(lane, visit.now_ms)
+        visit.passed.clear()
 
     def _next_entry(
         self, state: _Tenant, visit: _Round, urgent: bool
@@ -353,42 +379,53 @@
         heads = [
             entry
             for entry in state.waiting.heads()
-            if (entry.lane.urgent or not urgent)
-            and (state.tenant_id, entry.lane) not in visit.refused
+            if (entry.lane.key.urgent or not urgent)
+            and entry.lane not in visit.refused
         ]
         for entry in sorted(heads, key=_order):
             if state.leaves_room(entry):
                 return entry
-            if self._is_overtaken(entry, visit.now_ms):
+            if self._is_overtaken(entry.lane, visit.now_ms):
                 # What ends now is saved up for this one.
                 return None
-            visit.refuse(entry)
+            visit.refuse(entry.lane)
         return None
 
     def _may_offer(self, entry: _Entry, visit: _Round) -> bool:
         state = self._tenants[entry.task.tenant_id]
-        lane = (entry.task.tenant_id, entry.lane)
-        return lane not in visit.refused and state.leaves_room(entry)
+        return entry.lane not in visit.refused and state.leaves_room(entry)
 
-    def _is_overtaken(self, entry: _Entry, now_ms: int) -> bool:
-        if entry.overtaken_at_ms is None:
+    def _is_overtaken(self, lane: _Lane, now_ms: int) -> bool:
+        overtaken = self._overtaken.get(lane)
+        if overtaken is None:
             return False
-        limit_ms = OVERTAKEN_MS
-        if entry.lane.urgent:
-            limit_ms = URGENT_OVERTAKEN_MS
-        return now_ms - entry.overtaken_at_ms >= limit_ms
-
-    def _mark_overtaken(self, entry: _Entry, now_ms: int) -> None:
-        task_id = entry.task.task_id
-        if entry.overtaken_at_ms is None and task_id in self._waiting:
-            entry.overtaken_at_ms = now_ms
-            self._overtaken[task_id] = entry
+        limit_ms = URGENT_OVERTAKEN_MS if lane.key.urgent else OVERTAKEN_MS
+        return now_ms - overtaken.since_ms >= limit_ms
+
+    def _hold_order(self, lane: _Lane) -> tuple[ranking.Rank, int]:
+        rank = self._share_rank(self._tenants[lane.tenant_id])
+        return (rank, self._overtaken[lane].since_ms)
+
+    def _mark_overtaken(self, lane: _Lane, now_ms: int) -> None:
+        overtaken = self._overtaken.get(lane)
+        if overtaken is not None:
+            overtaken.again = True
+        elif self._tenants[lane.tenant_id].waiting.has(lane.key):
+            self._overtaken[lane] = _Overtaken(since_ms=now_ms)
+
+    def _clear_overtaken(self, lane: _Lane) -> None:
+        """Notes that a head started; the next one inherits its delay."""
+        overtaken = self._overtaken.get(lane)
+        if overtaken is None:
+            return
+        if overtaken.again:
+            overtaken.again = False
+        else:
+            del self._overtaken[lane]
 
     def _expire_holds(self, now_ms: int) -> None:
         for task_id in self._holds.expire(now_ms):
-            entry = self._overtaken.pop(task_id, None)
-            if entry is not None:
-                entry.overtaken_at_ms = None
+            self._overtaken.pop(self._waiting[task_id].lane, None)
 
     def _join_lane(self, state: _Tenant, entry: _Entry) -> bool:
         task = entry.task
@@ -396,17 +433,20 @@
             entry.parked = True
             state.parked[task.task_id] = entry
             return False
-        state.urgent_waiting += entry.lane.urgent
-        return state.waiting.add(entry.lane, task.task_id, entry)
+        state.urgent_waiting += entry.lane.key.urgent
+        return state.waiting.add(entry.lane.key, task.task_id, entry)
 
     def _leave_lane(self, state: _Tenant, entry: _Entry) -> bool:
         if entry.parked:
             entry.parked = False
             del state.parked[entry.task.task_id]
             return False
-        state.urgent_waiting -= entry.lane.urgent
-        removal = state.waiting.remove(entry.lane, entry.task.task_id)
-        return removal is lanes.Removal.HEAD
+        lane = entry.lane
+        state.urgent_waiting -= lane.key.urgent
+        removal = state.waiting.remove(lane.key, entry.task.task_id)
+        if removal is lanes.Removal.LAST:
+            self._overtaken.pop(lane, None)
+        return removal is not lanes.Removal.INNER
 
     def _remove(self, entry: _Entry, rank: bool = True) -> None:
         task_id = entry.task.task_id
@@ -415,7 +455,6 @@
         job = ids.split_batch_task_id(task_id)
         if job is not None and self._jobs.get(job[0]) == task_id:
             del self._jobs[job[0]]
-        self._overtaken.pop(task_id, None)
         self._holds.release(task_id)
         if self._leave_lane(state, entry) and rank:
             self._rank(state)
@@ -436,6 +475,13 @@
             if state.idle() and state.limits == shares.Limits():
                 del self._tenants[state.tenant_id]
 
+    def _claim(self, state: _Tenant) -> shares.Claim:
+        limits = state.limits
+        floor = limits.guarantee.dominant_share(self._capacity)
+        return shares.Claim(
+            tenant_id=state.tenant_id, weight=limits.weight, floor=floor
+        )
+
     def _dominant_share(self, state: _Tenant) -> float:
         return state.usage.ratio(self._capacity, self._slots)
 
@@ -447,8 +493,8 @@
             self._by_age.discard(tenant_id)
             return
         self._by_share.place(self._share_rank(state))
-        oldest_ms = state.oldest().pushed_at_ms
-        self._by_age.place(ranking.Rank(0, oldest_ms, tenant_id))
+        since_ms = max(state.oldest().pushed_at_ms, state.last_start_ms)
+        self._by_age.place(ranking.Rank(0, since_ms, tenant_id))
         self._rank_urgent(state)
 
     def _rank_urgent(self, state: _Tenant) -> None:
@@ -469,13 +515,14 @@
 
 
 def _order(entry: _Entry) -> tuple[bool, int]:
-    return (not entry.lane.evicted, entry.sequence)
+    return (not entry.lane.key.evicted, entry.sequence)
 
 
-def _lane_key(task: world.Task) -> _LaneKey:
+def lane_key(task: world.Task) -> LaneKey:
+    """Returns the lane of a task: sizes in steps of about 4 times."""
     size = task.size
     gigabytes = size.memory_mb >> 10
-    return _LaneKey(
+    return LaneKey(
         urgent=task.urgent,
         evicted=task.evictions > 0,
         cores_step=min(_MAX_CORES_STEP, int(size.cores).bit_length() // 2),
--- a/packages/amaranthflow/src/amaranthflow/shares.py
+++ b/packages/amaranthflow/src/amaranthflow/shares.py
@@ -1,6 +1,7 @@
 """What one tenant is entitled to and what it holds."""
 
 import dataclasses
+import typing as t
 
 from amaranthflow_schema.v1 import world_pb2
 
@@ -102,12 +103,46 @@
     return not _NO_USAGE.leaves_room(size, limits)
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Claim:
+    """What a tenant may claim of the fleet.
+
+    :ivar floor: largest part of any resource that it is guaranteed.
+    """
+
+    tenant_id: ids.TenantId
+    weight: float
+    floor: float
+
+
+def entitlements(
+    claims: t.Collection[Claim],
+) -> dict[ids.TenantId, float]:
+    """Divides the fleet by weight, where nobody gets less than its floor.
+
+    Floors that add up to more than the fleet are scaled down.
+    """
+    scale = max(1.0, sum(claim.floor for claim in claims))
+    entitled: dict[ids.TenantId, float] = {}
+    open_claims = sorted(claims, key=lambda c: -c.floor / c.weight)
+    left = 1.0
+    weights = sum(claim.weight for claim in claims)
+    for claim in open_claims:
+        floor = claim.floor / scale
+        by_weight = max(0.0, left) * claim.weight / weights
+        entitled[claim.tenant_id] = max(floor, by_weight)
+        left -= entitled[claim.tenant_id]
+        weights -= claim.weight
+    return entitled
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Share:
     """How a tenant stands, for its own eyes and the operators'.
 
     :ivar dominant_share: largest part of any resource that it holds.
-    :ivar entitlement: its weight over that of all tenants with work.
+    :ivar entitlement: what it may claim, by weight and guarantee, among
+        the tenants that have work now.
     """
 
     tenant_id: ids.TenantId
