--- /dev/null
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/plain_admission.py
@@ -0,0 +1,207 @@
+"""A plain version of ``AdmissionQueue`` and a first-come baseline."""
+
+import asyncio
+import collections
+import dataclasses
+import enum
+
+from amaranthflow import admission
+
+_SMOOTHING = 0.05
+
+
+class Outcome(enum.Enum):
+    """Where a request stands."""
+
+    WAITING = 'waiting'
+    GRANTED = 'granted'
+    REFUSED = 'refused'
+    CANCELLED = 'cancelled'
+
+
+@dataclasses.dataclass(slots=True)
+class _Request:
+    entrant: admission.Entrant
+    outcome: Outcome = Outcome.WAITING
+
+
+@dataclasses.dataclass(slots=True)
+class _Pace:
+    mean_s: float = 0.0
+    last_s: float = 0.0
+
+    def grant(self, now_s: float) -> None:
+        sample_s = now_s - self.last_s
+        self.last_s = now_s
+        self.mean_s = self.mean_s or sample_s
+        self.mean_s += _SMOOTHING * (sample_s - self.mean_s)
+
+    def interval_s(self, now_s: float) -> float:
+        return max(self.mean_s, now_s - self.last_s)
+
+
+class PlainAdmission:
+    """The rules of ``AdmissionQueue`` over a plain list, without asyncio.
+
+    :ivar free: free slots by service.
+    """
+
+    def __init__(self, *, limit: int, free: dict[str, int]):
+        self.limit = limit
+        self.free = free
+        self.weights: dict[str, float] = {}
+        self.requests: dict[str, _Request] = {}
+        self.turns: dict[str, float] = collections.defaultdict(float)
+        self.turn = 0.0
+        self.pace = _Pace()
+        self.paces: dict[str, _Pace] = collections.defaultdict(_Pace)
+
+    def enter(self, entrant: admission.Entrant, now_s: float) -> None:
+        """Takes a request in, gives it room or refuses it."""
+        self.expire(now_s)
+        request = _Request(entrant, Outcome.REFUSED)
+        self.requests[entrant.request_id] = request
+        if entrant.latest_start_s <= now_s:
+            return
+        same = [
+            r
+            for r in self._waiting()
+            if r.entrant.service_id == entrant.service_id
+        ]
+        if not same and self._reserve(request):
+            return
+        left_s = min(entrant.latest_start_s - now_s, entrant.max_wait_s)
+        if self._wait_s(entrant.tenant_id, now_s) > left_s:
+            return
+        if len(self._waiting()) >= self.limit and not self._displace(entrant):
+            return
+        self._join(request, now_s)
+
+    def cancel(self, request_id: str) -> None:
+        """Cancels a request that waits."""
+        request = self.requests.get(request_id)
+        if request is not None and request.outcome is Outcome.WAITING:
+            request.outcome = Outcome.CANCELLED
+
+    def free_one(self, service_id: str, now_s: float) -> None:
+        """Frees a slot of a service and gives it away."""
+        self.free[service_id] += 1
+        self.expire(now_s)
+        while (request := self._next()) is not None:
+            self._reserve(request)
+            self.pace.grant(now_s)
+            self.paces[request.entrant.tenant_id].grant(now_s)
+
+    def expire(self, now_s: float) -> None:
+        """Refuses what can no longer start in time."""
+        for request in self._waiting():
+            if request.entrant.latest_start_s <= now_s:
+                request.outcome = Outcome.REFUSED
+
+    def _next(self) -> _Request | None:
+        order = {
+            tenant_id: (self.turns[tenant_id], tenant_id)
+            for tenant_id in self._tenants()
+        }
+        fitting = [
+            r for r in self._waiting() if self.free[r.entrant.service_id]
+        ]
+        # Sorting is stable, so that requests of a tenant keep their order.
+        fitting.sort(key=lambda r: order[r.entrant.tenant_id])
+        return fitting[0] if fitting else None
+
+    def _reserve(self, request: _Request) -> bool:
+        entrant = request.entrant
+        if not self.free[entrant.service_id]:
+            return False
+        tenant_id = entrant.tenant_id
+        if tenant_id not in self._tenants():
+            self.turns[tenant_id] = max(self.turns[tenant_id], self.turn)
+        self.free[entrant.service_id] -= 1
+        request.outcome = Outcome.GRANTED
+        self.turn = max(self.turn, self.turns[tenant_id])
+        self.turns[tenant_id] += 1.0 / self._weight(tenant_id)
+        return True
+
+    def _join(self, request: _Request, now_s: float) -> None:
+        tenant_id = request.entrant.tenant_id
+        if not self._waiting():
+            self.pace.last_s = now_s
+        if tenant_id not in self._tenants():
+            self.paces[tenant_id].last_s = now_s
+            self.turns[tenant_id] = max(self.turns[tenant_id], self.turn)
+        # Kept in the order of joining.
+        del self.requests[request.entrant.request_id]
+        self.requests[request.entrant.request_id] = request
+        request.outcome = Outcome.WAITING
+
+    def _displace(self, entrant: admission.Entrant) -> bool:
+        tenants = self._tenants()
+        excess = {
+            tenant_id: len(self._waiting(tenant_id)) / self._weight(tenant_id)
+            for tenant_id in tenants
+        }
+        worst = max(tenants, key=lambda t_id: (excess[t_id], t_id))
+        mine = len(self._waiting(entrant.tenant_id)) + 1
+        if mine / self._weight(entrant.tenant_id) >= excess[worst]:
+            return False
+        self._waiting(worst)[-1].outcome = Outcome.REFUSED
+        return True
+
+    def _wait_s(self, tenant_id: str, now_s: float) -> float:
+        if not self._waiting():
+            return 0.0
+        active = self._tenants() | {tenant_id}
+        weights = sum(self._weight(t_id) for t_id in active)
+        place = len(self._waiting(tenant_id)) + 1
+        turns = place * weights / self._weight(tenant_id)
+        turns = min(turns, len(self._waiting()) + 1)
+        own_s = 0.0
+        if tenant_id in self._tenants():
+            own_s = place * self.paces[tenant_id].interval_s(now_s)
+        return max(own_s, turns * self.pace.interval_s(now_s))
+
+    def _waiting(self, tenant_id: str = '') -> list[_Request]:
+        return [
+            r
+            for r in self.requests.values()
+            if r.outcome is Outcome.WAITING
+            and tenant_id in ('', r.entrant.tenant_id)
+        ]
+
+    def _tenants(self) -> set[str]:
+        return {r.entrant.tenant_id for r in self._waiting()}
+
+    def _weight(self, tenant_id: str) -> float:
+        return self.weights.get(tenant_id, 1.0)
+
+
+class FirstComeQueue:
+    """Serves requests as they came and refuses none; the naive baseline."""
+
+    def __init__(self, *, try_reserve, **_):
+        self._try_reserve = try_reserve
+        self._waiting: collections.deque = collections.deque()
+
+    async def enter(self, entrant: admission.Entrant):
+        """Waits for room, however long that takes."""
+        if not self._waiting:
+            grant = self._try_reserve(entrant)
+            if grant is not None:
+                return grant
+        granted = asyncio.get_running_loop().create_future()
+        self._waiting.append((entrant, granted))
+        return await granted
+
+    def wake(self) -> None:
+        """Gives freed room to the first that waits."""
+        while self._waiting:
+            entrant, granted = self._waiting[0]
+            grant = self._try_reserve(entrant)
+            if grant is None:
+                return
+            self._waiting.popleft()
+            granted.set_result(grant)
+
+    async def run(self) -> None:
+        """Does nothing."""
--- a/packages/amaranthflow/src/amaranthflow/admission.py
+++ b/packages/amaranthflow/src/amaranthflow/admission.py
@@ -5,6 +5,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import typing as t
 
 from . import clock as clock_lib
@@ -33,6 +34,9 @@
     :ivar deadline_s: when the answer must be there, of the queue's clock.
     :ivar run_s: expected run time; the request is refused once less than
         that is left.
+    :ivar max_wait_s: longest expected wait for which it is taken; a short
+        one keeps the latency of those taken low and sends the others to
+        another owner at once.
     """
 
     request_id: ids.RequestId
@@ -40,6 +44,7 @@
     service_id: ids.ServiceId
     deadline_s: float
     run_s: float = 0.0
+    max_wait_s: float = math.inf
 
     @property
     def latest_start_s(self) -> float:
@@ -62,12 +67,36 @@
     waiter: _Waiter = dataclasses.field(compare=False)
 
 
+class _Pace:
+    """Smoothed interval between grants."""
+
+    def __init__(self):
+        self._mean_s = 0.0
+        self._last_s = 0.0
+
+    def restart(self, now_s: float) -> None:
+        """Starts a busy period."""
+        self._last_s = now_s
+
+    def grant(self, now_s: float) -> None:
+        sample_s = now_s - self._last_s
+        self._last_s = now_s
+        if self._mean_s == 0.0:
+            self._mean_s = sample_s
+        self._mean_s += _SMOOTHING * (sample_s - self._mean_s)
+
+    def interval_s(self, now_s: float) -> float:
+        """Returns the mean, or the time since the last grant if longer."""
+        return max(self._mean_s, now_s - self._last_s)
+
+
 class _Flow:
     """Waiting requests of one tenant, and its place in the order."""
 
     def __init__(self):
         self.weight = _DEFAULT_WEIGHT
         self.virtual_time = 0.0
+        self.pace = _Pace()
         self.waiting: lanes.Lanes[ids.ServiceId, _Waiter] = lanes.Lanes()
 
     def oldest(self, full: t.Collection[ids.ServiceId]) -> _Waiter | None:
@@ -119,8 +148,7 @@
         self._sequence = itertools.count()
         self._waiting_weight = 0.0
         self._virtual_time = 0.0
-        self._interval_s = 0.0
-        self._last_grant_s = 0.0
+        self._pace = _Pace()
         self._count = 0
         self._occupied = asyncio.Event()
 
@@ -211,20 +239,25 @@
         """Estimates how long a new request of the tenant would wait.
 
         The mean interval between grants, times the number of grants before
-        this one's turn. 0 while nothing waits.
+        this one's turn; or that between the tenant's own grants, times its
+        place in the tenant's line, where that is longer, as others that
+        arrive later may come first. 0 while nothing waits.
         """
         return self._estimate_s(self._flow(tenant_id))
 
     def _estimate_s(self, flow: _Flow) -> float:
         if not self._count:
             return 0.0
-        idle_s = self._clock.monotonic() - self._last_grant_s
-        interval_s = max(self._interval_s, idle_s)
+        now_s = self._clock.monotonic()
+        place = len(flow.waiting) + 1
         weights = self._waiting_weight
-        if not flow.waiting:
+        own_s = 0.0
+        if flow.waiting:
+            own_s = place * flow.pace.interval_s(now_s)
+        else:
             weights += flow.weight
-        turns = (len(flow.waiting) + 1) * weights / flow.weight
-        return interval_s * min(turns, self._count + 1)
+        turns = min(place * weights / flow.weight, self._count + 1)
+        return max(own_s, turns * self._pace.interval_s(now_s))
 
     def _refuse_late(self, entrant: Entrant) -> None:
         if entrant.latest_start_s <= self._clock.monotonic():
@@ -235,10 +268,11 @@
 
     def _refuse_hopeless(self, flow: _Flow, entrant: Entrant) -> None:
         left_s = entrant.latest_start_s - self._clock.monotonic()
+        left_s = min(left_s, entrant.max_wait_s)
         wait_s = self._estimate_s(flow)
         if wait_s > left_s:
             raise exceptions.Overloaded(
-                'the expected wait exceeds the deadline',
+                'the expected wait is too long for the deadline',
                 retry_after_ms=_retry_after_ms(wait_s - left_s),
             )
 
@@ -265,10 +299,12 @@
             sequence=sequence,
             granted=asyncio.get_running_loop().create_future(),
         )
+        now_s = self._clock.monotonic()
         if not self._count:
-            self._last_grant_s = self._clock.monotonic()
+            self._pace.restart(now_s)
             self._occupied.set()
         if not flow.waiting:
+            flow.pace.restart(now_s)
             self._waiting_weight += flow.weight
             flow.virtual_time = max(flow.virtual_time, self._virtual_time)
         self._count += 1
@@ -303,20 +339,15 @@
             return True
         if grant is None:
             return False
-        self._charge(self._flows[waiter.entrant.tenant_id])
+        flow = self._flows[waiter.entrant.tenant_id]
+        now_s = self._clock.monotonic()
+        self._charge(flow)
+        self._pace.grant(now_s)
+        flow.pace.grant(now_s)
         self._leave(waiter)
-        self._measure()
         waiter.granted.set_result(grant)
         return True
 
-    def _measure(self) -> None:
-        now_s = self._clock.monotonic()
-        sample_s = now_s - self._last_grant_s
-        self._last_grant_s = now_s
-        if self._interval_s == 0.0:
-            self._interval_s = sample_s
-        self._interval_s += _SMOOTHING * (sample_s - self._interval_s)
-
     def _charge(self, flow: _Flow) -> None:
         if not flow.waiting:
             flow.virtual_time = max(flow.virtual_time, self._virtual_time)
