--- /dev/null
+++ b/tests/amaranthflow/latency.feature
@@ -0,0 +1,23 @@
+Feature: latency
+
+  Scenario: a tenant sees rows of its own, operators all
+    Given a latency book with records of tenants "a" and "b"
+    Then the latency rows for "a" are of tenants "a"
+    And the latency rows for operators are of tenants "a,b"
+
+  Scenario: percentiles agree with sorted values to two digits
+    Then latency percentiles agree with sorted values on random records
+
+  Scenario: values outside the range are clamped, not lost
+    Given a latency book with records of -5 us and 100000000 us
+    Then the latency row counts 2 with a greatest value of 60000 ms
+
+  Scenario: a reset starts a new window
+    Given a latency book with records of tenants "a" and "b"
+    When the latency book is reset
+    Then the latency rows for operators are of tenants ""
+
+  Scenario: the number of histograms is bounded and nothing is left out
+    Given a latency book with one record for each of 1000 tenants
+    Then the latency book keeps 256 histograms that count 1000 records
+    And the latency rows for "t999" are of tenants ""
--- /dev/null
+++ b/tests/amaranthflow/quarantine.feature
@@ -0,0 +1,62 @@
+Feature: quarantine
+
+  Scenario: a member is tried again with one probe at a time, then restored
+    Given a quarantine of 10 members
+    When quarantine takes in "m0"
+    Then "m0" is quarantined and gets no work from the quarantine
+    When 40 s of quarantine time pass
+    Then "m0" is on probation and gets work from the quarantine
+    When the quarantine starts probe "p1" on "m0"
+    Then "m0" is on probation and gets no work from the quarantine
+    When quarantine probe "p1" on "m0" succeeds
+    And the quarantine starts probe "p2" on "m0"
+    And quarantine probe "p2" on "m0" succeeds
+    Then "m0" is healthy and gets work from the quarantine
+
+  Scenario: a failed probe doubles the time out of use
+    Given a quarantine of 10 members
+    When quarantine takes in "m0"
+    And 40 s of quarantine time pass
+    And the quarantine starts probe "p1" on "m0"
+    And quarantine probe "p1" on "m0" fails
+    And 55 s of quarantine time pass
+    Then "m0" is quarantined and gets no work from the quarantine
+    When 20 s of quarantine time pass
+    Then "m0" is on probation and gets work from the quarantine
+
+  Scenario: a member that fails again soon after its return waits longer
+    Given a quarantine of 10 members
+    When quarantine takes in "m0"
+    And "m0" passes the probation of the quarantine
+    And quarantine takes in "m0"
+    And 55 s of quarantine time pass
+    Then "m0" is quarantined and gets no work from the quarantine
+
+  Scenario: tasks from before the quarantine are no probes
+    Given a quarantine of 10 members
+    When quarantine takes in "m0"
+    And 40 s of quarantine time pass
+    And quarantine probe "old" on "m0" succeeds
+    And quarantine probe "old" on "m0" fails
+    Then "m0" is on probation and gets work from the quarantine
+
+  Scenario: a long probe makes way for others, a few at most
+    Given a quarantine of 10 members
+    When quarantine takes in "m0"
+    And 40 s of quarantine time pass
+    And probes start on "m0" each 61 s, as long as the quarantine lets them
+    Then 4 quarantine probes run on "m0"
+    When quarantine probe "p0" on "m0" fails
+    Then "m0" is quarantined and gets no work from the quarantine
+
+  Scenario: no more than the stated share is out of use
+    Given a quarantine of 10 members
+    When quarantine takes in "m0"
+    And quarantine takes in "m1"
+    Then quarantine refuses to take in "m2"
+    When "m0" passes the probation of the quarantine
+    And quarantine takes in "m2"
+    Then "m2" is quarantined and gets no work from the quarantine
+
+  Scenario: the share is kept on random histories
+    Then the quarantine keeps to its share on random histories
--- /dev/null
+++ b/tests/steps/latency_steps.py
@@ -0,0 +1,98 @@
+"""Steps for latency.feature."""
+
+import behave
+import hypothesis
+from hypothesis import strategies as st
+
+from amaranthflow import latency
+
+
+@behave.given('a latency book with records of tenants "{a}" and "{b}"')
+def step_tenants(context, a, b):
+    context.book = latency.LatencyBook()
+    for tenant in (a, b):
+        context.book.record(tenant, 'quote', 1000.0)
+
+
+@behave.given('a latency book with records of {low:d} us and {high:d} us')
+def step_outside(context, low, high):
+    context.book = latency.LatencyBook()
+    for value in (low, high):
+        context.book.record('a', 'quote', value)
+
+
+@behave.given('a latency book with one record for each of {count:d} tenants')
+def step_many(context, count):
+    context.book = latency.LatencyBook()
+    for number in range(count):
+        context.book.record(f't{number}', 'quote', 1000.0)
+
+
+@behave.when('the latency book is reset')
+def step_reset(context):
+    context.book.reset()
+
+
+def _check_tenants(rows, tenants):
+    assert ','.join(row.tenant_id for row in rows) == tenants
+
+
+@behave.then('the latency rows for operators are of tenants "{tenants}"')
+def step_operators(context, tenants):
+    _check_tenants(context.book.rows(), tenants)
+
+
+@behave.then('the latency rows for operators are of tenants ""')
+def step_operators_none(context):
+    _check_tenants(context.book.rows(), '')
+
+
+@behave.then('the latency rows for "{tenant}" are of tenants "{tenants}"')
+def step_rows(context, tenant, tenants):
+    _check_tenants(context.book.rows(tenant), tenants)
+
+
+@behave.then('the latency rows for "{tenant}" are of tenants ""')
+def step_rows_none(context, tenant):
+    _check_tenants(context.book.rows(tenant), '')
+
+
+@behave.then(
+    'the latency row counts {count:d} with a greatest value of {ms:d} ms'
+)
+def step_row(context, count, ms):
+    (row,) = context.book.rows('a')
+    assert (row.count, row.max_ms) == (count, ms), row
+
+
+@behave.then(
+    'the latency book keeps {count:d} histograms that count {records:d} '
+    'records'
+)
+def step_bounded(context, count, records):
+    assert len(context.book) == count
+    assert sum(row.count for row in context.book.rows()) == records
+
+
+@hypothesis.settings(max_examples=30)
+@hypothesis.given(st.lists(st.integers(1, 60_000_000), min_size=1))
+def _check_percentiles(values):
+    book = latency.LatencyBook()
+    for value in values:
+        book.record('a', 'quote', value)
+    (row,) = book.rows('a')
+    values.sort()
+    assert row.max_ms == values[-1] / 1000
+    for part, found_ms in (
+        (0.5, row.p50_ms),
+        (0.99, row.p99_ms),
+        (0.999, row.p999_ms),
+    ):
+        rank = max(1, int(part * len(values) + 0.5))
+        expected_ms = values[rank - 1] / 1000
+        assert expected_ms <= found_ms <= expected_ms * 1.02
+
+
+@behave.then('latency percentiles agree with sorted values on random records')
+def step_percentiles(context):
+    _check_percentiles()
