--- /dev/null
+++ b/benchmarks/limits.py
@@ -0,0 +1,239 @@
+"""Costs of the limits and goodput under overload, as lines of JSON."""
+
+import json
+import random
+import statistics
+import sys
+import time
+import tracemalloc
+import typing as t
+
+from amaranthflow import admission
+from amaranthflow import decisions
+from amaranthflow import fairness
+from amaranthflow import ids
+from amaranthflow import latency
+from amaranthflow import world
+from amaranthflow_schema.v1 import world_pb2
+from amaranthflow_standins import batch_driver
+from amaranthflow_standins import overload_driver
+from amaranthflow_standins import plain_admission
+
+_SEEDS = (1, 2, 3, 4, 5)
+_TENANTS = 46
+_WAITING = (1_000, 10_000, 150_000)
+_OPERATIONS = 5_000
+_LOADS = (1.0, 2.0, 3.0)
+_MAX_WAIT_S = 0.1
+_OVERLOAD_S = 4.0
+_BATCH_S = 2_000
+_DECISIONS = 100_000
+_US_PER_S = 1_000_000
+_CAPACITY = world.Size(cores=316_800, memory_mb=1_237_500_000)
+_SLOTS = 79_200
+
+
+def _print(name: str, **values: t.Any) -> None:
+    print(json.dumps({'benchmark': name, **values}), flush=True)
+
+
+def _mean_us(action: t.Callable[[int], object], count: int) -> float:
+    start_s = time.perf_counter()
+    for number in range(count):
+        action(number)
+    return (time.perf_counter() - start_s) / count * _US_PER_S
+
+
+def _tasks(rng: random.Random, start: int, count: int) -> list[world.Task]:
+    return [
+        world.Task(
+            task_id=ids.batch_task_id(ids.JobId(f'{number}'), 1),
+            tenant_id=ids.TenantId(f't{rng.randrange(_TENANTS)}'),
+            task_class=ids.TaskClass('batch'),
+            kind=world.TaskKind.BATCH,
+            size=world.Size(
+                cores=rng.choice((1, 2, 4, 8)),
+                memory_mb=rng.choice((1_000, 4_000, 16_000)),
+            ),
+            urgent=rng.random() < 0.02,
+        )
+        for number in range(start, start + count)
+    ]
+
+
+class _QueueCost:
+    """Costs of a fair queue with a steady number of waiting tasks."""
+
+    def __init__(self, waiting: int, rng: random.Random):
+        self._rng = rng
+        self._waiting = waiting
+        self._queue = fairness.FairQueue(capacity=_CAPACITY, slots=_SLOTS)
+        for number in range(_TENANTS):
+            self._queue.configure(
+                world_pb2.Tenant(tenant_id=f't{number}', weight=1 + number % 4)
+            )
+        self._tasks = _tasks(rng, 0, waiting)
+        for task in self._tasks:
+            self._queue.push(task, 0)
+
+    def run(self) -> None:
+        """Measures and prints."""
+        added = _tasks(self._rng, self._waiting, _OPERATIONS)
+        push_us = _mean_us(lambda n: self._queue.push(added[n], 0), len(added))
+        count = min(_OPERATIONS, self._waiting // 4)
+        self._started: list[world.Task] = []
+        next_us = _mean_us(self._start_one, count)
+        end_us = _mean_us(
+            lambda n: self._queue.ended(self._started[n].task_id), count
+        )
+        left = [t for t in self._tasks if t.task_id in self._queue][:count]
+        self._rng.shuffle(left)
+        cancel_us = _mean_us(
+            lambda n: self._queue.cancel(left[n].task_id), len(left)
+        )
+        refused_us = _mean_us(self._refuse_all, 20)
+        _print(
+            'fair queue',
+            tenants=_TENANTS,
+            waiting=self._waiting,
+            push_us=round(push_us, 2),
+            next_and_started_us=round(next_us, 2),
+            ended_us=round(end_us, 2),
+            cancel_us=round(cancel_us, 2),
+            round_of_refusals_us=round(refused_us, 1),
+            refusals_in_round=self._refusals,
+        )
+
+    def _start_one(self, _: int) -> None:
+        task = next(self._queue.candidates(0))
+        self._queue.started(task)
+        self._started.append(task)
+
+    def _refuse_all(self, _: int) -> None:
+        self._refusals = sum(1 for _ in self._queue.candidates(0))
+
+
+def _queue_bytes() -> None:
+    tasks = _tasks(random.Random(1), 0, 10_000)
+    queue = fairness.FairQueue(capacity=_CAPACITY, slots=_SLOTS)
+    tracemalloc.start()
+    for task in tasks:
+        queue.push(task, 0)
+    taken, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    _print('fair queue memory', bytes_per_task=round(taken / len(tasks)))
+
+
+def _latency() -> None:
+    book = latency.LatencyBook()
+    record_us = _mean_us(
+        lambda n: book.record('t', 'c', 100.0 + n), 10 * _OPERATIONS
+    )
+    tracemalloc.start()
+    for number in range(_TENANTS * 2):
+        book.record(f't{number}', 'c', 100.0)
+    taken, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    rows_us = _mean_us(lambda _: book.rows('t'), 20)
+    _print(
+        'latency book',
+        record_us=round(record_us, 2),
+        row_us=round(rows_us, 1),
+        bytes_per_histogram=round(taken / (_TENANTS * 2)),
+    )
+
+
+def _decisions() -> None:
+    tracemalloc.start()
+    log = decisions.DecisionLog()
+    for number in range(_DECISIONS):
+        _decide(log, number)
+    taken, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    add_us = _mean_us(lambda n: _decide(log, n), _DECISIONS)
+    _print(
+        'decision log',
+        add_us=round(add_us, 2),
+        full_megabytes=round(taken / 1e6, 1),
+    )
+
+
+def _decide(log: decisions.DecisionLog, number: int) -> None:
+    log.add(
+        f'job{number % decisions.MAX_SUBJECTS}',
+        ids.TenantId(f't{number % _TENANTS}'),
+        decisions.DecisionKind.PLACED,
+        f'least expected slowdown on worker w{number % 35}',
+        number,
+    )
+
+
+def _overload() -> None:
+    ways = (
+        ('admission queue', admission.AdmissionQueue, float('inf')),
+        ('with longest wait', admission.AdmissionQueue, _MAX_WAIT_S),
+        ('first come', plain_admission.FirstComeQueue, float('inf')),
+    )
+    for name, make_queue, max_wait_s in ways:
+        for load in _LOADS:
+            reports = [
+                overload_driver.OverloadDriver(
+                    seed=seed,
+                    load=load,
+                    seconds=_OVERLOAD_S,
+                    make_queue=make_queue,
+                    max_wait_s=max_wait_s,
+                ).run()
+                for seed in _SEEDS
+            ]
+            _print('overload', way=name, load=load, **_medians(reports))
+
+
+def _medians(reports: list[overload_driver.Report]) -> dict[str, float]:
+    values = {
+        'goodput': [r.goodput for r in reports],
+        'late': [r.late for r in reports],
+        'p99_ms': [r.p99_s * 1000 for r in reports],
+        'greedy_tenant_answered': [r.tenants[0] for r in reports],
+        'worst_other_answered': [min(r.tenants[1:]) for r in reports],
+        'refused_after_ms': [r.refused_after_s * 1000 for r in reports],
+    }
+    return {k: round(statistics.median(v), 3) for k, v in values.items()}
+
+
+def _fairness() -> None:
+    for holds in (0, 1):
+        reports = []
+        for seed in _SEEDS:
+            driver = batch_driver.BatchDriver(seed=seed, tenants=_TENANTS)
+            queue = driver.fair_queue(hold_limit=holds)
+            reports.append(driver.run(seconds=_BATCH_S, queue=queue))
+        worst = [min(r.ratios.values()) for r in reports]
+        _print(
+            'shares of 46 tenants',
+            hold_limit=holds,
+            worst_ratio_median=round(statistics.median(worst), 3),
+            worst_ratio_least=round(min(worst), 3),
+            evenness_median=round(
+                statistics.median(r.evenness for r in reports), 3
+            ),
+            used_slots_median=round(
+                statistics.median(r.used_slots for r in reports), 3
+            ),
+        )
+
+
+def main() -> int:
+    """Runs all parts."""
+    for waiting in _WAITING:
+        _QueueCost(waiting, random.Random(1)).run()
+    _queue_bytes()
+    _latency()
+    _decisions()
+    _overload()
+    _fairness()
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
