--- a/packages/amaranthflow/src/amaranthflow/health.py
+++ b/packages/amaranthflow/src/amaranthflow/health.py
@@ -20,6 +20,7 @@
 _WORKERS_PER_JOB = 8
 _MOSTLY = 0.5
 _DOUBTED_SUBJECTS = 2
+_COMMON_CAUSE_MS = 60_000
 _OUTCOME_AGE_MS = 60 * 60_000
 
 
@@ -84,6 +85,7 @@
         self._subjects_to_quarantine = subjects_to_quarantine
         self._records: dict[ids.WorkerId, _Record] = {}
         self._doubted = 0
+        self._next_common_ms = 0
 
     def add(self, worker_id: ids.WorkerId) -> None:
         self.quarantine.add(worker_id)
@@ -114,7 +116,10 @@
         discounted: frozenset[str],
         now_ms: int,
     ) -> Finding | None:
-        """Quarantines the worker where its record speaks against it."""
+        """Quarantines the worker where its record speaks against it.
+
+        A common cause is found once a minute at most.
+        """
         record = self._records.get(worker_id)
         if record is None:
             return None
@@ -126,11 +131,7 @@
         reason = f'failed {len(subjects)} different jobs or requests'
         common = self._common_cause(record)
         if common or not self.quarantine.enter(worker_id, reason, now_ms):
-            return Finding(
-                kind=FindingKind.COMMON_CAUSE,
-                subject_id=worker_id,
-                reason=f'{reason}, as do too many other workers',
-            )
+            return self._spare(worker_id, reason, now_ms)
         self._clear(worker_id)
         return Finding(
             kind=FindingKind.WORKER_QUARANTINED,
@@ -138,6 +139,18 @@
             reason=reason,
         )
 
+    def _spare(
+        self, worker_id: ids.WorkerId, reason: str, now_ms: int
+    ) -> Finding | None:
+        if now_ms < self._next_common_ms:
+            return None
+        self._next_common_ms = now_ms + _COMMON_CAUSE_MS
+        return Finding(
+            kind=FindingKind.COMMON_CAUSE,
+            subject_id=worker_id,
+            reason=f'{reason}, but too many workers fail to blame this one',
+        )
+
     def _common_cause(self, record: _Record) -> bool:
         others = len(self._records) - 1
         others_doubted = self._doubted - record.doubted
