--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/logs.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/logs.py
@@ -9,6 +9,7 @@
 import contextlib
 import sys
 import threading
+import time
 import typing as t
 
 import eliot
@@ -135,11 +136,31 @@
 
 
 def log_event(
-    name: str, *, level: settings.LogLevel = INFO, **fields: t.Any
+    name: str,
+    *,
+    level: settings.LogLevel = INFO,
+    task_id: str = '',
+    **fields: t.Any,
 ) -> None:
-    """Writes one line, within the action that the calling task is in."""
-    if _SEVERITY[level] >= _filter.least:
+    """Writes one line, within the action that the calling task is in.
+
+    :param task_id: request or job that the line is about, where the calling
+        task is in no action of it.
+    """
+    if _SEVERITY[level] < _filter.least:
+        return
+    if not task_id:
         eliot.log_message(name, level=level.value, **fields)
+        return
+    message = {
+        'message_type': name,
+        'task_uuid': _quoted(task_id),
+        'task_level': [1],
+        'timestamp': time.time(),
+        'level': level.value,
+        **fields,
+    }
+    eliot.Logger().write(message)
 
 
 def request_action(
@@ -180,8 +201,13 @@
         return _OFF
     place = f'/{_ATTEMPT_LEVEL + attempt}' if attempt else '/'
     return eliot.Action.continue_task(
-        task_id=f'{task_id.replace("@", "%40")}@{place}',
+        task_id=f'{_quoted(task_id)}@{place}',
         action_type=f'{kind}:attempt' if attempt else kind,
         level=level.value,
         **fields,
     )
+
+
+def _quoted(task_id: str) -> str:
+    """Leaves out "@", which separates an id from a place within a task."""
+    return task_id.replace('@', '%40')
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/metrics.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/metrics.py
@@ -35,7 +35,7 @@
     by_class: bool = False
 
 
-def _counter(name: str, text: str, unit: str = 'requests') -> Description:
+def _counter(name: str, text: str, unit: str) -> Description:
     return Description(name=name, kind=Kind.COUNTER, unit=unit, text=text)
 
 
@@ -49,10 +49,6 @@
     return Description(name=name, kind=Kind.GAUGE, unit=unit, text=text)
 
 
-def _timing(name: str, text: str) -> Description:
-    return Description(name=name, kind=Kind.TIMING, unit='ms', text=text)
-
-
 def _class_timing(name: str, text: str) -> Description:
     return Description(
         name=name, kind=Kind.TIMING, unit='ms', text=text, by_class=True
@@ -68,9 +64,6 @@
     QUEUE_MS = _class_timing(
         'queue_ms', 'Time a request waited for a free slot.'
     )
-    JOB_START_MS = _class_timing(
-        'job_start_ms', 'Time from accepting a job to its first start.'
-    )
     REQUESTS_COMPLETED = _class_counter(
         'requests_completed', 'Requests answered whole.', 'requests'
     )
@@ -95,9 +88,6 @@
     EVICTIONS = _class_counter(
         'evictions', 'Attempts of jobs that were evicted.', 'attempts'
     )
-    STALE_ANSWERS = _counter(
-        'stale_answers', 'Answers dropped: late, doubled or cut short.'
-    )
     CONNECTIONS_REPLACED = _counter(
         'connections_replaced', 'Silent connections replaced.', 'connections'
     )
@@ -105,9 +95,6 @@
         'records_set_aside', 'Log records that cannot be decoded.', 'records'
     )
     LOG_APPENDS = _counter('log_appends', 'Appends to the log.', 'appends')
-    LOG_APPEND_MS = _timing(
-        'log_append_ms', 'Time of an append until it was confirmed.'
-    )
     LOG_REACHABLE = _gauge(
         'log_reachable', '1 while the log answers, else 0.', '0 or 1'
     )
@@ -152,6 +139,11 @@
             host, port = settings.split_address(address)
             self._client = _Client(host=host, port=port)
 
+    @property
+    def enabled(self) -> bool:
+        """True while a receiver is set."""
+        return self._client is not None
+
     def count(
         self,
         metric: Metric,
--- a/tests/amaranthflow_daemon/logs.feature
+++ b/tests/amaranthflow_daemon/logs.feature
@@ -9,6 +9,12 @@
     And logs lines 6 to 7 are of task "j1" on "i2"
     And logs place the lines of attempt 2 below those of the request
 
+  Scenario: A line about a job carries its id outside of any action
+    Given a logs stream at level "info" for instance "i1"
+    When logs write an event about "j@1"
+    Then logs have 1 lines
+    And logs lines 1 to 1 are of task "j%401" on "i1"
+
   Scenario: An error that leaves an action is logged and passed on
     Given a logs stream at level "info" for instance "i1"
     When logs write request "r1" that fails with "no room"
--- a/tests/amaranthflow_daemon/metrics.feature
+++ b/tests/amaranthflow_daemon/metrics.feature
@@ -22,3 +22,6 @@
 
   Scenario: Names are unique
     Then each metrics name stands once
+
+  Scenario: Every metric is sent by some module
+    Then each metrics member is used outside its own module
--- a/tests/steps/logs_steps.py
+++ b/tests/steps/logs_steps.py
@@ -49,6 +49,11 @@
     raise AssertionError('the error was not passed on')
 
 
+@behave.when('logs write an event about "{task_id}"')
+def step_about(context, task_id):
+    logs.log_event('decision', task_id=task_id, reason='room')
+
+
 @behave.when('logs write one event and one action of each level')
 def step_levels(context):
     for level in settings.LogLevel:
--- a/tests/steps/metrics_steps.py
+++ b/tests/steps/metrics_steps.py
@@ -1,6 +1,8 @@
 """Steps for metrics.feature."""
 
 import os
+import pathlib
+import re
 import socket
 
 import behave
@@ -74,3 +76,15 @@
 def step_unique(context):
     names = [metric.value.name for metric in _Metric]
     assert len(_Metric.__members__) == len(set(names))
+
+
+@behave.then('each metrics member is used outside its own module')
+def step_used(context):
+    folder = pathlib.Path(metrics.__file__).parent
+    text = ''.join(
+        path.read_text()
+        for path in folder.glob('*.py')
+        if path.name != 'metrics.py'
+    )
+    words = set(re.findall(r'Metric\.([A-Z_]+)', text))
+    assert words == set(_Metric.__members__)
