--- a/packages/amaranthflow-standins/src/amaranthflow_standins/operators.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/operators.py
@@ -27,6 +27,7 @@
 
     NONE = enum.auto()
     NOT_READY = enum.auto()
+    REFUSES = enum.auto()
     LOST_REPLY = enum.auto()
     SILENT = enum.auto()
 
@@ -124,6 +125,8 @@
                 )
             )
             context.abort(grpc.StatusCode.UNAVAILABLE, 'draining')
+        if self.fault is Fault.REFUSES:
+            context.abort(grpc.StatusCode.INVALID_ARGUMENT, 'wrong')
         reply = self._reply(method, request)
         if self.fault is Fault.LOST_REPLY:
             context.abort(grpc.StatusCode.UNAVAILABLE, 'reset')
--- a/tests/amaranthflow_cli/calls.feature
+++ b/tests/amaranthflow_cli/calls.feature
@@ -17,6 +17,7 @@
       | a byte missing       | may have run: * the answer is damaged      |
       | a closed connection  | may have run: *                            |
       | garbage              | may have run: * status 500 without a verdi |
+      | a redirect           | may have run: * status 307 without a verdi |
 
   Scenario Outline: The next instance is called only where the verdict allows
     Given calls go to an instance that answers with <fault>
@@ -33,6 +34,12 @@
       | a closed connection | --payload x             | 3    | 0     |
       | a closed connection | --payload x --idempotent | 0   | 1     |
 
+  Scenario: One lost answer makes the whole call uncertain
+    Given calls go to an instance that answers with a closed connection
+    And calls go to an instance that answers with a closed port
+    When calls run "--payload x --idempotent"
+    Then calls end with 3
+
   Scenario: The retry time is told
     Given calls go to an instance that answers with no room for 2000 ms
     When calls run "--payload x"
--- a/tests/amaranthflow_cli/client.feature
+++ b/tests/amaranthflow_cli/client.feature
@@ -13,6 +13,8 @@
       | is not ready for 1500 ms         | writes | answered     | 1     |
       | loses its replies                | writes | may have run | 0     |
       | is silent                        | writes | may have run | 0     |
+      | finds calls invalid              | writes | not run      | 0     |
+      | finds calls invalid              | reads  | not run      | 0     |
       | is stopped                       | reads  | answered     | 1     |
       | loses its replies                | reads  | answered     | 1     |
       | is silent                        | reads  | answered     | 1     |
@@ -27,14 +29,15 @@
 
   Scenario: A refusal by one instance does not hide another's acceptance
     Given a cli fleet of 2 instances
-    And cli's instance 1 refuses every change
+    And cli's instance 1 refuses every change: "log lost"
     When cli's client writes
     Then cli's client outcome is "answered"
     And cli's client reply is accepted
 
   Scenario: Where all refuse, the first refusal is told
-    Given a cli fleet of 2 instances
-    And cli's instance 1 refuses every change
+    Given a cli fleet of 3 instances
+    And cli's instance 1 refuses every change: "log lost"
     And cli's instance 2 is stopped
+    And cli's instance 3 refuses every change: "draining"
     When cli's client writes
     Then cli's client reply says "log lost"
--- a/tests/amaranthflow_cli/main.feature
+++ b/tests/amaranthflow_cli/main.feature
@@ -65,6 +65,9 @@
     When cli runs "review booking.json"
     Then cli ends with 1
     And cli prints "checks: refused, tenant/malabar is at version 0"
+    When cli runs "send booking.json" with the digest of that review
+    Then cli ends with 1
+    And cli prints "not run: tenant/malabar is at version 0"
 
   Scenario: Every example file is valid
     Given a cli fleet of 1 instance
@@ -113,6 +116,13 @@
       | NOT_RUN      | 1    | not run: log lost      |
       | MAY_HAVE_RUN | 3    | may have run: log lost |
 
+  Scenario: A job that nobody knows
+    Given a cli fleet of 1 instance
+    And cli's instance 1 knows no job
+    When cli runs "job j1 --tenant malabar"
+    Then cli ends with 1
+    And cli prints "unknown job"
+
   Scenario: Decisions are shown oldest first
     Given a cli fleet of 1 instance
     And cli's instance 1 explains "j1" by "evicted" after "placed"
@@ -151,9 +161,14 @@
     And cli prints "instance i3"
     And cli's error line has "refuses connections"
 
-  Scenario: No instance at all
+  Scenario Outline: No instance at all
     Given a cli fleet of 1 instance
     And cli's instance 1 is stopped
-    When cli runs "show"
+    When cli runs "<command>"
     Then cli ends with 4
     And cli's error line has "not run: no instance took it"
+
+    Examples:
+      | command |
+      | show    |
+      | status  |
--- a/tests/amaranthflow_cli/report.feature
+++ b/tests/amaranthflow_cli/report.feature
@@ -16,6 +16,15 @@
     And the report draws the fit to 99000 at 9900
     And the report loads nothing from elsewhere
 
+  Scenario: Sizes without their values are no capacity figure
+    Given a report file with these lines
+      """
+      {"name": "x", "sizes": [1, 2], "values": [1], "slope": 1, "intercept": 0, "evictions": 3}
+      """
+    When the report is made
+    Then the report has the titles "Evictions"
+    And the report has no title with "Capacity"
+
   Scenario: A file without measurements is one line and exit code 2
     Given a report file with these lines
       """
--- a/tests/amaranthflow_cli/requests.feature
+++ b/tests/amaranthflow_cli/requests.feature
@@ -14,6 +14,10 @@
     Given a requests file with '{"change": {"change_id": "c", "key": "k"}}'
     Then its requests digest is the SHA-256 of hex "0a060a016312016b"
 
+  Scenario: A file that is too large is not read as a request
+    Given a requests file with '{}' followed by 2000000 blanks
+    Then the requests file is refused with "over 1048576 bytes"
+
   Scenario Outline: A wrong file is refused in one line that names it
     Given a requests file with '<text>'
     Then the requests file is refused with "<problem>"
--- a/tests/amaranthflow_daemon/logs.feature
+++ b/tests/amaranthflow_daemon/logs.feature
@@ -41,3 +41,4 @@
     Given a logs writer whose reader is gone
     When logs queue 25 lines and the reader goes on
     Then logs have 0 lines
+    And logs show no failure of the writer
--- a/tests/steps/calls_steps.py
+++ b/tests/steps/calls_steps.py
@@ -80,6 +80,9 @@
     'a byte missing': _whole(b'plan 7', sent=b'plan '),
     'a closed connection': _closed,
     'garbage': lambda request: web.Response(status=500, text='<html>'),
+    'a redirect': lambda request: web.Response(
+        status=307, headers={'Location': '/elsewhere'}
+    ),
     'no room for 2000 ms': _refused(429, 'busy', retry_after_ms=2000),
     'an unknown service': _refused(404, 'unknown service'),
 }
--- a/tests/steps/cli_steps.py
+++ b/tests/steps/cli_steps.py
@@ -50,6 +50,11 @@
     context.fleet[number - 1].fault = operators.Fault.SILENT
 
 
+@behave.given("cli's instance {number:d} finds calls invalid")
+def step_invalid(context, number):
+    context.fleet[number - 1].fault = operators.Fault.REFUSES
+
+
 @behave.given("cli's instance {number:d} is well")
 def step_well(context, number):
     context.fleet[number - 1].fault = operators.Fault.NONE
@@ -206,6 +211,15 @@
     context.fleet[number - 1].replies['Explain'] = reply
 
 
+@behave.given("cli's instance {number:d} knows no job")
+def step_no_job(context, number):
+    context.fleet[number - 1].replies['ShowJob'] = operators_pb2.JobReply(
+        verdict=peer_pb2.RUN_VERDICT_NOT_RUN,
+        phase='unknown',
+        reason='unknown job',
+    )
+
+
 @behave.given("cli's instance {number:d} has a latency row")
 def step_latency(context, number):
     reply = operators_pb2.LatencyReply()
@@ -221,11 +235,11 @@
     context.fleet[number - 1].replies['Latency'] = reply
 
 
-@behave.given("cli's instance {number:d} refuses every change")
-def step_refuses(context, number):
+@behave.given('cli\'s instance {number:d} refuses every change: "{reason}"')
+def step_refuses(context, number, reason):
     replies = context.fleet[number - 1].replies
     replies['SendChange'] = operators_pb2.ChangeReply(
-        verdict=peer_pb2.RUN_VERDICT_NOT_RUN, reason='log lost'
+        verdict=peer_pb2.RUN_VERDICT_NOT_RUN, reason=reason
     )
 
 
--- a/tests/steps/logs_steps.py
+++ b/tests/steps/logs_steps.py
@@ -130,6 +130,10 @@
 @behave.given('a logs writer whose reader is gone')
 def step_gone(context):
     context.stream = _GoneStream()
+    context.failures = []
+    hook = threading.excepthook
+    context.add_cleanup(setattr, threading, 'excepthook', hook)
+    threading.excepthook = context.failures.append
     context.writer = logs.LineWriter(stream=context.stream)
 
 
@@ -150,3 +154,8 @@
     lines = _lines(context)
     assert [line.get('n') for line in lines] == [*range(kept + 1), None]
     assert lines[-1]['count'] == lost
+
+
+@behave.then('logs show no failure of the writer')
+def step_no_failure(context):
+    assert context.failures == []
--- a/tests/steps/report_steps.py
+++ b/tests/steps/report_steps.py
@@ -49,6 +49,11 @@
         assert f'"title":{{"text":"{title}"}}' in page, title
 
 
+@behave.then('the report has no title with "{text}"')
+def step_no_title(context, text):
+    assert f'"title":{{"text":"{text}' not in context.output.read_text()
+
+
 @behave.then('the report has the text "{text}"')
 def step_text(context, text):
     assert text in context.output.read_text()
--- a/tests/steps/requests_steps.py
+++ b/tests/steps/requests_steps.py
@@ -19,6 +19,11 @@
     context.files = [*getattr(context, 'files', []), path]
 
 
+@behave.given("a requests file with '{text}' followed by {count:d} blanks")
+def step_blanks(context, text, count):
+    step_file(context, text + ' ' * count)
+
+
 def _digests(context):
     return [
         requests.digest(requests.load_change(path)) for path in context.files
