--- a/packages/amaranthflow-standins/src/amaranthflow_standins/local_fleet.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/dev_fleet.py
@@ -1,6 +1,6 @@
 """A small fleet on this machine, to try the operators' pages with.
 
-``python -m amaranthflow_standins.local_fleet FOLDER`` starts the platform's
+``python -m amaranthflow_standins.dev_fleet FOLDER`` starts the platform's
 stand-ins, six workers in three racks and three instances in two availability
 zones on loopback ports, and configures the workers. FOLDER then holds ``env``
 (variables of ``amaranthflow`` for a shell to read), ``pids`` and the logs. An
@@ -77,9 +77,9 @@
     rack_id = worker_id.rpartition('-')[0]
     zone = _ZONES[int(rack_id.rpartition('-')[2]) - 1]
     return world_pb2.Change(
-        change_id=f'local-{worker_id}',
+        change_id=f'dev-{worker_id}',
         key=f'worker/{worker_id}',
-        operator='local-fleet',
+        operator='dev-fleet',
         worker=world_pb2.Worker(
             worker_id=worker_id,
             address=address,
