Wire gauges and decision ids; a port in use is one line

Cause: gauges were sent by nobody; decisions were logged under random task ids; an HTTP port in use ended with a traceback of the gRPC server after the one line. Change: the parts start the gauges; a decision's line carries its subject's id; both addresses are checked before a server starts.

--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/node.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/node.py
@@ -123,6 +123,7 @@
         )
         logs.log_event(
             'decision',
+            task_id=subject_id,
             subject=subject_id,
             kind=kind.value,
             reason=reason,
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/parts.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/parts.py
@@ -12,6 +12,7 @@
 from . import batch
 from . import dispatch
 from . import entry as entry_lib
+from . import gauges as gauges_lib
 from . import jobqueue
 from . import node as node_lib
 from . import observer as observer_lib
@@ -54,6 +55,7 @@
         node.spawn(self.runner.run(), 'batch runner')
         node.spawn(self.steward.run(), 'steward')
         node.spawn(self.steward.watch_list(), 'list')
+        node.spawn(self.gauges.run(), 'gauges')
 
     async def drain(self) -> bool:
         """Leaves the balancer, ends what is under way, hands over.
@@ -111,6 +113,12 @@
             sites=self.sites,
             dispatcher=self.dispatcher,
         )
+        self.gauges = gauges_lib.Gauges(
+            node=node,
+            peers=self.peers,
+            load=self.sites.load,
+            queue=self.dispatcher.queue,
+        )
         self.submissions = submissions_lib.Submissions(node=node)
         self.entry = entry_lib.Entry(
             node=node, router=self.router, submissions=self.submissions
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/process.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/process.py
@@ -80,6 +80,7 @@
             ),
             server,
         )
+        _check_free('http_address', self._cfg.http_address)
         _check_free('peer_address', self._cfg.peer_address)
         server.add_insecure_port(self._cfg.peer_address)
         await server.start()
