--- a/tests/steps/logs_steps.py
+++ b/tests/steps/logs_steps.py
@@ -49,6 +49,11 @@
     raise AssertionError('the error was not passed on')
 
 
+@behave.when('logs write an event about "{task_id}"')
+def step_about(context, task_id):
+    logs.log_event('decision', task_id=task_id, reason='room')
+
+
 @behave.when('logs write one event and one action of each level')
 def step_levels(context):
     for level in settings.LogLevel:
@@ -125,6 +130,10 @@
 @behave.given('a logs writer whose reader is gone')
 def step_gone(context):
     context.stream = _GoneStream()
+    context.failures = []
+    hook = threading.excepthook
+    context.add_cleanup(setattr, threading, 'excepthook', hook)
+    threading.excepthook = context.failures.append
     context.writer = logs.LineWriter(stream=context.stream)
 
 
@@ -145,3 +154,8 @@
     lines = _lines(context)
     assert [line.get('n') for line in lines] == [*range(kept + 1), None]
     assert lines[-1]['count'] == lost
+
+
+@behave.then('logs show no failure of the writer')
+def step_no_failure(context):
+    assert context.failures == []
