--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/node.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/node.py
@@ -19,6 +19,7 @@
 
 from . import logs
 from . import metrics
+from . import peer_channel
 from . import settings
 
 _MS_PER_S = 1000
@@ -26,14 +27,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PlatformLinks:
-    """Connections to the platform.
+    """Connections to the platform and to other instances.
 
     :ivar connect: makes the link to a worker.
+    :ivar connect_peer: opens a channel to a peer's "IP:PORT".
     """
 
     log: platform.LogService
     instances: platform.InstanceList
     connect: t.Callable[[world.Worker], platform.WorkerLink]
+    connect_peer: t.Callable[[str], peer_channel.PeerChannel]
 
 
 class AppliedListener(t.Protocol):
@@ -50,6 +53,7 @@
     """What all parts of the process share. One for each process.
 
     :ivar draining: set by the graceful shutdown, never cleared.
+    :ivar config_generation: counts changes of the configuration in force.
     """
 
     def __init__(
@@ -72,6 +76,7 @@
         self.latency = latency.LatencyBook()
         self.decisions = decisions.DecisionLog()
         self.draining = False
+        self.config_generation = 0
         self.listeners: list[AppliedListener] = []
         self._tasks: set[asyncio.Task] = set()
         self.ownership = ownership.Ownership(
@@ -118,6 +123,7 @@
         )
         logs.log_event(
             'decision',
+            task_id=subject_id,
             subject=subject_id,
             kind=kind.value,
             reason=reason,
@@ -134,9 +140,13 @@
         task.add_done_callback(self._note_done)
         return task
 
+    def running_tasks(self) -> tuple[asyncio.Task, ...]:
+        """Returns the tasks that have not ended."""
+        return tuple(self._tasks)
+
     async def cancel_tasks(self) -> None:
         """Cancels all tasks and waits for their end."""
-        tasks = tuple(self._tasks)
+        tasks = self.running_tasks()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -155,6 +165,7 @@
 
     def on_confirmed(self, asked_at: float) -> None:
         """Renews the proof that rests on the log."""
+        self.journal.note_readable()
         self.ownership.note_log_confirmed(asked_at)
 
     def on_invalid(self, exc: exceptions.InvalidRecord) -> None:
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/sites.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/sites.py
@@ -1,5 +1,8 @@
 """Workers of the racks that this instance owns."""
 
+import asyncio
+import collections
+import dataclasses
 import typing as t
 
 from amaranthflow import exceptions
@@ -13,7 +16,9 @@
 from . import node as node_lib
 
 _POLLS_PER_LEASE = 4
-_POLL_TIMEOUT_S = 1.0
+POLL_TIMEOUT_S = 1.0
+_RETIRE_POLL_S = 0.25
+_KEPT_CONTACTS = 16
 
 
 class Reconciler(t.Protocol):
@@ -31,10 +36,30 @@
         """All leases on a worker that does not answer have ended."""
 
 
+class Observer(t.Protocol):
+    """Learns from a worker's usage and relieves it."""
+
+    async def observe(self, site: 'WorkerSite') -> None:
+        """Asks for the worker's newest measurements and acts on them."""
+
+    def forget(self, site: 'WorkerSite') -> None:
+        """Drops what is known of a worker that was given up."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Contact:
+    """A question that the worker answered, monotonic times."""
+
+    asked_at: float
+    answered_at: float
+
+
 class WorkerSite:
     """One worker, its ledger and the task that keeps in touch with it.
 
     :ivar leaving: the platform's list calls the worker leaving.
+    :ivar retired: the configuration no longer names the worker; it is kept
+        until nothing runs on it.
     :ivar known: the worker has told what it runs since this instance took
         the rack over. Nothing is started before.
     :ivar renewed_at: monotonic time after which no lease on the worker can
@@ -48,10 +73,12 @@
         worker: world.Worker,
         epoch: ids.Epoch,
         reconciler: Reconciler,
+        observer: Observer,
         on_change: t.Callable[['WorkerSite'], None],
     ):
         self._node = node
         self._reconciler = reconciler
+        self._observer = observer
         self._on_change = on_change
         self.worker = worker
         self.epoch = epoch
@@ -59,9 +86,13 @@
         self.ledger = world.WorkerLedger(worker=worker)
         self.ledger.leaving = True
         self.leaving = False
+        self.retired = False
         self.known = False
         self.answering = False
         self.renewed_at = node.clock.monotonic()
+        self._contacts: collections.deque[_Contact] = collections.deque(
+            maxlen=_KEPT_CONTACTS
+        )
 
     @property
     def admits(self) -> bool:
@@ -70,25 +101,53 @@
             self.worker.rack_id
         )
 
+    @property
+    def departing(self) -> bool:
+        """True when the worker gets no new work and is to be emptied."""
+        return self.leaving or self.retired
+
     @property
     def serving(self) -> bool:
         """True once the takeover of the worker's rack is complete."""
         racks = self._node.ownership.serving()
         return racks.get(self.worker.rack_id) == self.epoch
 
+    def answered_after(self, at: float) -> float | None:
+        """Returns when a question asked after ``at`` was first answered.
+
+        None while there was no such answer: what was sent to the worker
+        before may not have begun there yet.
+        """
+        for contact in self._contacts:
+            if contact.asked_at > at:
+                return contact.answered_at
+        return None
+
     def update(self) -> None:
         """Opens or closes the ledger for new work."""
         open_now = self.known and self.answering and self.serving
-        closed = self.leaving or not open_now
+        closed = self.departing or not open_now
         if closed != self.ledger.leaving:
             self.ledger.leaving = closed
             self._on_change(self)
 
+    def replace(self, worker: world.Worker, epoch: ids.Epoch) -> None:
+        """Takes a changed description of the worker; its tasks stay."""
+        if worker.address != self.worker.address:
+            self.link = self._node.links.connect(worker)
+            self.known = False
+        self.worker = worker
+        self.ledger.worker = worker
+        self.epoch = epoch
+        self.update()
+
     async def run(self) -> t.NoReturn:
         """Polls the worker until cancelled."""
         pause_s = self._node.cfg.task_lease_s / _POLLS_PER_LEASE
         while True:
             await self.poll()
+            if self.answering:
+                await self._observer.observe(self)
             await self._node.clock.sleep(pause_s)
 
     async def poll(self) -> None:
@@ -99,6 +158,11 @@
         except exceptions.AmaranthflowError as exc:
             await self._note_silence(exc)
             return
+        self._contacts.append(
+            _Contact(
+                asked_at=asked_at, answered_at=self._node.clock.monotonic()
+            )
+        )
         keep = await self._reconciler.reconcile(self, reports, asked_at)
         self._note_answer()
         await self._renew(keep)
@@ -147,12 +211,16 @@
         silent_s = self._node.clock.monotonic() - self.renewed_at
         # The last renewal may have reached the worker as late as its
         # timeout allows.
-        if silent_s > _POLL_TIMEOUT_S + cfg.task_lease_s + cfg.clock_margin_s:
+        if silent_s > POLL_TIMEOUT_S + cfg.task_lease_s + cfg.clock_margin_s:
             await self._reconciler.lapsed(self)
 
 
 class Sites:
-    """All sites of this instance, kept in step with the configuration."""
+    """All sites of this instance, kept in step with the configuration.
+
+    :ivar on_room: called when workers were opened, closed or removed, and
+        when one may have got room.
+    """
 
     def __init__(
         self,
@@ -160,43 +228,49 @@
         node: node_lib.Node,
         placer: world.Placer,
         reconciler: Reconciler,
+        observer: Observer,
     ):
         self._node = node
         self._placer = placer
         self._reconciler = reconciler
-        self._tasks: dict[ids.WorkerId, t.Any] = {}
+        self._observer = observer
+        self._tasks: dict[ids.WorkerId, asyncio.Task] = {}
         self._leaving: frozenset[str] = frozenset()
-        self._seen: tuple = ()
         self.by_id: dict[ids.WorkerId, WorkerSite] = {}
         self.on_room: list[t.Callable[[], None]] = []
 
     def on_applied(self, applied: state_lib.Applied) -> None:
-        """Follows changes of the configuration and of ownership."""
-        state = self._node.state
-        seen = (state.config.revision, state.view_offset)
-        if seen != self._seen:
-            self._seen = seen
+        """Follows changes of ownership."""
+        if applied.offset == self._node.state.view_offset:
             self.refresh()
 
     def on_loaded(self) -> None:
         """Starts anew from the replaced state."""
         self.refresh()
 
+    def on_config(self) -> None:
+        """Follows changes of workers and services."""
+        self.refresh()
+
     def refresh(self) -> None:
-        """Adds and removes sites, and applies reserved slots."""
-        wanted = self._wanted()
-        for worker_id in list(self.by_id):
-            site = self.by_id[worker_id]
-            if wanted.get(worker_id) != (site.worker, site.epoch):
+        """Adds, changes and removes sites, and applies reserved slots."""
+        epochs = {
+            h.rack_id: h.epoch
+            for h in self._node.state.racks.owned_by(self._node.member)
+        }
+        wanted = self._wanted(epochs)
+        for worker_id, site in list(self.by_id.items()):
+            if site.worker.rack_id not in epochs:
                 self._remove(worker_id)
-        for worker_id, (worker, epoch) in wanted.items():
+            elif worker_id not in wanted:
+                self._retire(site)
+            else:
+                self._update(site, wanted[worker_id], epochs)
+        for worker_id, worker in wanted.items():
             if worker_id not in self.by_id:
-                self._add(worker, epoch)
-        reserved = self._reserved_slots()
-        for site in self.by_id.values():
-            if site.ledger.reserved_slots != reserved:
-                site.ledger.reserved_slots = reserved
-                self._placer.changed(site.worker.worker_id)
+                self._add(worker, epochs[worker.rack_id])
+        self._reserve_slots()
+        self._tell()
 
     def note_leaving(self, names: frozenset[str]) -> None:
         """Takes the workers that the platform's list calls leaving."""
@@ -215,6 +289,11 @@
         for site in self.of_rack(rack_id):
             site.update()
 
+    @property
+    def open(self) -> bool:
+        """True while any worker of this instance takes new work."""
+        return any(not site.ledger.leaving for site in self.by_id.values())
+
     def load(self) -> peer_pb2.LoadSummary:
         """Sums the slots of the workers that admit work."""
         summary = peer_pb2.LoadSummary()
@@ -232,22 +311,25 @@
             s for s in self.by_id.values() if s.worker.rack_id == rack_id
         )
 
-    def _wanted(self) -> dict[ids.WorkerId, tuple[world.Worker, ids.Epoch]]:
-        state = self._node.state
-        epochs = {
-            h.rack_id: h.epoch for h in state.racks.owned_by(self._node.member)
+    def _wanted(
+        self, epochs: t.Mapping[ids.RackId, ids.Epoch]
+    ) -> dict[ids.WorkerId, world.Worker]:
+        if not epochs:
+            return {}
+        bodies = self._node.state.config.bodies('worker', self._node.now_ms())
+        return {
+            ids.WorkerId(body.worker_id): world.Worker.from_message(body)
+            for body in bodies.values()
+            if body.rack_id in epochs
         }
-        wanted = {}
-        bodies = state.config.bodies('worker', self._node.now_ms())
-        for body in bodies.values():
-            worker = world.Worker.from_message(body)
-            if worker.rack_id in epochs:
-                wanted[worker.worker_id] = (worker, epochs[worker.rack_id])
-        return wanted
-
-    def _reserved_slots(self) -> int:
+
+    def _reserve_slots(self) -> None:
         bodies = self._node.state.config.bodies('service', self._node.now_ms())
-        return sum(body.reserved_slots for body in bodies.values())
+        reserved = sum(body.reserved_slots for body in bodies.values())
+        for site in self.by_id.values():
+            if site.ledger.reserved_slots != reserved:
+                site.ledger.reserved_slots = reserved
+                self._placer.changed(site.worker.worker_id)
 
     def _add(self, worker: world.Worker, epoch: ids.Epoch) -> None:
         site = WorkerSite(
@@ -255,21 +337,58 @@
             worker=worker,
             epoch=epoch,
             reconciler=self._reconciler,
+            observer=self._observer,
             on_change=self._note_change,
         )
         site.leaving = worker.worker_id in self._leaving
         self.by_id[worker.worker_id] = site
         self._placer.add(site.ledger)
         self._tasks[worker.worker_id] = self._node.spawn(
-            site.run(), f'worker {worker.worker_id}'
+            self._run(site), f'worker {worker.worker_id}'
         )
 
+    def _update(self, site: WorkerSite, worker: world.Worker, epochs) -> None:
+        epoch = epochs[worker.rack_id]
+        site.retired = False
+        if (site.worker, site.epoch) == (worker, epoch):
+            site.update()
+            return
+        # The placer may index a worker by what has changed.
+        self._placer.remove(worker.worker_id)
+        site.replace(worker, epoch)
+        self._placer.add(site.ledger)
+
+    def _retire(self, site: WorkerSite) -> None:
+        site.retired = True
+        site.update()
+
+    async def _run(self, site: WorkerSite) -> None:
+        """Runs a site until it is retired and empty."""
+        running = asyncio.ensure_future(site.run())
+        try:
+            while not (site.retired and not site.ledger.tasks):
+                await self._node.clock.sleep(_RETIRE_POLL_S)
+                if running.done():
+                    running.result()
+        finally:
+            running.cancel()
+        self._tasks.pop(site.worker.worker_id, None)
+        self._forget(site.worker.worker_id)
+
     def _note_change(self, site: WorkerSite) -> None:
         self._placer.changed(site.worker.worker_id)
+        self._tell()
+
+    def _tell(self) -> None:
         for listener in self.on_room:
             listener()
 
     def _remove(self, worker_id: ids.WorkerId) -> None:
-        del self.by_id[worker_id]
-        self._placer.remove(worker_id)
         self._tasks.pop(worker_id).cancel()
+        self._forget(worker_id)
+
+    def _forget(self, worker_id: ids.WorkerId) -> None:
+        site = self.by_id.pop(worker_id, None)
+        if site is not None:
+            self._placer.remove(worker_id)
+            self._observer.forget(site)
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/fleet.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/fleet.py
@@ -120,9 +120,16 @@
         instance.signalled = True
         instance.process.send_signal(signal.SIGKILL)
         await instance.process.wait()
-        del self.http_addresses[instance_id]
         await self.set_phase(instance_id, None)
 
+    def pause(self, instance_id: ids.InstanceId) -> None:
+        """Stops an instance where it is; its connections stay open."""
+        self.instances[instance_id].process.send_signal(signal.SIGSTOP)
+
+    def resume(self, instance_id: ids.InstanceId) -> None:
+        """Lets a paused instance go on."""
+        self.instances[instance_id].process.send_signal(signal.SIGCONT)
+
     async def drain(
         self, instance_id: ids.InstanceId, timeout_s: float
     ) -> int | None:
@@ -136,7 +143,6 @@
                 code = await instance.process.wait()
         except TimeoutError:
             return None
-        self.http_addresses.pop(instance_id, None)
         await self.set_phase(instance_id, None)
         return code
 
