--- a/packages/amaranthflow/src/amaranthflow/placement.py
+++ b/packages/amaranthflow/src/amaranthflow/placement.py
@@ -80,7 +80,7 @@
         slowdown_limit: float = 1.5,
         weights: PlacementWeights | None = None,
         all_compared: int = 36,
-        candidates: int = 12,
+        candidates: int = 8,
     ):
         self.slowdown_limit = slowdown_limit
         self._model = model
--- a/packages/amaranthflow/src/amaranthflow/sizes.py
+++ b/packages/amaranthflow/src/amaranthflow/sizes.py
@@ -71,11 +71,12 @@
         self,
         tenant_id: ids.TenantId,
         report: platform.UsageReport,
-        age_ms: int,
+        age_ms: int | None = None,
     ) -> None:
         """Learns from one report of one of the tenant's tasks.
 
-        :param age_ms: how long the task had run when it was measured.
+        :param age_ms: how long the task had run when it was measured; one of
+            unknown age counts as settled.
         """
         key = (tenant_id, report.task_class)
         usage = self._usages.pop(key, None)
@@ -85,7 +86,7 @@
         self._turn_window(usage, report.measured_at_ms)
         peak_mb = max(report.memory_mb, report.peak_memory_mb)
         usage.peak_mb = max(usage.peak_mb, peak_mb)
-        settled = age_ms >= self._settled_ms
+        settled = age_ms is None or age_ms >= self._settled_ms
         if settled and len(usage.tasks) < self._tasks_needed:
             usage.tasks.add(report.task_id)
         self._average_cores(usage, report)
