--- a/packages/amaranthflow/src/amaranthflow/decisions.py
+++ b/packages/amaranthflow/src/amaranthflow/decisions.py
@@ -10,6 +10,8 @@
 MAX_DECISIONS_PER_SUBJECT = 16
 MAX_REASON_CHARACTERS = 240
 
+_EVICTED_DIVISOR = 8
+
 
 class DecisionKind(enum.Enum):
     """What was decided about a job, a request, a worker or a rack."""
@@ -63,8 +65,8 @@
 
     Holds at most ``MAX_SUBJECTS`` subjects of all tenants together and
     ``MAX_DECISIONS_PER_SUBJECT`` decisions for each. Where it is full, the
-    tenant with the most subjects loses its least recent one, so that one
-    tenant's many jobs do not push out another's few.
+    tenant with the most subjects loses the least recent of them, so that
+    one tenant's many jobs do not push out another's few.
     """
 
     def __init__(self):
@@ -131,8 +133,11 @@
     def _evict(self) -> None:
         tenant_id = max(self._tenants, key=self._subject_count)
         subjects = self._tenants[tenant_id]
-        subjects.popitem(last=False)
-        self._count -= 1
+        # Several at once, since the search looks at all tenants.
+        evicted = max(1, len(subjects) // _EVICTED_DIVISOR)
+        for _ in range(evicted):
+            subjects.popitem(last=False)
+        self._count -= evicted
         if not subjects:
             del self._tenants[tenant_id]
 
