--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -1,5 +1,6 @@
 """Costs of the limits and goodput under overload, as lines of JSON."""
 
+import asyncio
 import json
 import random
 import statistics
@@ -18,6 +19,7 @@
 from amaranthflow_standins import batch_driver
 from amaranthflow_standins import overload_driver
 from amaranthflow_standins import plain_admission
+from amaranthflow_standins import virtual_time
 
 _SEEDS = (1, 2, 3, 4, 5, 6, 7, 8, 9, 10)
 _TENANTS = 46
@@ -168,6 +170,88 @@
     )
 
 
+class _Places:
+    """A counted number of places."""
+
+    def __init__(self):
+        self.free = 0
+
+    def try_reserve(self, _: admission.Entrant) -> bool | None:
+        if not self.free:
+            return None
+        self.free -= 1
+        return True
+
+    def release(self, _: bool) -> None:
+        self.free += 1
+
+
+class _AdmissionCost:
+    """Costs of an admission queue, real time in a virtual loop."""
+
+    def __init__(self, loop: virtual_time.VirtualLoop):
+        self._places = _Places()
+        self._queue = admission.AdmissionQueue(
+            clock=loop,
+            try_reserve=self._places.try_reserve,
+            release=self._places.release,
+            limit=_OPERATIONS,
+        )
+        self._tasks: list[asyncio.Task] = []
+
+    async def run(self) -> None:
+        """Measures and prints."""
+        costs_us = {}
+        for step in (self._direct, self._wait, self._cancel, self._grant):
+            start_s = time.perf_counter()
+            count = await step()
+            took_us = (time.perf_counter() - start_s) * _US_PER_S
+            costs_us[f'{step.__name__[1:]}_us'] = round(took_us / count, 2)
+        _print('admission cost', waiting=_OPERATIONS, **costs_us)
+
+    async def _direct(self) -> int:
+        self._places.free = _OPERATIONS
+        for number in range(_OPERATIONS):
+            await self._queue.enter(_entrant(number))
+        return _OPERATIONS
+
+    async def _wait(self) -> int:
+        self._tasks = [
+            asyncio.create_task(self._queue.enter(_entrant(number)))
+            for number in range(_OPERATIONS)
+        ]
+        await asyncio.sleep(0)
+        return len(self._queue)
+
+    async def _cancel(self) -> int:
+        cancelled = self._tasks[::2]
+        for task in cancelled:
+            task.cancel()
+        await asyncio.gather(*cancelled, return_exceptions=True)
+        return len(cancelled)
+
+    async def _grant(self) -> int:
+        left = self._tasks[1::2]
+        for _ in left:
+            self._places.free += 1
+            self._queue.wake()
+        await asyncio.gather(*left)
+        return len(left)
+
+
+async def _admit(loop: virtual_time.VirtualLoop) -> None:
+    await _AdmissionCost(loop).run()
+
+
+def _entrant(number: int) -> admission.Entrant:
+    return admission.Entrant(
+        request_id=ids.RequestId(str(number)),
+        tenant_id=ids.TenantId(f't{number % _TENANTS}'),
+        service_id=ids.ServiceId('s'),
+        deadline_s=1e9,
+    )
+
+
 def _overload() -> None:
     ways = (
         ('admission queue', admission.AdmissionQueue, float('inf')),
@@ -230,6 +314,7 @@
     _queue_bytes()
     _latency()
     _decisions()
+    virtual_time.run(_admit)
     _overload()
     _fairness()
     return 0
