Jobs: a non-idempotent job resumes from its eviction's checkpoint only

Cause: a non-idempotent job that was evicted without a fresh checkpoint resumed from an older one, and what had run since ran twice (1 of 27 scenarios failed). Change: it resumes only where the record of the eviction names a checkpoint; otherwise it is set aside as one that may have run.

--- a/packages/amaranthflow/src/amaranthflow/jobs.py
+++ b/packages/amaranthflow/src/amaranthflow/jobs.py
@@ -196,7 +196,8 @@
 
     def _evicted(self, entry: JobEntry, record, now_ms: int) -> None:
         entry.evictions += 1
-        if entry.job.idempotent or entry.checkpoint:
+        # What ran after an earlier checkpoint must not run again.
+        if entry.job.idempotent or record.checkpoint:
             self._wait_again(entry, record.reason)
             return
         reason = f'evicted without a checkpoint, may have run: {record.reason}'
