State from a peer, news of leaving workers between peers, health wired

Cause: an instance started during an outage of the log stayed useless though its peers knew the state; an owner whose copy of the list lagged gave a leaving worker new work; worker and call health judged nobody since no worker was ever added to them; a change of the size model's interface ended the task that keeps in touch with each worker, and nothing started it again.

--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/batch.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/batch.py
@@ -47,10 +47,12 @@
         placer: world.Placer,
         queue: jobqueue.JobQueue,
         health: health.WorkerHealth,
+        observer: sites_lib.Observer,
     ):
         self._node = node
         self._queue = queue
         self._health = health
+        self._observer = observer
         self._placer = placer
         self._launching: set[jobs.JobKey] = set()
         self._ending: set[ids.TaskId] = set()
@@ -109,7 +111,9 @@
         site = self.sites.by_id[placement.worker_id]
         if not site.admits or not site.ledger.reserve(task):
             return
+        task.started_at_ms = self._node.clock.wall_ms()
         self._placer.changed(placement.worker_id)
+        self._observer.note_change(site)
         self._launching.add(entry.key)
         self._queue.launched(entry, task)
         self._health.started(
@@ -456,6 +460,7 @@
         self._checkpointed_at.pop(task_id, None)
         if site.ledger.release(task_id) is not None:
             self._placer.changed(site.worker.worker_id)
+            self._observer.note_change(site)
             self._wakeup.set()
 
     def _end(self, site, entry, task_id, outcome, reason, report=None):
--- /dev/null
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/bootstrap.py
@@ -0,0 +1,53 @@
+"""Start of an instance while the platform's log does not answer."""
+
+from google.protobuf import message as protobuf_message
+
+from amaranthflow import exceptions
+from amaranthflow_schema.v1 import peer_pb2
+from amaranthflow_schema.v1 import records_pb2
+
+from . import logs
+from . import node as node_lib
+
+_PATIENCE_S = 2.0
+_FETCH_TIMEOUT_S = 10.0
+_RETRY_S = 1.0
+
+
+async def borrow_state(node: node_lib.Node) -> None:
+    """Takes the newest state of the start peers, unless the log answers.
+
+    Returns once the instance knows a state. Configuration does not go back
+    by this: the process had none before, and the log can only add to it.
+    """
+    await node.clock.sleep(_PATIENCE_S)
+    while not node.follower.caught_up and node.cfg.start_peers:
+        found = [await _fetch(node, a) for a in node.cfg.start_peers]
+        known = [snapshot for snapshot in found if snapshot is not None]
+        if known and not node.follower.caught_up:
+            newest = max(known, key=lambda snapshot: snapshot.at_offset)
+            node.follower.adopt(newest)
+            node.borrowed = True
+            logs.log_event('state borrowed', offset=newest.at_offset)
+            return
+        await node.clock.sleep(_RETRY_S)
+
+
+async def _fetch(
+    node: node_lib.Node, address: str
+) -> records_pb2.Snapshot | None:
+    """Returns a peer's state, None where it gives none that is of use."""
+    channel = node.links.connect_peer(address)
+    req = peer_pb2.FetchStateRequest(instance_id=node.member.instance)
+    try:
+        data = await channel.fetch_state(req, _FETCH_TIMEOUT_S)
+        snapshot = records_pb2.Snapshot.FromString(data)
+    except (
+        exceptions.RequestUncertain,
+        protobuf_message.DecodeError,
+    ) as exc:
+        logs.log_event('peer gave no state', peer=address, reason=str(exc))
+        return None
+    finally:
+        await channel.close()
+    return snapshot if snapshot.members else None
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/dispatch.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/dispatch.py
@@ -5,7 +5,9 @@
 import hashlib
 
 from amaranthflow import admission
+from amaranthflow import decisions
 from amaranthflow import exceptions
+from amaranthflow import health
 from amaranthflow import ids
 from amaranthflow import platform
 from amaranthflow import verdict
@@ -50,8 +52,10 @@
         node: node_lib.Node,
         placer: world.Placer,
         sites: sites_lib.Sites,
+        health: health.CallHealth,
     ):
         self._node = node
+        self._health = health
         self._placer = placer
         self._sites = sites
         self._tenants: set[str] = set()
@@ -139,27 +143,58 @@
             payload=req.payload,
             timeout_ms=timeout_ms,
         )
+        payload = await self._ask(call, entrant, reservation)
+        self._free(reservation)
+        spent_s = clock.monotonic() - started_at
+        reply.verdict = verdict.Verdict.COMPLETED.value
+        reply.payload = payload
+        reply.sha256 = hashlib.sha256(payload).hexdigest()
+        reply.worker_id = reservation.site.worker.worker_id
+        reply.service_time_us = int(spent_s * _US_PER_S)
+
+    async def _ask(
+        self,
+        call: platform.BackendCall,
+        entrant: _Entrant,
+        reservation: _Reservation,
+    ) -> bytes:
+        """Calls the backend server; frees the slot where the call failed."""
         try:
             payload = await reservation.site.link.call(call)
         except exceptions.PlatformFailed as exc:
+            self._judge(entrant, reservation, answered=False)
             self._free(reservation)
             raise exceptions.RequestUncertain(exc.reason) from exc
         except exceptions.PlatformUncertain as exc:
-            self._free_later(reservation, started_at, timeout_ms)
+            self._judge(entrant, reservation, answered=False)
+            self._free_later(reservation, entrant.deadline_s)
             raise exceptions.RequestUncertain(exc.reason) from exc
         except exceptions.PlatformError:
+            self._judge(entrant, reservation, answered=False)
             self._free(reservation)
             raise
         except asyncio.CancelledError:
-            self._free_later(reservation, started_at, timeout_ms)
+            self._free_later(reservation, entrant.deadline_s)
             raise
-        self._free(reservation)
-        spent_s = clock.monotonic() - started_at
-        reply.verdict = verdict.Verdict.COMPLETED.value
-        reply.payload = payload
-        reply.sha256 = hashlib.sha256(payload).hexdigest()
-        reply.worker_id = reservation.site.worker.worker_id
-        reply.service_time_us = int(spent_s * _US_PER_S)
+        self._judge(entrant, reservation, answered=True)
+        return payload
+
+    def _judge(
+        self, entrant: _Entrant, reservation: _Reservation, answered: bool
+    ) -> None:
+        note = self._health.succeeded if answered else self._health.failed
+        findings = note(
+            entrant.service_id,
+            reservation.site.worker.worker_id,
+            reservation.task.task_id,
+            self._node.clock.wall_ms(),
+        )
+        for finding in findings:
+            self._node.explain(
+                finding.subject_id,
+                decisions.DecisionKind.QUARANTINED,
+                f'{finding.kind.value}: {finding.reason}',
+            )
 
     def _try_reserve(self, entrant: _Entrant) -> _Reservation | None:
         if not self._sites.open:
@@ -174,13 +209,18 @@
             kind=world.TaskKind.LATENCY,
             size=world.Size.from_message(entrant.service.size),
         )
-        placement = self._placer.choose(task)
+        now_ms = self._node.clock.wall_ms()
+        avoid = self._health.avoid(entrant.service_id, now_ms)
+        placement = self._placer.choose(task, avoid)
         if placement is None:
             return None
         site = self._sites.by_id[placement.worker_id]
         if not site.ledger.reserve(task):
             return None
         self._placer.changed(placement.worker_id)
+        self._health.started(
+            entrant.service_id, placement.worker_id, task.task_id, now_ms
+        )
         return _Reservation(site=site, task=task)
 
     def _release(self, reservation: _Reservation) -> None:
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/entry.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/entry.py
@@ -71,7 +71,7 @@
 
     async def ready(self, request: sanic.Request) -> sanic.HTTPResponse:
         """Tells the balancer whether to send callers here."""
-        if self._node.ready and self._node.joined:
+        if self._node.ready and (self._node.joined or self._node.borrowed):
             return sanic.response.text('ready\n')
         return sanic.response.text('not ready\n', status=503)
 
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/node.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/node.py
@@ -53,6 +53,8 @@
     """What all parts of the process share. One for each process.
 
     :ivar draining: set by the graceful shutdown, never cleared.
+    :ivar borrowed: the state came from a peer, since the log did not answer
+        at the start. Good for entry; rights rest on the log alone.
     :ivar config_generation: counts changes of the configuration in force.
     """
 
@@ -76,6 +78,7 @@
         self.latency = latency.LatencyBook()
         self.decisions = decisions.DecisionLog()
         self.draining = False
+        self.borrowed = False
         self.config_generation = 0
         self.listeners: list[AppliedListener] = []
         self._tasks: set[asyncio.Task] = set()
@@ -100,7 +103,8 @@
     @property
     def ready(self) -> bool:
         """True while callers may be sent here."""
-        return self.follower.caught_up and not self.draining
+        known = self.follower.caught_up or self.borrowed
+        return known and not self.draining
 
     def now_ms(self) -> int:
         """Time by which configuration is read, Unix ms."""
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/options.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/options.py
@@ -114,6 +114,12 @@
         text='Receiver of statsd metrics (UDP); empty sends none.',
         bad_values=_NOT_ADDRESS,
     ),
+    Option(
+        name='start_peers',
+        unit='IP:PORT,...',
+        text='Instances asked for their state while the log is down.',
+        bad_values=_NOT_ADDRESS,
+    ),
     Option(
         name='heartbeat_s',
         unit='SECONDS',
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/parts.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/parts.py
@@ -10,6 +10,7 @@
 from amaranthflow import sizes
 
 from . import batch
+from . import bootstrap
 from . import dispatch
 from . import entry as entry_lib
 from . import gauges as gauges_lib
@@ -50,6 +51,7 @@
         node = self.node
         node.spawn(node.follower.run(), 'follower')
         node.spawn(node.journal.run(), 'journal')
+        node.spawn(bootstrap.borrow_state(node), 'bootstrap')
         node.spawn(self.watch.run(), 'bookings')
         node.spawn(self.dispatcher.queue.run(), 'admission queue')
         node.spawn(self.runner.run(), 'batch runner')
@@ -79,25 +81,29 @@
         learned = sizes.SizeModel()
         self.placer = placement.InterferencePlacer(model=model)
         self.queue = jobqueue.JobQueue(node=node, sizes=learned)
+        self.observer = observer_lib.UsageObserver(
+            node=node, placer=self.placer, sizes=learned, model=model
+        )
+        worker_health = health.WorkerHealth(rng=rng, jobs=health.JobHealth())
         self.runner = batch.BatchRunner(
             node=node,
             placer=self.placer,
             queue=self.queue,
-            health=health.WorkerHealth(rng=rng, jobs=health.JobHealth()),
-        )
-        self.observer = observer_lib.UsageObserver(
-            node=node, placer=self.placer, sizes=learned, model=model
+            health=worker_health,
+            observer=self.observer,
         )
         self.observer.mover = self.runner
+        calls = health.CallHealth(rng=rng)
         self.sites = sites_lib.Sites(
             node=node,
             placer=self.placer,
             reconciler=self.runner,
             observer=self.observer,
+            populations=(worker_health, calls),
         )
         self.runner.sites = self.sites
         self.dispatcher = dispatch.Dispatcher(
-            node=node, placer=self.placer, sites=self.sites
+            node=node, placer=self.placer, sites=self.sites, health=calls
         )
 
     def _build_entry(self) -> None:
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/peer_service.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/peer_service.py
@@ -50,6 +50,7 @@
             load=beat.load,
             draining=beat.draining,
             silent=beat.silent,
+            leaving=beat.leaving,
         )
 
     async def FetchState(
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/peers.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/peers.py
@@ -36,6 +36,7 @@
         self.load = peer_pb2.LoadSummary()
         self.draining = False
         self.silent_peers: frozenset[str] = frozenset()
+        self.leaving_workers: frozenset[str] = frozenset()
         self.answered_at = node.clock.monotonic()
         self.in_touch = False
         self._opened_at = self.answered_at
@@ -107,6 +108,7 @@
         self.load = reply.load
         self.draining = reply.draining
         self.silent_peers = frozenset(reply.silent)
+        self.leaving_workers = frozenset(reply.leaving)
 
     async def _replace_if_silent(self) -> None:
         now = self._node.clock.monotonic()
@@ -126,7 +128,10 @@
 
 
 class Peers:
-    """Links to all other members, kept in step with the membership."""
+    """Links to all other members, kept in step with the membership.
+
+    :ivar leaving: workers that this instance's list calls leaving.
+    """
 
     def __init__(
         self,
@@ -138,6 +143,18 @@
         self._load = load
         self._tasks: dict[ids.InstanceId, asyncio.Task] = {}
         self.links: dict[ids.InstanceId, PeerLink] = {}
+        self.leaving: frozenset[str] = frozenset()
+
+    def all_leaving(self) -> frozenset[str]:
+        """Workers that this instance's list or a peer's calls leaving.
+
+        The list may reach instances at different times.
+        """
+        found = set(self.leaving)
+        for link in self.links.values():
+            if link.in_touch:
+                found |= link.leaving_workers
+        return frozenset(found)
 
     def on_applied(self, applied: state_lib.Applied) -> None:
         """Follows the membership."""
@@ -198,4 +215,5 @@
             load=self._load(),
             draining=self._node.draining,
             silent=sorted(self.suspects()),
+            leaving=sorted(self.leaving),
         )
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/settings.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/settings.py
@@ -37,6 +37,8 @@
     :ivar http_address: "IP:PORT" for callers.
     :ivar peer_address: "IP:PORT" for other instances and operators.
     :ivar statsd_address: "IP:PORT", empty to send no metrics.
+    :ivar start_peers: peer addresses asked for the state at the start while
+        the log does not answer.
     :ivar zones: known availability zones, empty if any name is allowed.
     """
 
@@ -49,6 +51,7 @@
     log_url: str
     list_url: str
     statsd_address: str = ''
+    start_peers: tuple[str, ...] = ()
     heartbeat_s: float = 0.5
     suspect_s: float = 1.5
     fence_s: float = 2.0
@@ -198,6 +201,12 @@
         raise ValueError(f'"{value}" is not one of {known}') from None
 
 
+def _parse_addresses(value: str | t.Sequence[str]) -> tuple[str, ...]:
+    if isinstance(value, str):
+        value = [part.strip() for part in value.split(',') if part.strip()]
+    return tuple(parse_address(address) for address in value)
+
+
 _PARSERS: dict[str, t.Callable[[t.Any], t.Any]] = {
     'instance_id': _parse_name,
     'zone': _parse_name,
@@ -210,6 +219,7 @@
     'statsd_address': _parse_optional_address,
     'max_body_bytes': _parse_body_bytes,
     'log_level': _parse_level,
+    'start_peers': _parse_addresses,
 }
 
 
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/sites.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/sites.py
@@ -42,10 +42,23 @@
     async def observe(self, site: 'WorkerSite') -> None:
         """Asks for the worker's newest measurements and acts on them."""
 
+    def note_change(self, site: 'WorkerSite') -> None:
+        """Notes that other tasks run on a worker than before."""
+
     def forget(self, site: 'WorkerSite') -> None:
         """Drops what is known of a worker that was given up."""
 
 
+class Population(t.Protocol):
+    """Judges workers, and has to know which there are."""
+
+    def add(self, worker_id: ids.WorkerId) -> None:
+        """Adds a worker in good standing."""
+
+    def remove(self, worker_id: ids.WorkerId) -> None:
+        """Forgets a worker."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Contact:
     """A question that the worker answered, monotonic times."""
@@ -229,11 +242,13 @@
         placer: world.Placer,
         reconciler: Reconciler,
         observer: Observer,
+        populations: t.Sequence[Population] = (),
     ):
         self._node = node
         self._placer = placer
         self._reconciler = reconciler
         self._observer = observer
+        self._populations = populations
         self._tasks: dict[ids.WorkerId, asyncio.Task] = {}
         self._leaving: frozenset[str] = frozenset()
         self.by_id: dict[ids.WorkerId, WorkerSite] = {}
@@ -343,6 +358,8 @@
         site.leaving = worker.worker_id in self._leaving
         self.by_id[worker.worker_id] = site
         self._placer.add(site.ledger)
+        for population in self._populations:
+            population.add(worker.worker_id)
         self._tasks[worker.worker_id] = self._node.spawn(
             self._run(site), f'worker {worker.worker_id}'
         )
@@ -363,13 +380,16 @@
         site.update()
 
     async def _run(self, site: WorkerSite) -> None:
-        """Runs a site until it is retired and empty."""
-        running = asyncio.ensure_future(site.run())
+        """Runs a site until it is retired and empty.
+
+        A site whose task fails is run again: its leases must be renewed.
+        """
+        running = self._node.spawn(site.run(), 'worker polls')
         try:
             while not (site.retired and not site.ledger.tasks):
                 await self._node.clock.sleep(_RETIRE_POLL_S)
                 if running.done():
-                    running.result()
+                    running = self._node.spawn(site.run(), 'worker polls')
         finally:
             running.cancel()
         self._tasks.pop(site.worker.worker_id, None)
@@ -392,3 +412,5 @@
         if site is not None:
             self._placer.remove(worker_id)
             self._observer.forget(site)
+            for population in self._populations:
+                population.remove(worker_id)
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/steward.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/steward.py
@@ -85,6 +85,7 @@
                 logs.log_event('list does not answer', reason=exc.reason)
             else:
                 self._note_list(listed)
+            self._sites.note_leaving(self._peers.all_leaving())
             await self._node.clock.sleep(_LIST_POLL_S)
 
     async def leave(self) -> None:
@@ -340,7 +341,7 @@
             if phase is platform.InstancePhase.LEAVING
         }
         missing = self._listed - listed.keys()
-        self._sites.note_leaving(frozenset(leaving | missing))
+        self._peers.leaving = frozenset(leaving | missing)
         gone = {m for m in self._named_members() if self._is_gone(m, listed)}
         for member in gone:
             self._node.ownership.note_gone(member)
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/local_fleet.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/local_fleet.py
@@ -45,6 +45,7 @@
     parts: parts_lib.Parts
     gate: gate_lib.Gate
     service: peer_service.PeerService
+    list_view: '_ListView'
 
     @property
     def name(self) -> ids.InstanceId:
@@ -52,6 +53,24 @@
         return self.parts.node.member.instance
 
 
+class _ListView:
+    """The platform's list as one instance sees it."""
+
+    def __init__(self, *, source: platform.InstanceList):
+        self._source = source
+        self._fixed: t.Mapping[str, platform.InstancePhase] | None = None
+
+    def fix(self, listed: t.Mapping[str, platform.InstancePhase]) -> None:
+        """Shows this from now on."""
+        self._fixed = listed
+
+    async def snapshot(self) -> t.Mapping[str, platform.InstancePhase]:
+        """Maps ids to phases."""
+        if self._fixed is not None:
+            return self._fixed
+        return await self._source.snapshot()
+
+
 class _LocalChannel:
     """Implements the daemon's ``PeerChannel`` without a network."""
 
@@ -160,7 +179,13 @@
         self._cuts: set[frozenset[str]] = set()
         self._kept: set[asyncio.Task] = set()
 
-    def start(self, name: str, zone: str = 'zone-1', **values) -> None:
+    def start(
+        self,
+        name: str,
+        zone: str = 'zone-1',
+        start_peers: t.Sequence[str] = (),
+        **values,
+    ) -> None:
         """Starts an instance; one of the same name must be dead."""
         gate = gate_lib.Gate()
         clock = gate_lib.GatedClock(clock=self.clock, gate=gate)
@@ -173,19 +198,22 @@
             list_url='http://127.0.0.1:1004',
             **values,
         )
+        list_view = _ListView(source=self.list)
         # Peers are found by name here, there are no sockets.
-        cfg = dataclasses.replace(cfg, peer_address=name)
+        cfg = dataclasses.replace(
+            cfg, peer_address=name, start_peers=tuple(start_peers)
+        )
         parts = parts_lib.Parts(
             cfg=cfg,
             clock=clock,
-            links=self._platform_links(name, gate),
+            links=self._platform_links(name, gate, list_view),
             rng=random.Random(self.rng.random()),
         )
         service = peer_service.PeerService(
             node=parts.node, peers=parts.peers, dispatcher=parts.dispatcher
         )
         self.instances[name] = LocalInstance(
-            parts=parts, gate=gate, service=service
+            parts=parts, gate=gate, service=service, list_view=list_view
         )
         self.list.set_phase(name, platform.InstancePhase.LIVE)
         parts.start()
@@ -211,6 +239,11 @@
         self.list.set_phase(name, None)
         return work.result()
 
+    async def stop_list(self, instance: LocalInstance) -> None:
+        """Shows an instance the list as it is now, for good."""
+        frozen = await self.list.snapshot()
+        instance.list_view.fix(frozen)
+
     def cut(self, one: str, other: str) -> None:
         """Lets nothing pass between two instances any more."""
         self._cuts.add(frozenset((one, other)))
@@ -371,7 +404,7 @@
         await waiting.cancel(*self._kept)
 
     def _platform_links(
-        self, name: str, gate: gate_lib.Gate
+        self, name: str, gate: gate_lib.Gate, list_view: _ListView
     ) -> node_lib.PlatformLinks:
         def connect(worker: world.Worker) -> platform.WorkerLink:
             link = self._links[worker.worker_id]
@@ -383,7 +416,7 @@
 
         return node_lib.PlatformLinks(
             log=gate_lib.Gated(target=self.log, gate=gate),
-            instances=gate_lib.Gated(target=self.list, gate=gate),
+            instances=gate_lib.Gated(target=list_view, gate=gate),
             connect=connect,
             connect_peer=connect_peer,
         )
--- a/tests/amaranthflow_daemon/fleet.feature
+++ b/tests/amaranthflow_daemon/fleet.feature
@@ -178,6 +178,22 @@
     And the fleet runs for 5 s
     Then fleet instance "late" is ready
 
+  Scenario: an instance that starts while the log is down asks a peer
+    When the fleet log is down
+    And fleet instance "late" starts with peer "i1"
+    And the fleet runs for 10 s
+    Then fleet instance "late" is ready for calls
+    And fleet call "q" through each instance is answered
+    When the fleet log answers again
+    And the fleet runs for 5 s
+    Then fleet instance "late" is ready
+
+  Scenario: news of a leaving worker that reach its owner late
+    When the list that the fleet owner of "worker-0-0" sees stands still
+    And fleet worker "worker-0-0" is leaving
+    And the fleet runs for 3 s
+    Then fleet calls of 5 s run on other workers
+
   Scenario: a job that fails everywhere is set aside
     When failing fleet job "j" is submitted
     And the fleet runs for 60 s
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -130,8 +130,13 @@
     _run(context, _start_one(context.fleet, name))
 
 
-async def _start_one(fleet, name):
-    fleet.start(name)
+@behave.when('fleet instance "{name}" starts with peer "{peer}"')
+def step_start_with_peer(context, name, peer):
+    _run(context, _start_one(context.fleet, name, start_peers=[peer]))
+
+
+async def _start_one(fleet, name, **values):
+    fleet.start(name, **values)
 
 
 @behave.when('the fleet owner of "{rack}" is paused')
@@ -188,6 +193,21 @@
     context.fleet.list.set_phase(context.left, platform.InstancePhase.LEAVING)
 
 
+@behave.when('fleet worker "{worker}" is leaving')
+def step_named_worker_leaves(context, worker):
+    context.left = worker
+    context.fleet.list.set_phase(worker, platform.InstancePhase.LEAVING)
+
+
+@behave.when('the list that the fleet owner of "{worker}" sees stands still')
+def step_stale_list(context, worker):
+    rack = next(
+        w.rack_id for w in context.fleet.workers if w.worker_id == worker
+    )
+    owner = context.fleet.instances[context.fleet.owner(rack)]
+    _run(context, context.fleet.stop_list(owner))
+
+
 @behave.when('the fleet workers die')
 def step_workers_die(context):
     for machine in context.fleet.machines.values():
@@ -419,6 +439,13 @@
     assert node.joined
 
 
+@behave.then('fleet instance "{name}" is ready for calls')
+def step_ready_for_calls(context, name):
+    node = context.fleet.instances[name].parts.node
+    assert node.ready
+    assert not node.joined
+
+
 @behave.then('fleet instance "{name}" is not ready')
 def step_not_ready(context, name):
     assert not context.fleet.instances[name].parts.node.ready
