--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/dispatch.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/dispatch.py
@@ -159,6 +159,7 @@
         reservation: _Reservation,
     ) -> bytes:
         """Calls the backend server; frees the slot where the call failed."""
+        sent_at = self._node.clock.monotonic()
         try:
             payload = await reservation.site.link.call(call)
         except exceptions.PlatformFailed as exc:
@@ -167,14 +168,14 @@
             raise exceptions.RequestUncertain(exc.reason) from exc
         except exceptions.PlatformUncertain as exc:
             self._judge(entrant, reservation, answered=False)
-            self._free_later(reservation, entrant.deadline_s)
+            self._free_later(reservation, sent_at, call.timeout_ms)
             raise exceptions.RequestUncertain(exc.reason) from exc
         except exceptions.PlatformError:
             self._judge(entrant, reservation, answered=False)
             self._free(reservation)
             raise
         except asyncio.CancelledError:
-            self._free_later(reservation, entrant.deadline_s)
+            self._free_later(reservation, sent_at, call.timeout_ms)
             raise
         self._judge(entrant, reservation, answered=True)
         return payload
