--- a/packages/amaranthflow-standins/src/amaranthflow_standins/demo.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/demo.py
@@ -216,7 +216,9 @@
             )
 
 
-async def _run(arguments: argparse.Namespace, logs: pathlib.Path) -> int:
+async def _run(
+    arguments: argparse.Namespace, logs: pathlib.Path
+) -> report_lib.Report:
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector) as session:
         demo = Demo(
@@ -225,7 +227,12 @@
             seed=arguments.seed,
             seconds=arguments.seconds,
         )
-        report = await demo.run(scenarios.Scenario(arguments.scenario))
+        return await demo.run(scenarios.Scenario(arguments.scenario))
+
+
+def _show(report: report_lib.Report, logs: pathlib.Path) -> int:
+    details = '\n'.join(report.details())
+    (logs / 'tries.log').write_text(f'{details}\n')
     print(report.table(), file=sys.stderr, flush=True)
     print(report.json_line(), flush=True)
     return 1 if report.breaches or not report.seen.requests else 0
@@ -264,7 +271,7 @@
     logs = _log_folder(arguments.logs)
     code = 1
     try:
-        code = asyncio.run(_run(arguments, logs))
+        code = _show(asyncio.run(_run(arguments, logs)), logs)
     except (DemoFailed, TimeoutError) as exc:
         scenarios.tell(f'failed: {exc}')
     except KeyboardInterrupt:
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/report.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/report.py
@@ -66,6 +66,16 @@
         fields['evictions'] = checks.evictions(self.seen)
         return json.dumps(fields)
 
+    def details(self) -> t.Iterator[str]:
+        """Returns a line for each try of each request and job."""
+        for record in (*self.seen.requests, *self.seen.jobs):
+            name = getattr(record, 'request_id', '') or record.label
+            for one in record.tries:
+                yield (
+                    f'{one.sent_s:.3f} {one.ended_s:.3f} {name}'
+                    f' {one.instance_id} {one.verdict.label}: {one.reason}'
+                )
+
     def table(self) -> str:
         """Returns a table for people."""
         rows = [
