Daemon: a lost request frees its slot by the new reckoning in merged code

Cause: the merge of two changes left _free_later called with its former arguments, so each call without an answer ended in a TypeError. Change: the calls pass the time of sending and the timeout. A call is seen to its end where its caller has gone, so that its slot is freed by the answer; requests are refused at once while the right is not fresh; the end of a batch task wakes those who wait for room.

--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/batch.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/batch.py
@@ -461,6 +461,7 @@
         if site.ledger.release(task_id) is not None:
             self._placer.changed(site.worker.worker_id)
             self._observer.note_change(site)
+            self.sites.tell_room()
             self._wakeup.set()
 
     def _end(self, site, entry, task_id, outcome, reason, report=None):
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/dispatch.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import hashlib
+import typing as t
 
 from amaranthflow import admission
 from amaranthflow import decisions
@@ -59,6 +60,7 @@
         self._placer = placer
         self._sites = sites
         self._tenants: set[str] = set()
+        self._under_way: set[asyncio.Future] = set()
         self.queue: admission.AdmissionQueue[_Reservation] = (
             admission.AdmissionQueue(
                 clock=node.clock,
@@ -115,7 +117,23 @@
             tenant_id=req.tenant_id,
             task_class=service.task_class,
         )
-        await self._call(req, reply, entrant, reservation)
+        await self._finish(self._call(req, reply, entrant, reservation))
+
+    async def _finish(self, call: t.Coroutine) -> None:
+        """Sees a call to its end, also where the caller has gone.
+
+        The worker runs on in that case, and its answer frees the slot.
+        """
+        work = asyncio.ensure_future(call)
+        self._under_way.add(work)
+        work.add_done_callback(self._note_end)
+        await asyncio.shield(work)
+
+    def _note_end(self, work: asyncio.Future) -> None:
+        self._under_way.discard(work)
+        if not work.cancelled():
+            # Marks the error as seen where nobody waits for it any more.
+            work.exception()
 
     def _service(self, req) -> world_pb2.Service:
         if self._node.draining:
@@ -159,6 +177,7 @@
         reservation: _Reservation,
     ) -> bytes:
         """Calls the backend server; frees the slot where the call failed."""
+        sent_at = self._node.clock.monotonic()
         try:
             payload = await reservation.site.link.call(call)
         except exceptions.PlatformFailed as exc:
@@ -167,14 +186,14 @@
             raise exceptions.RequestUncertain(exc.reason) from exc
         except exceptions.PlatformUncertain as exc:
             self._judge(entrant, reservation, answered=False)
-            self._free_later(reservation, entrant.deadline_s)
+            self._free_later(reservation, sent_at, call.timeout_ms)
             raise exceptions.RequestUncertain(exc.reason) from exc
         except exceptions.PlatformError:
             self._judge(entrant, reservation, answered=False)
             self._free(reservation)
             raise
         except asyncio.CancelledError:
-            self._free_later(reservation, entrant.deadline_s)
+            self._free_later(reservation, sent_at, call.timeout_ms)
             raise
         self._judge(entrant, reservation, answered=True)
         return payload
@@ -201,7 +220,7 @@
             # Another owner may have room, so the request must not wait here.
             raise exceptions.NotReady('no worker of this instance is open')
         if not self._node.ownership.fresh():
-            return None
+            raise exceptions.NotReady('the right to the workers is not fresh')
         task = world.Task(
             task_id=ids.request_task_id(entrant.request_id, entrant.attempt),
             tenant_id=entrant.tenant_id,
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/sites.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/sites.py
@@ -285,7 +285,7 @@
             if worker_id not in self.by_id:
                 self._add(worker, epochs[worker.rack_id])
         self._reserve_slots()
-        self._tell()
+        self.tell_room()
 
     def note_leaving(self, names: frozenset[str]) -> None:
         """Takes the workers that the platform's list calls leaving."""
@@ -397,9 +397,10 @@
 
     def _note_change(self, site: WorkerSite) -> None:
         self._placer.changed(site.worker.worker_id)
-        self._tell()
+        self.tell_room()
 
-    def _tell(self) -> None:
+    def tell_room(self) -> None:
+        """Tells those who wait for room to look again."""
         for listener in self.on_room:
             listener()
 
