--- a/packages/amaranthflow/src/amaranthflow/health.py
+++ b/packages/amaranthflow/src/amaranthflow/health.py
@@ -2,186 +2,20 @@
 
 import collections
 import dataclasses
-import enum
 import random
 
 from . import ids
+from . import population
 from . import quarantine
 
 MAX_JOBS = 8192
 MAX_SERVICES = 256
-OUTCOMES_PER_WORKER = 16
 JOBS_TO_QUARANTINE = 4
 CALLS_TO_QUARANTINE = 8
-FAILED_RATIO_TO_QUARANTINE = 0.75
 WORKERS_TO_SET_ASIDE = 3
 DOUBT_MS = 30 * 60_000
 
 _WORKERS_PER_JOB = 8
-_MOSTLY = 0.5
-_DOUBTED_SUBJECTS = 2
-_COMMON_CAUSE_MS = 60_000
-_OUTCOME_AGE_MS = 60 * 60_000
-
-
-class FindingKind(enum.Enum):
-    """What changed about a job or a worker."""
-
-    WORKER_QUARANTINED = 'worker quarantined'
-    WORKER_RETURNED = 'worker returned to quarantine'
-    WORKER_RESTORED = 'worker restored'
-    COMMON_CAUSE = 'common cause'
-    JOB_SET_ASIDE = 'job set aside'
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Finding:
-    """A change to act on and to explain."""
-
-    kind: FindingKind
-    subject_id: str
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _Outcome:
-    subject_id: str
-    failed: bool
-    at_ms: int
-
-
-class _Record:
-    """The newest outcomes on one worker."""
-
-    def __init__(self):
-        self.outcomes: collections.deque[_Outcome] = collections.deque(
-            maxlen=OUTCOMES_PER_WORKER
-        )
-        self.doubted = False
-
-    def add(self, outcome: _Outcome) -> None:
-        self.outcomes.append(outcome)
-        oldest_ms = outcome.at_ms - _OUTCOME_AGE_MS
-        while self.outcomes[0].at_ms < oldest_ms:
-            self.outcomes.popleft()
-        failed = len(self.failed_subjects()) >= _DOUBTED_SUBJECTS
-        self.doubted = failed and self.failed_ratio() > _MOSTLY
-
-    def failed_subjects(self) -> set[str]:
-        return {o.subject_id for o in self.outcomes if o.failed}
-
-    def failed_ratio(self, discounted: frozenset[str] = frozenset()) -> float:
-        counted = [
-            o.failed for o in self.outcomes if o.subject_id not in discounted
-        ]
-        return sum(counted) / len(counted) if counted else 0.0
-
-
-class _Population:
-    """Workers that do the same kind of work, and those in quarantine."""
-
-    def __init__(self, *, rng: random.Random, subjects_to_quarantine: int):
-        self.quarantine = quarantine.Quarantine(rng=rng)
-        self._subjects_to_quarantine = subjects_to_quarantine
-        self._records: dict[ids.WorkerId, _Record] = {}
-        self._doubted = 0
-        self._next_common_ms = 0
-
-    def add(self, worker_id: ids.WorkerId) -> None:
-        self.quarantine.add(worker_id)
-
-    def remove(self, worker_id: ids.WorkerId) -> None:
-        self.quarantine.remove(worker_id)
-        self._clear(worker_id)
-
-    def doubted(self, worker_id: ids.WorkerId) -> bool:
-        record = self._records.get(worker_id)
-        return record is not None and record.doubted
-
-    def failed_subjects(self, worker_id: ids.WorkerId) -> set[str]:
-        record = self._records.get(worker_id)
-        return record.failed_subjects() if record else set()
-
-    def note(self, worker_id: ids.WorkerId, outcome: _Outcome) -> None:
-        if worker_id not in self.quarantine:
-            return
-        record = self._records.setdefault(worker_id, _Record())
-        before = record.doubted
-        record.add(outcome)
-        self._doubted += record.doubted - before
-
-    def judge(
-        self,
-        worker_id: ids.WorkerId,
-        discounted: frozenset[str],
-        now_ms: int,
-    ) -> Finding | None:
-        """Quarantines the worker where its record speaks against it.
-
-        A common cause is found once a minute at most.
-        """
-        record = self._records.get(worker_id)
-        if record is None:
-            return None
-        subjects = record.failed_subjects() - discounted
-        if len(subjects) < self._subjects_to_quarantine:
-            return None
-        if record.failed_ratio(discounted) < FAILED_RATIO_TO_QUARANTINE:
-            return None
-        reason = f'failed {len(subjects)} different jobs or requests'
-        common = self._common_cause(record)
-        if common or not self.quarantine.enter(worker_id, reason, now_ms):
-            return self._spare(worker_id, reason, now_ms)
-        self._clear(worker_id)
-        return Finding(
-            kind=FindingKind.WORKER_QUARANTINED,
-            subject_id=worker_id,
-            reason=reason,
-        )
-
-    def _spare(
-        self, worker_id: ids.WorkerId, reason: str, now_ms: int
-    ) -> Finding | None:
-        if now_ms < self._next_common_ms:
-            return None
-        self._next_common_ms = now_ms + _COMMON_CAUSE_MS
-        return Finding(
-            kind=FindingKind.COMMON_CAUSE,
-            subject_id=worker_id,
-            reason=f'{reason}, but too many workers fail to blame this one',
-        )
-
-    def _common_cause(self, record: _Record) -> bool:
-        others = len(self._records) - 1
-        others_doubted = self._doubted - record.doubted
-        return others >= 2 and others_doubted > _MOSTLY * others
-
-    def _clear(self, worker_id: ids.WorkerId) -> None:
-        record = self._records.pop(worker_id, None)
-        if record is not None:
-            self._doubted -= record.doubted
-
-    def probe_failed(
-        self, worker_id: ids.WorkerId, task_id: str, now_ms: int
-    ) -> Finding | None:
-        if not self.quarantine.failed(worker_id, task_id, now_ms):
-            return None
-        return Finding(
-            kind=FindingKind.WORKER_RETURNED,
-            subject_id=worker_id,
-            reason='a probe task failed',
-        )
-
-    def probe_succeeded(
-        self, worker_id: ids.WorkerId, task_id: str, now_ms: int
-    ) -> Finding | None:
-        if not self.quarantine.succeeded(worker_id, task_id, now_ms):
-            return None
-        return Finding(
-            kind=FindingKind.WORKER_RESTORED,
-            subject_id=worker_id,
-            reason='its probe tasks succeeded',
-        )
 
 
 @dataclasses.dataclass(slots=True)
@@ -255,10 +89,10 @@
     """Judges workers by the batch tasks that fail and complete on them.
 
     A worker is quarantined when at least ``JOBS_TO_QUARANTINE`` different
-    jobs failed there, ``FAILED_RATIO_TO_QUARANTINE`` of its newest outcomes
-    are failures, and the other workers do not mostly fail too. Jobs that
-    failed on other workers of good standing do not count against it. Its
-    failures are then taken back from the jobs.
+    jobs failed there, ``population.FAILED_RATIO_TO_QUARANTINE`` of its
+    newest outcomes are failures, and the other workers do not mostly fail
+    too. Jobs that failed on other workers of good standing do not count
+    against it. Its failures are then taken back from the jobs.
 
     A job is set aside when it failed on ``WORKERS_TO_SET_ASIDE`` different
     workers (or on all, where there are fewer) that do not mostly fail, or on
@@ -267,7 +101,7 @@
 
     def __init__(self, *, rng: random.Random, jobs: JobHealth):
         self.jobs = jobs
-        self._population = _Population(
+        self._population = population.Population(
             rng=rng, subjects_to_quarantine=JOBS_TO_QUARANTINE
         )
         self._workers: set[ids.WorkerId] = set()
@@ -314,10 +148,12 @@
         job_id: ids.JobId,
         task_id: ids.TaskId,
         now_ms: int,
-    ) -> tuple[Finding, ...]:
+    ) -> tuple[population.Finding, ...]:
         """Notes a task that completed."""
         self.jobs.forget(job_id)
-        outcome = _Outcome(subject_id=job_id, failed=False, at_ms=now_ms)
+        outcome = population.Outcome(
+            subject_id=job_id, failed=False, at_ms=now_ms
+        )
         self._population.note(worker_id, outcome)
         found = self._population.probe_succeeded(worker_id, task_id, now_ms)
         return (found,) if found else ()
@@ -329,7 +165,7 @@
         task_id: ids.TaskId,
         reason: str,
         now_ms: int,
-    ) -> tuple[Finding, ...]:
+    ) -> tuple[population.Finding, ...]:
         """Notes a task that failed; returns what follows from it."""
         returned = self._population.probe_failed(worker_id, task_id, now_ms)
         if returned is not None:
@@ -337,7 +173,9 @@
         if self.phase(worker_id, now_ms) is not quarantine.Phase.HEALTHY:
             return ()
         self.jobs.failed(job_id, worker_id, reason, now_ms)
-        outcome = _Outcome(subject_id=job_id, failed=True, at_ms=now_ms)
+        outcome = population.Outcome(
+            subject_id=job_id, failed=True, at_ms=now_ms
+        )
         self._population.note(worker_id, outcome)
         judged = (
             self._judge_worker(worker_id, now_ms),
@@ -347,13 +185,13 @@
 
     def _judge_worker(
         self, worker_id: ids.WorkerId, now_ms: int
-    ) -> Finding | None:
+    ) -> population.Finding | None:
         subjects = self._population.failed_subjects(worker_id)
         discounted = frozenset(
             job_id for job_id in subjects if self._blames(job_id, worker_id)
         )
         found = self._population.judge(worker_id, discounted, now_ms)
-        if found and found.kind is FindingKind.WORKER_QUARANTINED:
+        if found and found.kind is population.FindingKind.WORKER_QUARANTINED:
             for job_id in subjects:
                 self.jobs.absolve(job_id, worker_id)
         return found
@@ -365,7 +203,7 @@
             for other in self.jobs.workers(job_id)
         )
 
-    def _judge_job(self, job_id: ids.JobId) -> Finding | None:
+    def _judge_job(self, job_id: ids.JobId) -> population.Finding | None:
         workers = self.jobs.workers(job_id)
         needed = max(1, min(WORKERS_TO_SET_ASIDE, len(self._workers)))
         doubted = sum(self._population.doubted(w) for w in workers)
@@ -374,8 +212,8 @@
         if len(workers) - doubted < needed:
             return None
         reason = self.jobs.last_reason(job_id)
-        return Finding(
-            kind=FindingKind.JOB_SET_ASIDE,
+        return population.Finding(
+            kind=population.FindingKind.JOB_SET_ASIDE,
             subject_id=job_id,
             reason=f'failed on {len(workers)} workers, last: {reason}',
         )
@@ -393,19 +231,19 @@
     def __init__(self, *, rng: random.Random):
         self._rng = rng
         self._workers: set[ids.WorkerId] = set()
-        self._services: dict[ids.ServiceId, _Population] = {}
+        self._services: dict[ids.ServiceId, population.Population] = {}
 
     def add(self, worker_id: ids.WorkerId) -> None:
         """Adds a worker for all services."""
         self._workers.add(worker_id)
-        for population in self._services.values():
-            population.add(worker_id)
+        for members in self._services.values():
+            members.add(worker_id)
 
     def remove(self, worker_id: ids.WorkerId) -> None:
         """Forgets a worker that has gone."""
         self._workers.discard(worker_id)
-        for population in self._services.values():
-            population.remove(worker_id)
+        for members in self._services.values():
+            members.remove(worker_id)
 
     def remove_service(self, service_id: ids.ServiceId) -> None:
         """Forgets a service."""
@@ -418,19 +256,19 @@
         now_ms: int,
     ) -> bool:
         """Tells whether a service may be called on a worker now."""
-        population = self._services.get(service_id)
-        if population is None:
+        members = self._services.get(service_id)
+        if members is None:
             return True
-        return population.quarantine.may_use(worker_id, now_ms)
+        return members.quarantine.may_use(worker_id, now_ms)
 
     def avoid(
         self, service_id: ids.ServiceId, now_ms: int
     ) -> frozenset[ids.WorkerId]:
         """Returns the workers on which the service is not called now."""
-        population = self._services.get(service_id)
-        if population is None:
+        members = self._services.get(service_id)
+        if members is None:
             return frozenset()
-        return _unusable(population.quarantine, now_ms)
+        return _unusable(members.quarantine, now_ms)
 
     def started(
         self,
@@ -440,9 +278,9 @@
         now_ms: int,
     ) -> None:
         """Notes a call that is made, which may be a probe."""
-        population = self._services.get(service_id)
-        if population is not None:
-            population.quarantine.started(worker_id, task_id, now_ms)
+        members = self._services.get(service_id)
+        if members is not None:
+            members.quarantine.started(worker_id, task_id, now_ms)
 
     def stopped(
         self,
@@ -451,9 +289,9 @@
         task_id: ids.TaskId,
     ) -> None:
         """Notes a call that was cancelled by its caller; says nothing."""
-        population = self._services.get(service_id)
-        if population is not None:
-            population.quarantine.lost(worker_id, task_id)
+        members = self._services.get(service_id)
+        if members is not None:
+            members.quarantine.lost(worker_id, task_id)
 
     def succeeded(
         self,
@@ -461,14 +299,16 @@
         worker_id: ids.WorkerId,
         task_id: ids.TaskId,
         now_ms: int,
-    ) -> tuple[Finding, ...]:
+    ) -> tuple[population.Finding, ...]:
         """Notes a call that was answered."""
-        population = self._population(service_id)
-        if population is None:
+        members = self._population(service_id)
+        if members is None:
             return ()
-        outcome = _Outcome(subject_id=task_id, failed=False, at_ms=now_ms)
-        population.note(worker_id, outcome)
-        found = population.probe_succeeded(worker_id, task_id, now_ms)
+        outcome = population.Outcome(
+            subject_id=task_id, failed=False, at_ms=now_ms
+        )
+        members.note(worker_id, outcome)
+        found = members.probe_succeeded(worker_id, task_id, now_ms)
         return (found,) if found else ()
 
     def failed(
@@ -477,29 +317,33 @@
         worker_id: ids.WorkerId,
         task_id: ids.TaskId,
         now_ms: int,
-    ) -> tuple[Finding, ...]:
+    ) -> tuple[population.Finding, ...]:
         """Notes a call that the backend server failed."""
-        population = self._population(service_id)
-        if population is None:
+        members = self._population(service_id)
+        if members is None:
             return ()
-        found = population.probe_failed(worker_id, task_id, now_ms)
-        phase = population.quarantine.phase(worker_id, now_ms)
+        found = members.probe_failed(worker_id, task_id, now_ms)
+        phase = members.quarantine.phase(worker_id, now_ms)
         if found is None and phase is quarantine.Phase.HEALTHY:
-            outcome = _Outcome(subject_id=task_id, failed=True, at_ms=now_ms)
-            population.note(worker_id, outcome)
-            found = population.judge(worker_id, frozenset(), now_ms)
+            outcome = population.Outcome(
+                subject_id=task_id, failed=True, at_ms=now_ms
+            )
+            members.note(worker_id, outcome)
+            found = members.judge(worker_id, frozenset(), now_ms)
         return (found,) if found else ()
 
-    def _population(self, service_id: ids.ServiceId) -> _Population | None:
-        population = self._services.get(service_id)
-        if population is None and len(self._services) < MAX_SERVICES:
-            population = _Population(
+    def _population(
+        self, service_id: ids.ServiceId
+    ) -> population.Population | None:
+        members = self._services.get(service_id)
+        if members is None and len(self._services) < MAX_SERVICES:
+            members = population.Population(
                 rng=self._rng, subjects_to_quarantine=CALLS_TO_QUARANTINE
             )
             for worker_id in self._workers:
-                population.add(worker_id)
-            self._services[service_id] = population
-        return population
+                members.add(worker_id)
+            self._services[service_id] = members
+        return members
 
 
 def _unusable(
--- /dev/null
+++ b/packages/amaranthflow/src/amaranthflow/population.py
@@ -0,0 +1,189 @@
+"""Workers that do the same kind of work, judged by their newest outcomes."""
+
+import collections
+import dataclasses
+import enum
+import random
+
+from . import ids
+from . import quarantine
+
+OUTCOMES_PER_WORKER = 16
+FAILED_RATIO_TO_QUARANTINE = 0.75
+
+_MOSTLY = 0.5
+_DOUBTED_SUBJECTS = 2
+_COMMON_CAUSE_MS = 60_000
+_OUTCOME_AGE_MS = 60 * 60_000
+
+
+class FindingKind(enum.Enum):
+    """What changed about a job or a worker."""
+
+    WORKER_QUARANTINED = 'worker quarantined'
+    WORKER_RETURNED = 'worker returned to quarantine'
+    WORKER_RESTORED = 'worker restored'
+    COMMON_CAUSE = 'common cause'
+    JOB_SET_ASIDE = 'job set aside'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Finding:
+    """A change to act on and to explain."""
+
+    kind: FindingKind
+    subject_id: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Outcome:
+    """How a job or a request ended on a worker.
+
+    :ivar subject_id: the job's or the request's id.
+    """
+
+    subject_id: str
+    failed: bool
+    at_ms: int
+
+
+class _Record:
+    """The newest outcomes on one worker."""
+
+    def __init__(self):
+        self.outcomes: collections.deque[Outcome] = collections.deque(
+            maxlen=OUTCOMES_PER_WORKER
+        )
+        self.doubted = False
+
+    def add(self, outcome: Outcome) -> None:
+        self.outcomes.append(outcome)
+        oldest_ms = outcome.at_ms - _OUTCOME_AGE_MS
+        while self.outcomes[0].at_ms < oldest_ms:
+            self.outcomes.popleft()
+        failed = len(self.failed_subjects()) >= _DOUBTED_SUBJECTS
+        self.doubted = failed and self.failed_ratio() > _MOSTLY
+
+    def failed_subjects(self) -> set[str]:
+        return {o.subject_id for o in self.outcomes if o.failed}
+
+    def failed_ratio(self, discounted: frozenset[str] = frozenset()) -> float:
+        counted = [
+            o.failed for o in self.outcomes if o.subject_id not in discounted
+        ]
+        return sum(counted) / len(counted) if counted else 0.0
+
+
+class Population:
+    """Workers that do the same kind of work, and those in quarantine."""
+
+    def __init__(self, *, rng: random.Random, subjects_to_quarantine: int):
+        self.quarantine = quarantine.Quarantine(rng=rng)
+        self._subjects_to_quarantine = subjects_to_quarantine
+        self._records: dict[ids.WorkerId, _Record] = {}
+        self._doubted = 0
+        self._next_common_ms = 0
+
+    def add(self, worker_id: ids.WorkerId) -> None:
+        """Adds a worker in good standing."""
+        self.quarantine.add(worker_id)
+
+    def remove(self, worker_id: ids.WorkerId) -> None:
+        """Forgets a worker that has gone."""
+        self.quarantine.remove(worker_id)
+        self._clear(worker_id)
+
+    def doubted(self, worker_id: ids.WorkerId) -> bool:
+        """Tells whether a worker mostly fails, several subjects at least."""
+        record = self._records.get(worker_id)
+        return record is not None and record.doubted
+
+    def failed_subjects(self, worker_id: ids.WorkerId) -> set[str]:
+        """Returns what failed on a worker lately."""
+        record = self._records.get(worker_id)
+        return record.failed_subjects() if record else set()
+
+    def note(self, worker_id: ids.WorkerId, outcome: Outcome) -> None:
+        """Records an outcome; unknown workers are ignored."""
+        if worker_id not in self.quarantine:
+            return
+        record = self._records.setdefault(worker_id, _Record())
+        before = record.doubted
+        record.add(outcome)
+        self._doubted += record.doubted - before
+
+    def judge(
+        self,
+        worker_id: ids.WorkerId,
+        discounted: frozenset[str],
+        now_ms: int,
+    ) -> Finding | None:
+        """Quarantines the worker where its record speaks against it.
+
+        A common cause is found once a minute at most.
+        """
+        record = self._records.get(worker_id)
+        if record is None:
+            return None
+        subjects = record.failed_subjects() - discounted
+        if len(subjects) < self._subjects_to_quarantine:
+            return None
+        if record.failed_ratio(discounted) < FAILED_RATIO_TO_QUARANTINE:
+            return None
+        reason = f'failed {len(subjects)} different jobs or requests'
+        common = self._common_cause(record)
+        if common or not self.quarantine.enter(worker_id, reason, now_ms):
+            return self._spare(worker_id, reason, now_ms)
+        self._clear(worker_id)
+        return Finding(
+            kind=FindingKind.WORKER_QUARANTINED,
+            subject_id=worker_id,
+            reason=reason,
+        )
+
+    def _spare(
+        self, worker_id: ids.WorkerId, reason: str, now_ms: int
+    ) -> Finding | None:
+        if now_ms < self._next_common_ms:
+            return None
+        self._next_common_ms = now_ms + _COMMON_CAUSE_MS
+        return Finding(
+            kind=FindingKind.COMMON_CAUSE,
+            subject_id=worker_id,
+            reason=f'{reason}, but too many workers fail to blame this one',
+        )
+
+    def _common_cause(self, record: _Record) -> bool:
+        others = len(self._records) - 1
+        others_doubted = self._doubted - record.doubted
+        return others >= 2 and others_doubted > _MOSTLY * others
+
+    def _clear(self, worker_id: ids.WorkerId) -> None:
+        record = self._records.pop(worker_id, None)
+        if record is not None:
+            self._doubted -= record.doubted
+
+    def probe_failed(
+        self, worker_id: ids.WorkerId, task_id: str, now_ms: int
+    ) -> Finding | None:
+        """Notes a failed task; a probe sends the worker back."""
+        if not self.quarantine.failed(worker_id, task_id, now_ms):
+            return None
+        return Finding(
+            kind=FindingKind.WORKER_RETURNED,
+            subject_id=worker_id,
+            reason='a probe task failed',
+        )
+
+    def probe_succeeded(
+        self, worker_id: ids.WorkerId, task_id: str, now_ms: int
+    ) -> Finding | None:
+        """Notes a completed task; the last probe restores the worker."""
+        if not self.quarantine.succeeded(worker_id, task_id, now_ms):
+            return None
+        return Finding(
+            kind=FindingKind.WORKER_RESTORED,
+            subject_id=worker_id,
+            reason='its probe tasks succeeded',
+        )
