Limits: scenarios of full queues and of probes beyond the limit

Cause: tasks started on probation without asking were all kept as probes. Change: at most MAX_PROBES are; scenarios show this and the refusals of a full queue.

--- a/packages/amaranthflow/src/amaranthflow/fairness.py
+++ b/packages/amaranthflow/src/amaranthflow/fairness.py
@@ -342,8 +342,8 @@
         if lane is None or lane is not best:
             self._holds.release(task_id)
             return
-        heir_id = lane.head.task.task_id
-        self._holds.transfer(task_id, heir_id, self._now_ms)
+        next_id = lane.head.task.task_id
+        self._holds.transfer(task_id, next_id, self._now_ms)
 
     def _expire_holds(self, now_ms: int) -> None:
         for task_id in self._holds.expire(now_ms):
--- a/packages/amaranthflow/src/amaranthflow/holds.py
+++ b/packages/amaranthflow/src/amaranthflow/holds.py
@@ -50,12 +50,12 @@
         self._by_task.pop(task_id, None)
 
     def transfer(
-        self, task_id: ids.TaskId, heir_id: ids.TaskId, now_ms: int
+        self, task_id: ids.TaskId, next_id: ids.TaskId, now_ms: int
     ) -> None:
         """Passes a task's hold on to another task, its time starts anew."""
         hold = self._by_task.pop(task_id)
-        self._by_task[heir_id] = Hold(
-            task_id=heir_id, worker_id=hold.worker_id, since_ms=now_ms
+        self._by_task[next_id] = Hold(
+            task_id=next_id, worker_id=hold.worker_id, since_ms=now_ms
         )
 
     def release_worker(self, worker_id: ids.WorkerId) -> None:
--- a/packages/amaranthflow/src/amaranthflow/quarantine.py
+++ b/packages/amaranthflow/src/amaranthflow/quarantine.py
@@ -121,9 +121,14 @@
         return True
 
     def started(self, member_id: str, probe_id: str, now_ms: int) -> None:
-        """Notes that a task starts; on probation it becomes the probe."""
-        if self.phase(member_id, now_ms) is Phase.PROBATION:
-            state = self._states[member_id]
+        """Notes that a task starts; on probation it becomes a probe.
+
+        Tasks beyond ``MAX_PROBES``, started without asking, prove nothing.
+        """
+        if self.phase(member_id, now_ms) is not Phase.PROBATION:
+            return
+        state = self._states[member_id]
+        if len(state.probes) < MAX_PROBES:
             state.probes.add(probe_id)
             state.next_probe_ms = now_ms + PROBE_MS
 
--- a/packages/amaranthflow/src/amaranthflow/tenant_queue.py
+++ b/packages/amaranthflow/src/amaranthflow/tenant_queue.py
@@ -222,7 +222,7 @@
             if self.leaves_room(entry):
                 return entry
             if entry.lane.is_overtaken(visit.now_ms):
-                # What ends now is saved up for this one.
+                # Room that becomes free is left for this one.
                 return None
             visit.refuse(entry.lane)
             heads.remove(entry)
--- a/tests/amaranthflow/fairness.feature
+++ b/tests/amaranthflow/fairness.feature
@@ -103,6 +103,18 @@
     When all running tasks of the fair queue end
     Then the fair queue counts 0 running tasks of "a" and 0 of "b"
 
+  Scenario: a full fair queue refuses truthfully
+    Given a fair queue over 100 cores and 100 slots
+    And the fair queue takes at most 5 tasks of at most 2 tenants
+    When 5 tasks of 1 core of each fair queue tenant "a" wait
+    Then the fair queue refuses a task of "a" as not run
+    When 2 jobs of fair queue tenant "a" are cancelled
+    And 1 tasks of 1 core of each fair queue tenant "b" wait
+    Then the fair queue refuses a task of "c" as not run
+    When 1 jobs of fair queue tenant "b" are cancelled
+    And 1 tasks of 1 core of each fair queue tenant "c" wait
+    Then the fair queue offers 4 tasks
+
   Scenario: the fair queue decides as the plain version does
     Then the fair queue and the plain version agree on random histories
 
--- a/tests/amaranthflow/quarantine.feature
+++ b/tests/amaranthflow/quarantine.feature
@@ -49,6 +49,16 @@
     When quarantine probe "p0" on "m0" fails
     Then "m0" is quarantined and gets no work from the quarantine
 
+  Scenario: probes beyond the limit prove nothing
+    Given a quarantine of 10 members
+    When quarantine takes in "m0"
+    And 40 s of quarantine time pass
+    And 20 tasks start on "m0" without asking the quarantine
+    And quarantine probe "x19" on "m0" fails
+    Then "m0" is on probation and gets no work from the quarantine
+    When quarantine probe "x3" on "m0" fails
+    Then "m0" is quarantined and gets no work from the quarantine
+
   Scenario: no more than the stated share is out of use
     Given a quarantine of 10 members
     When quarantine takes in "m0"
--- a/tests/steps/fairness_steps.py
+++ b/tests/steps/fairness_steps.py
@@ -2,13 +2,16 @@
 
 import itertools
 import random
+from unittest import mock
 
 import behave
 import hypothesis
 from hypothesis import strategies as st
 
+from amaranthflow import exceptions
 from amaranthflow import fairness
 from amaranthflow import ids
+from amaranthflow import verdict
 from amaranthflow import world
 from amaranthflow_schema.v1 import world_pb2
 from amaranthflow_standins import batch_driver
@@ -140,6 +143,29 @@
         context.queue.ended(context.started[-1].task_id)
 
 
+@behave.given(
+    'the fair queue takes at most {tasks:d} tasks of at most {tenants:d} '
+    'tenants'
+)
+def step_limits(context, tasks, tenants):
+    for name, limit in (('MAX_WAITING', tasks), ('MAX_TENANTS', tenants)):
+        patcher = mock.patch.object(fairness, name, limit)
+        patcher.start()
+        context.add_cleanup(patcher.stop)
+
+
+@behave.then('the fair queue refuses a task of "{tenant}" as not run')
+def step_refuses(context, tenant):
+    waiting = len(context.queue)
+    try:
+        context.queue.push(_task(tenant, 1), context.now_ms)
+    except exceptions.Overloaded as exc:
+        assert exc.verdict is verdict.Verdict.NOT_RUN
+    else:
+        raise AssertionError('the task was taken')
+    assert len(context.queue) == waiting
+
+
 @behave.when('{seconds:d} s pass for the fair queue')
 def step_pass(context, seconds):
     context.now_ms += seconds * 1000
--- a/tests/steps/quarantine_steps.py
+++ b/tests/steps/quarantine_steps.py
@@ -40,6 +40,14 @@
     context.quarantine.started(member, probe, context.now_ms)
 
 
+@behave.when(
+    '{count:d} tasks start on "{member}" without asking the quarantine'
+)
+def step_unasked(context, count, member):
+    for number in range(count):
+        context.quarantine.started(member, f'x{number}', context.now_ms)
+
+
 @behave.when('quarantine probe "{probe}" on "{member}" succeeds')
 def step_succeeds(context, probe, member):
     context.quarantine.succeeded(member, probe, context.now_ms)
