Quarantine: lost probes no longer keep a member out for good

Cause: a probe whose end is never reported, as of a cancelled call, was counted for ever; four of them left a member on probation without work. Change: after ten minutes a probe is taken for lost and makes way; its end still counts where it comes. The names of findings stay in health too.

--- a/packages/amaranthflow/src/amaranthflow/health.py
+++ b/packages/amaranthflow/src/amaranthflow/health.py
@@ -15,6 +15,9 @@
 WORKERS_TO_SET_ASIDE = 3
 DOUBT_MS = 30 * 60_000
 
+Finding = population.Finding
+FindingKind = population.FindingKind
+
 _WORKERS_PER_JOB = 8
 
 
@@ -148,7 +151,7 @@
         job_id: ids.JobId,
         task_id: ids.TaskId,
         now_ms: int,
-    ) -> tuple[population.Finding, ...]:
+    ) -> tuple[Finding, ...]:
         """Notes a task that completed."""
         self.jobs.forget(job_id)
         outcome = population.Outcome(
@@ -165,7 +168,7 @@
         task_id: ids.TaskId,
         reason: str,
         now_ms: int,
-    ) -> tuple[population.Finding, ...]:
+    ) -> tuple[Finding, ...]:
         """Notes a task that failed; returns what follows from it."""
         returned = self._population.probe_failed(worker_id, task_id, now_ms)
         if returned is not None:
@@ -185,13 +188,13 @@
 
     def _judge_worker(
         self, worker_id: ids.WorkerId, now_ms: int
-    ) -> population.Finding | None:
+    ) -> Finding | None:
         subjects = self._population.failed_subjects(worker_id)
         discounted = frozenset(
             job_id for job_id in subjects if self._blames(job_id, worker_id)
         )
         found = self._population.judge(worker_id, discounted, now_ms)
-        if found and found.kind is population.FindingKind.WORKER_QUARANTINED:
+        if found and found.kind is FindingKind.WORKER_QUARANTINED:
             for job_id in subjects:
                 self.jobs.absolve(job_id, worker_id)
         return found
@@ -203,7 +206,7 @@
             for other in self.jobs.workers(job_id)
         )
 
-    def _judge_job(self, job_id: ids.JobId) -> population.Finding | None:
+    def _judge_job(self, job_id: ids.JobId) -> Finding | None:
         workers = self.jobs.workers(job_id)
         needed = max(1, min(WORKERS_TO_SET_ASIDE, len(self._workers)))
         doubted = sum(self._population.doubted(w) for w in workers)
@@ -212,8 +215,8 @@
         if len(workers) - doubted < needed:
             return None
         reason = self.jobs.last_reason(job_id)
-        return population.Finding(
-            kind=population.FindingKind.JOB_SET_ASIDE,
+        return Finding(
+            kind=FindingKind.JOB_SET_ASIDE,
             subject_id=job_id,
             reason=f'failed on {len(workers)} workers, last: {reason}',
         )
@@ -299,7 +302,7 @@
         worker_id: ids.WorkerId,
         task_id: ids.TaskId,
         now_ms: int,
-    ) -> tuple[population.Finding, ...]:
+    ) -> tuple[Finding, ...]:
         """Notes a call that was answered."""
         members = self._population(service_id)
         if members is None:
@@ -317,7 +320,7 @@
         worker_id: ids.WorkerId,
         task_id: ids.TaskId,
         now_ms: int,
-    ) -> tuple[population.Finding, ...]:
+    ) -> tuple[Finding, ...]:
         """Notes a call that the backend server failed."""
         members = self._population(service_id)
         if members is None:
--- a/packages/amaranthflow/src/amaranthflow/quarantine.py
+++ b/packages/amaranthflow/src/amaranthflow/quarantine.py
@@ -11,9 +11,11 @@
 PROBE_MS = 60_000
 PROBES_TO_RESTORE = 2
 MAX_PROBES = 4
+LOST_PROBE_MS = 10 * 60_000
 REMEMBER_MS = 60 * 60_000
 
 _JITTER = 0.2
+_REMEMBERED_PROBES = 16
 
 
 class Phase(enum.Enum):
@@ -30,10 +32,24 @@
     rounds: int
     until_ms: int
     reason: str
-    probes: set[str] = dataclasses.field(default_factory=set)
+    probes: dict[str, int] = dataclasses.field(default_factory=dict)
     next_probe_ms: int = 0
     probes_passed: int = 0
 
+    def fresh(self, now_ms: int) -> int:
+        """Counts the probes that are not taken for lost."""
+        return sum(
+            now_ms - started_ms < LOST_PROBE_MS
+            for started_ms in self.probes.values()
+        )
+
+    def add_probe(self, probe_id: str, now_ms: int) -> None:
+        """Adds a probe; the oldest is forgotten where there are many."""
+        if len(self.probes) >= _REMEMBERED_PROBES:
+            del self.probes[next(iter(self.probes))]
+        self.probes[probe_id] = now_ms
+        self.next_probe_ms = now_ms + PROBE_MS
+
 
 class Quarantine:
     """Members of one population that get no work for a while.
@@ -42,8 +58,9 @@
     time. ``PROBES_TO_RESTORE`` that succeed restore it, one that fails
     sends it back for twice as long, up to ``LONGEST_MS``. A probe that
     still runs after ``PROBE_MS`` makes way for another one, up to
-    ``MAX_PROBES`` together. Rounds are remembered for ``REMEMBER_MS`` after
-    a restoration.
+    ``MAX_PROBES`` together; one of which nothing is heard for
+    ``LOST_PROBE_MS`` is no longer counted among these. Rounds are
+    remembered for ``REMEMBER_MS`` after a restoration.
 
     At most ``MAX_SHARE`` of the members, though always ``MIN_ALLOWED``, are
     out of use at one time, those on probation included: where more would
@@ -106,7 +123,9 @@
         state = self._states[member_id]
         if not state.probes:
             return True
-        return now_ms >= state.next_probe_ms and len(state.probes) < MAX_PROBES
+        return (
+            now_ms >= state.next_probe_ms and state.fresh(now_ms) < MAX_PROBES
+        )
 
     def enter(self, member_id: str, reason: str, now_ms: int) -> bool:
         """Takes a member out of use; False where too many are already."""
@@ -128,15 +147,14 @@
         if self.phase(member_id, now_ms) is not Phase.PROBATION:
             return
         state = self._states[member_id]
-        if len(state.probes) < MAX_PROBES:
-            state.probes.add(probe_id)
-            state.next_probe_ms = now_ms + PROBE_MS
+        if state.fresh(now_ms) < MAX_PROBES:
+            state.add_probe(probe_id, now_ms)
 
     def lost(self, member_id: str, probe_id: str) -> None:
         """Notes that a task ended for no fault of its own or the member's."""
         state = self._states.get(member_id)
         if state is not None:
-            state.probes.discard(probe_id)
+            state.probes.pop(probe_id, None)
 
     def succeeded(self, member_id: str, probe_id: str, now_ms: int) -> bool:
         """Notes a task that ended well; True where it restores a member."""
@@ -145,7 +163,7 @@
         state = self._states[member_id]
         if probe_id not in state.probes:
             return False
-        state.probes.remove(probe_id)
+        del state.probes[probe_id]
         state.probes_passed += 1
         if state.probes_passed < PROBES_TO_RESTORE:
             return False
--- a/tests/amaranthflow/quarantine.feature
+++ b/tests/amaranthflow/quarantine.feature
@@ -49,6 +49,19 @@
     When quarantine probe "p0" on "m0" fails
     Then "m0" is quarantined and gets no work from the quarantine
 
+  Scenario: lost probes do not keep a member out for good
+    Given a quarantine of 10 members
+    When quarantine takes in "m0"
+    And 40 s of quarantine time pass
+    And probes start on "m0" each 61 s, as long as the quarantine lets them
+    Then 4 quarantine probes run on "m0"
+    When 240 s of quarantine time pass
+    Then "m0" is on probation and gets work from the quarantine
+    When the quarantine starts probe "p9" on "m0"
+    And quarantine probe "p9" on "m0" succeeds
+    And quarantine probe "p0" on "m0" succeeds
+    Then "m0" is healthy and gets work from the quarantine
+
   Scenario: probes beyond the limit prove nothing
     Given a quarantine of 10 members
     When quarantine takes in "m0"
