Report: one figure for each rate, labels that differ

Cause: rates of different units shared an axis, and lines of one benchmark shared a label, so that their bars covered each other.

--- a/packages/amaranthflow-cli/src/amaranthflow_cli/report.py
+++ b/packages/amaranthflow-cli/src/amaranthflow_cli/report.py
@@ -12,6 +12,7 @@
 inherit the label.
 """
 
+import collections
 import dataclasses
 import html
 import json
@@ -177,7 +178,10 @@
     figures = [
         _bars('Tail latency', 'ms', found.rows, _PERCENTILES),
         _bars('Evictions', 'evictions', found.rows, ('evictions',)),
-        _bars('Throughput', 'per time', found.rows, rates),
+    ]
+    figures += [
+        _bars(f'Throughput: {rate}', rate, found.rows, (rate,))
+        for rate in rates
     ]
     figures += [_slope_figure(slope) for slope in found.slopes]
     return [figure for figure in figures if figure is not None]
@@ -205,7 +209,7 @@
             bars.append(
                 objects.Bar(
                     name=name,
-                    x=[row.label for row in having],
+                    x=_labels(having),
                     y=[row.values[name] for row in having],
                 )
             )
@@ -218,6 +222,18 @@
     return figure
 
 
+def _labels(rows: t.Sequence[Row]) -> list[str]:
+    """Returns labels; rows that share one are told apart by a value."""
+    counts = collections.Counter(row.label for row in rows)
+    labels = []
+    for row in rows:
+        key, value = next(iter(row.values.items()))
+        shared = counts[row.label] > 1
+        suffix = f' ({key} {value:g})' if shared else ''
+        labels.append(row.label + suffix)
+    return labels
+
+
 def _slope_figure(slope: Slope) -> t.Any:
     objects = _plotly()
     last = max(slope.sizes) if slope.target is None else slope.target
--- a/tests/amaranthflow_cli/report.feature
+++ b/tests/amaranthflow_cli/report.feature
@@ -9,7 +9,7 @@
       """
     When the report is made
     Then the report ends with 0
-    And the report has the titles "Tail latency, Evictions, Throughput, Capacity: measured: heartbeat bytes"
+    And the report has the titles "Tail latency, Evictions, Throughput: starts_per_s, Capacity: measured: heartbeat bytes"
     And the report has the text "noisy &lt;b&gt;"
     And the report has the text "p99_ms 9.25"
     And the report has the text "1 other lines skipped"
@@ -25,6 +25,15 @@
     Then the report has the titles "Evictions"
     And the report has no title with "Capacity"
 
+  Scenario: Lines that share a label are told apart by a value
+    Given a report file with these lines
+      """
+      {"benchmark": "queue", "load": 1, "evictions": 3}
+      {"benchmark": "queue", "load": 2, "evictions": 4}
+      """
+    When the report is made
+    Then the report has the text "["measured: queue (load 1)","measured: queue (load 2)"]"
+
   Scenario: A file without measurements is one line and exit code 2
     Given a report file with these lines
       """
