--- a/packages/amaranthflow/src/amaranthflow/configuration.py
+++ b/packages/amaranthflow/src/amaranthflow/configuration.py
@@ -3,6 +3,7 @@
 import bisect
 import collections
 import dataclasses
+import types
 import typing as t
 
 from amaranthflow_schema.v1 import records_pb2
@@ -81,11 +82,13 @@
 
     def due(self, settled_ms: int) -> list[_Due]:
         """Returns when to look at the versions kept again."""
-        return [
-            _Due(version.settled_at_ms, self.key)
-            for index, version in enumerate(self.versions)
-            if index or version.settled_at_ms > settled_ms
-        ]
+        due = []
+        for index, version in enumerate(self.versions):
+            if index or version.settled_at_ms > settled_ms:
+                due.append(_Due(version.settled_at_ms, self.key))
+            if settled_ms < version.effective_at_ms < version.settled_at_ms:
+                due.append(_Due(version.effective_at_ms, self.key))
+        return due
 
     def addresses(self) -> set[str]:
         """Addresses of the worker in any version kept."""
@@ -123,6 +126,22 @@
     return slack.ZERO
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Bodies:
+    """Messages of one kind while nothing changes."""
+
+    found: t.Mapping[str, t.Any]
+    revision: int
+    from_ms: int
+    until_ms: int | None
+
+    def holds(self, revision: int, now_ms: int) -> bool:
+        """Tells whether the messages are those in force at a time."""
+        if revision != self.revision or now_ms < self.from_ms:
+            return False
+        return self.until_ms is None or now_ms < self.until_ms
+
+
 class Configuration:
     """All keys. Deterministic: depends only on the records applied.
 
@@ -138,6 +157,7 @@
         self._settled_ms = 0
         self._due: list[_Due] = []
         self._addresses: dict[str, str] = {}
+        self._bodies: dict[str, _Bodies] = {}
         self.revision = 0
 
     def check(self, change: world_pb2.Change, now_ms: int) -> results.Result:
@@ -196,16 +216,13 @@
         """Iterates over all keys."""
         return iter(self._timelines.values())
 
-    def bodies(self, kind: str, now_ms: int) -> dict[str, t.Any]:
+    def bodies(self, kind: str, now_ms: int) -> t.Mapping[str, t.Any]:
         """Maps names to the messages of one kind that are in force."""
-        prefix = f'{kind}/'
-        found = {}
-        for key in self._timelines:
-            if key.startswith(prefix):
-                version = self.in_force(key, now_ms)
-                if version is not None:
-                    found[key.removeprefix(prefix)] = _body(version.change)
-        return found
+        cached = self._bodies.get(kind)
+        if cached is None or not cached.holds(self.revision, now_ms):
+            cached = self._list_bodies(kind, now_ms)
+            self._bodies[kind] = cached
+        return cached.found
 
     def next_booking_ms(self, now_ms: int) -> int | None:
         """Returns the earliest time after now at which a version settles.
@@ -216,6 +233,21 @@
         index = bisect.bisect_right(self._due, now_ms, key=lambda d: d.at_ms)
         return self._due[index].at_ms if index < len(self._due) else None
 
+    def _list_bodies(self, kind: str, now_ms: int) -> _Bodies:
+        prefix = f'{kind}/'
+        found = {}
+        for key in self._timelines:
+            if key.startswith(prefix):
+                version = self.in_force(key, now_ms)
+                if version is not None:
+                    found[key.removeprefix(prefix)] = _body(version.change)
+        return _Bodies(
+            found=types.MappingProxyType(found),
+            revision=self.revision,
+            from_ms=now_ms,
+            until_ms=self.next_booking_ms(now_ms),
+        )
+
     def dump(self, snapshot: records_pb2.Snapshot) -> None:
         """Adds all keys and decided change ids to a snapshot."""
         for key in sorted(self._timelines):
--- a/packages/amaranthflow/src/amaranthflow/slack.py
+++ b/packages/amaranthflow/src/amaranthflow/slack.py
@@ -116,11 +116,21 @@
         extra = _summed(steps)
         if not _takes_away(extra):
             return None
-        slack = self._now
-        for at_ms in sorted({first_ms, *extra, *self._times}):
-            slack = slack.plus(extra.get(at_ms, ZERO))
-            slack = slack.plus(self._booked.get(at_ms, ZERO))
-            if slack.short and at_ms >= first_ms:
+        times = list(self._times)
+        for at_ms in {first_ms, *extra} - self._booked.keys():
+            bisect.insort(times, at_ms)
+        # Plain sums: this walks all bookings for each change.
+        cores, memory_mb, accelerators = self._now
+        for at_ms in times:
+            part = self._booked.get(at_ms, ZERO)
+            if at_ms in extra:
+                part = part.plus(extra[at_ms])
+            cores += part[0]
+            memory_mb += part[1]
+            accelerators += part[2]
+            short = cores < 0 or memory_mb < 0 or accelerators < 0
+            if short and at_ms >= first_ms:
+                slack = Amount(cores, memory_mb, accelerators)
                 return Shortage(at_ms, slack)
         return None
 
--- a/tests/amaranthflow/configuration.feature
+++ b/tests/amaranthflow/configuration.feature
@@ -115,6 +115,19 @@
   Scenario: The sums agree with those of a plain recalculation
     Then configurations decide as a naive one does in 100 runs
 
+  Scenario: What is in force is listed anew at each booking
+    When the configuration at 1000 s gets worker a with 8 cores
+    And the configuration at 1000 s gets worker b with 8 cores
+    And the configuration at 1000 s gets worker a with 4 cores booked at 2000 s
+    And the configuration at 1000 s gets worker b removed, booked at 3000 s
+    Then the configuration lists 16 cores in workers at 1000 s
+    And the configuration lists 12 cores in workers at 2000 s
+    And the configuration lists 16 cores in workers at 1999 s
+    And the configuration lists 12 cores in workers at 2999 s
+    And the configuration lists 4 cores in workers at 3000 s
+    And the configuration changes next at 2000 s after 1000 s
+    And the configuration changes next at 3000 s after 2000 s
+
   Scenario: A slow clock does not go back
     When the configuration at 1000 s gets worker a with 8 cores
     And the configuration at 1000 s gets worker a with 4 cores booked at 2000 s
--- a/tests/steps/configuration_steps.py
+++ b/tests/steps/configuration_steps.py
@@ -206,6 +206,17 @@
     assert found.change.worker.capacity.cores == cores, found
 
 
+@behave.then('the configuration lists {cores:d} cores in workers at {at:d} s')
+def step_lists(context, cores, at):
+    bodies = context.bench.config.bodies('worker', at * 1000)
+    assert sum(w.capacity.cores for w in bodies.values()) == cores
+
+
+@behave.then('the configuration changes next at {due:d} s after {at:d} s')
+def step_next(context, due, at):
+    assert context.bench.config.next_booking_ms(at * 1000) == due * 1000
+
+
 @behave.then('the configuration remembers {count:d} change id')
 def step_remembers(context, count):
     snapshot = records_pb2.Snapshot()
