Jobs: the policy's limit of attempts applies, from its time on

Cause: Policy.max_attempts was accepted and never read. Change: the end of an attempt counts against the limit in force by the log's time, 5 where there is none, at most 100.

--- a/packages/amaranthflow/src/amaranthflow/jobs.py
+++ b/packages/amaranthflow/src/amaranthflow/jobs.py
@@ -160,15 +160,24 @@
         entry.checkpoint = record.checkpoint
         return results.ACCEPTED
 
-    def end(self, record, now_ms: int) -> results.Result:
-        """Ends a running attempt and decides what follows."""
+    def end(
+        self,
+        record,
+        now_ms: int,
+        max_attempts: int = DEFAULT_MAX_ATTEMPTS,
+    ) -> results.Result:
+        """Ends a running attempt and decides what follows.
+
+        :param max_attempts: attempts that may fail before the job is set
+            aside.
+        """
         entry = self.running.get(JobKey.parse(record.job_id))
         if entry is None or entry.attempt != record.attempt:
             return results.refused('the attempt does not run')
         entry.changed_at_ms = now_ms
         if record.checkpoint:
             entry.checkpoint = record.checkpoint
-        self._follow_up(entry, record, now_ms)
+        self._follow_up(entry, record, now_ms, max_attempts)
         return results.ACCEPTED
 
     def expire(self, now_ms: int) -> None:
@@ -180,7 +189,9 @@
                 return
             del self.jobs[self._finished.popleft()]
 
-    def _follow_up(self, entry: JobEntry, record, now_ms: int) -> None:
+    def _follow_up(
+        self, entry: JobEntry, record, now_ms: int, max_attempts: int
+    ) -> None:
         outcome = record.outcome
         if outcome == Outcome.OUTCOME_COMPLETED:
             entry.result = record.result
@@ -192,7 +203,7 @@
         elif outcome == Outcome.OUTCOME_EVICTED:
             self._evicted(entry, record, now_ms)
         else:
-            self._failed(entry, record, now_ms)
+            self._failed(entry, record, now_ms, max_attempts)
 
     def _evicted(self, entry: JobEntry, record, now_ms: int) -> None:
         entry.evictions += 1
@@ -203,13 +214,15 @@
         reason = f'evicted without a checkpoint, may have run: {record.reason}'
         self._finish(entry, JobPhase.SET_ASIDE, reason, now_ms)
 
-    def _failed(self, entry: JobEntry, record, now_ms: int) -> None:
+    def _failed(
+        self, entry: JobEntry, record, now_ms: int, max_attempts: int
+    ) -> None:
         """Handles a failed or lost attempt, which may have run in part."""
         entry.failed_workers.append(entry.worker_id)
         if not entry.job.idempotent:
             reason = f'may have run: {record.reason}'
             self._finish(entry, JobPhase.SET_ASIDE, reason, now_ms)
-        elif len(entry.failed_workers) >= DEFAULT_MAX_ATTEMPTS:
+        elif len(entry.failed_workers) >= max_attempts:
             count = len(entry.failed_workers)
             reason = f'failed {count} times, last: {record.reason}'
             self._finish(entry, JobPhase.SET_ASIDE, reason, now_ms)
--- a/packages/amaranthflow/src/amaranthflow/state.py
+++ b/packages/amaranthflow/src/amaranthflow/state.py
@@ -207,7 +207,8 @@
     def _apply_attempt_ended(self, record, writer, offset):
         if not self._owns_attempt(record, writer):
             return results.refused('the writer does not own the attempt')
-        return self.jobs.end(record, self.log_time_ms)
+        limit = self._max_attempts()
+        return self.jobs.end(record, self.log_time_ms, limit)
 
     def _apply_request_claimed(self, record, writer, offset):
         return self.claims.claim(record, writer, self.log_time_ms)
@@ -215,6 +216,12 @@
     def _apply_request_released(self, record, writer, offset):
         return self.claims.release(record, writer)
 
+    def _max_attempts(self) -> int:
+        """Limit of the policy in force by the log's time."""
+        version = self.config.in_force('policy/global', self.log_time_ms)
+        limit = version.change.policy.max_attempts if version else 0
+        return limit or jobs.DEFAULT_MAX_ATTEMPTS
+
     def _forget_silent_writers(self) -> None:
         limit_ms = self.log_time_ms - KEEP_WRITERS_MS
         self.writers = {
--- a/packages/amaranthflow/src/amaranthflow/validation.py
+++ b/packages/amaranthflow/src/amaranthflow/validation.py
@@ -10,6 +10,7 @@
 MAX_JOB_PAYLOAD_BYTES = 64 * 1024
 MAX_SERVICE_TIMEOUT_MS = 4000  # no request may outlast a task lease
 MAX_CORES = 1_000_000
+MAX_ATTEMPTS = 100
 _ID_EXTRA = frozenset('-_.:')
 _CHANGE_ID_EXTRA = _ID_EXTRA | {'/', '@'}
 _BODIES = {
@@ -127,6 +128,8 @@
 def _check_policy(body: world_pb2.Policy) -> None:
     if not math.isfinite(body.relief_slowdown) or body.relief_slowdown < 1:
         raise exceptions.RequestRefused('relief_slowdown is below 1')
+    if body.max_attempts > MAX_ATTEMPTS:
+        raise exceptions.RequestRefused(f'max_attempts is over {MAX_ATTEMPTS}')
 
 
 _CHECKS = {
--- a/tests/amaranthflow/follower.feature
+++ b/tests/amaranthflow/follower.feature
@@ -28,6 +28,18 @@
       | 20     | 3000  | 3005 | 6100 |
       | 9000   | 100   | 9999 | 1100 |
 
+  Scenario: Jobs and bookings outlive the retention
+    Given a follower of a log that keeps 20 entries
+    And the follower's log gets a job and a booking four weeks ahead
+    And the follower's log gets 10 entries
+    And the follower's log gets a snapshot
+    And the follower's log gets 15 entries
+    And the follower's log gets a snapshot
+    And the follower's log gets 15 entries
+    When the follower runs for 5 s
+    Then the follower has the state of the whole log
+    And the follower knows the job and the booking
+
   Scenario: Without a snapshot the follower waits for one
     Given a follower of a log that keeps 20 entries
     And the follower's log gets 50 entries
--- a/tests/amaranthflow/jobs.feature
+++ b/tests/amaranthflow/jobs.feature
@@ -69,6 +69,16 @@
     And the job table gets 5 attempts of a started and failed
     Then the job table has a as set-aside after attempt 5
 
+  Scenario: The policy limits the attempts from its time on
+    When the job table gets a policy of 2 attempts, booked in 1 h
+    And the job table gets the idempotent job a submitted
+    And the job table gets the idempotent job b submitted
+    And the job table gets 2 attempts of a started and failed
+    Then the job table has a as waiting after attempt 2
+    When 1.1 h pass in the job table
+    And the job table gets 2 attempts of b started and failed
+    Then the job table has b as set-aside after attempt 2
+
   Scenario: A running job that is cancelled does not start again
     When the job table gets the idempotent job a submitted
     And the job table gets attempt 1 of a started
--- a/tests/steps/follower_steps.py
+++ b/tests/steps/follower_steps.py
@@ -20,6 +20,7 @@
 _WRITERS = ('i1', 'i2', 'i3')
 _JOBS = tuple(f'j{n}' for n in range(6))
 _START_MS = 1_700_000_000_000
+_FOUR_WEEKS_MS = 28 * 86_400_000
 
 
 class _ZeroBasedLog:
@@ -314,6 +315,32 @@
     context.bench.append_snapshot()
 
 
+@behave.given("the follower's log gets a job and a booking four weeks ahead")
+def step_old(context):
+    job = world_pb2.Job(job_id='old', tenant_id='t', task_class='sort')
+    submitted = records_pb2.JobSubmitted(job=job)
+    booking = world_pb2.Change(
+        change_id='old',
+        key='policy/global',
+        effective_at_ms=_START_MS + _FOUR_WEEKS_MS,
+    )
+    booking.policy.relief_slowdown = 1.5
+    context.bench.append(
+        records_pb2.Record(job_submitted=submitted),
+        records_pb2.Record(change=booking),
+    )
+
+
+@behave.then('the follower knows the job and the booking')
+def step_knows_old(context):
+    state = context.bench.state
+    waiting = {str(key) for key in state.jobs.waiting}
+    assert 't/old' in waiting
+    due_ms = _START_MS + _FOUR_WEEKS_MS
+    assert state.config.in_force('policy/global', due_ms - 1) is None
+    assert state.config.in_force('policy/global', due_ms) is not None
+
+
 @behave.given("the follower's log gets bytes that are no batch")
 def step_garbage(context):
     context.bench.append_bytes(b'\xff\xfe{"offset": 1}')
--- a/tests/steps/jobs_steps.py
+++ b/tests/steps/jobs_steps.py
@@ -167,6 +167,21 @@
     step_end(context, attempt, name, outcome, '')
 
 
+@behave.when(
+    'the job table gets a policy of {count:d} attempts, booked in {hours:d} h'
+)
+def step_policy(context, count, hours):
+    change = world_pb2.Change(
+        change_id='p1',
+        key='policy/global',
+        effective_at_ms=context.bench.now_ms + hours * 3600 * 1000,
+    )
+    change.policy.max_attempts = count
+    change.policy.relief_slowdown = 1.5
+    context.bench.apply('i1', change=change)
+    assert context.bench.result.accepted, context.bench.result.reason
+
+
 @behave.when('the job table gets job {name:w} cancelled')
 def step_cancel(context, name):
     cancelled = records_pb2.JobCancelled(job_id=name, tenant_id='t')
