--- a/packages/amaranthflow/src/amaranthflow/placement.py
+++ b/packages/amaranthflow/src/amaranthflow/placement.py
@@ -12,6 +12,9 @@
 
 _RUNS = 4
 _CURSOR_STEP = 7
+_FILLED = 0.7
+_ALWAYS_OPEN = 0.2
+_LATENCY_HEADROOM = 1.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -33,8 +36,11 @@
 class _Site:
     """What the placer remembers of one worker's ledger.
 
-    :ivar slowdowns: predicted for each latency-critical class on it.
+    :ivar slowdowns: predicted there for each latency-critical class.
     :ivar disturbance: mean slowdown of any latency-critical class there.
+    :ivar disturbing: batch tasks there of disturbing classes.
+    :ivar batch_slots: slots that batch tasks may take.
+    :ivar latency_slots: slots kept free for latency-critical tasks.
     """
 
     ledger: world.WorkerLedger
@@ -46,6 +52,9 @@
         default_factory=dict
     )
     disturbance: float = 1.0
+    disturbing: int = 0
+    batch_slots: int = 0
+    latency_slots: int = 0
 
 
 class InterferencePlacer:
@@ -71,7 +80,7 @@
         slowdown_limit: float = 1.5,
         weights: PlacementWeights | None = None,
         all_compared: int = 36,
-        candidates: int = 20,
+        candidates: int = 12,
     ):
         self.slowdown_limit = slowdown_limit
         self._model = model
@@ -85,6 +94,7 @@
         self._latency_rooms = rooms.RoomIndex()
         self._batch_rooms = rooms.RoomIndex()
         self._spread = _Spread()
+        self._quiet = _QuietSites()
 
     def add(
         self,
@@ -101,6 +111,7 @@
         self._at[position] = site
         self._sites[ledger.worker.worker_id] = site
         self._spread.add(ledger.worker)
+        self._quiet.add(site)
         self._refresh(site)
 
     def remove(self, worker_id: ids.WorkerId) -> None:
@@ -110,6 +121,7 @@
             return
         self._spread.move(site.ledger.worker, site.latency, {})
         self._spread.remove(site.ledger.worker)
+        self._quiet.remove(site)
         self._at[site.position] = None
         self._vacant.append(site.position)
         self._latency_rooms.clear(site.position)
@@ -153,41 +165,63 @@
 
     def _batch_cost(self, task: world.Task) -> '_BatchCost':
         limit = math.inf if task.urgent else self.slowdown_limit
-        return _BatchCost(
+        cost = _BatchCost(
             self._model, self._weights, self._spread, task, limit
         )
+        if not task.urgent and self._disturbs(task.task_class):
+            cost.quiet = self._quiet
+            cost.latency_tasks = self._spread.fleet.total()
+        return cost
+
+    def _disturbs(self, task_class: ids.TaskClass) -> bool:
+        """Tells whether one task takes more than a slot's part of the limit.
+
+        A worker full of tasks that take less stays under the limit.
+        """
+        fleet = self._spread.fleet
+        if not fleet:
+            return False
+        excesses = [self._model.excess(one, task_class) for one in fleet]
+        mean = sum(excesses) / len(excesses)
+        return mean * self._quiet.batch_slots > self.slowdown_limit - 1.0
 
     def _comparable(
         self,
         index: rooms.RoomIndex,
         task: world.Task,
         avoid: t.Collection[ids.WorkerId],
-    ) -> t.Iterator[_Site]:
-        """Yields sites with room, from a few places around the fleet."""
+    ) -> list[_Site]:
+        """Returns sites with room, of a large fleet those of a few places."""
         count = len(index)
         if not count:
-            return
-        runs, length = 1, count
-        if count > self._all_compared:
-            runs, length = _RUNS, self._candidates // _RUNS
+            return []
         self._cursor = (self._cursor + _CURSOR_STEP) % count
-        seen = set()
-        for run in range(runs):
-            start = (self._cursor + run * count // runs) % count
-            left = length
-            for position in index.find(task.size, start):
-                if position in seen:
-                    break
-                seen.add(position)
-                site = self._at[position]
-                if site.ledger.worker.worker_id in avoid:
-                    continue
-                if task.task_id in site.ledger.tasks:
-                    continue
-                yield site
-                left -= 1
-                if not left:
-                    break
+        if count <= self._all_compared:
+            positions = index.find(task.size, self._cursor)
+        else:
+            positions = self._sampled(index, task.size, len(avoid) + 1)
+        sites = [self._at[position] for position in positions]
+        return [
+            site
+            for site in sites
+            if site.ledger.worker.worker_id not in avoid
+            and task.task_id not in site.ledger.tasks
+        ]
+
+    def _sampled(
+        self, index: rooms.RoomIndex, size: world.Size, spare: int
+    ) -> t.Iterable[int]:
+        """Returns a few positions from each of several places.
+
+        :param spare: positions more than needed, as some may be left out.
+        """
+        count = len(index)
+        limit = self._candidates // _RUNS + spare
+        positions: dict[int, None] = {}
+        for run in range(_RUNS):
+            start = (self._cursor + run * count // _RUNS) % count
+            positions.update(dict.fromkeys(index.find(size, start, limit)))
+        return positions
 
     def _explain(self, task: world.Task, site: _Site) -> str:
         if task.kind is world.TaskKind.LATENCY:
@@ -198,8 +232,9 @@
             )
         worst = max(
             (
-                slowdown + self._model.excess(victim, task.task_class)
-                for victim, slowdown in site.slowdowns.items()
+                site.slowdowns[victim]
+                + self._model.excess(victim, task.task_class)
+                for victim in site.latency
             ),
             default=1.0,
         )
@@ -222,6 +257,7 @@
             self._spread.move(ledger.worker, site.latency, latency)
             site.latency = latency
         site.batch = batch
+        self._quiet.resize(site)
         self._predict(site)
         free = ledger.free
         open_slots = 0 if ledger.leaving else ledger.free_slots
@@ -237,16 +273,19 @@
         )
 
     def _predict(self, site: _Site) -> None:
+        fleet = self._spread.fleet
         site.slowdowns = {
-            victim: self._model.predict(victim, site.batch)
-            for victim in site.latency
+            victim: self._model.predict(victim, site.batch) for victim in fleet
         }
-        fleet = self._spread.fleet
         site.disturbance = 1.0
         if fleet:
-            site.disturbance = sum(
-                self._model.predict(victim, site.batch) for victim in fleet
-            ) / len(fleet)
+            site.disturbance = sum(site.slowdowns.values()) / len(fleet)
+        disturbing = sum(
+            count
+            for task_class, count in site.batch.items()
+            if self._disturbs(task_class)
+        )
+        self._quiet.move(site, disturbing)
 
 
 class _LatencyCost:
@@ -258,18 +297,24 @@
         self._spread = spread
         self._spread_weight = weights.spread
         self._own: dict[ids.TaskClass, float] = {}
+        self._shares: dict[ids.RackId, float] = {}
 
     def of(self, site: _Site) -> float:
-        share = self._spread.share(self._task_class, site.ledger.worker)
-        cost = self._spread_weight * share
-        own = self._own
-        for mix in (site.batch, site.latency):
-            for neighbour, count in mix.items():
-                excess = own.get(neighbour)
-                if excess is None:
-                    excess = self._model.excess(self._task_class, neighbour)
-                    own[neighbour] = excess
-                cost += count * excess
+        worker = site.ledger.worker
+        share = self._shares.get(worker.rack_id)
+        if share is None:
+            share = self._spread.share(self._task_class, worker)
+            self._shares[worker.rack_id] = share
+        slowdown = site.slowdowns.get(self._task_class)
+        if slowdown is None:
+            slowdown = self._model.predict(self._task_class, site.batch)
+        cost = self._spread_weight * share + slowdown - 1.0
+        for neighbour, count in site.latency.items():
+            excess = self._own.get(neighbour)
+            if excess is None:
+                excess = self._model.excess(self._task_class, neighbour)
+                self._own[neighbour] = excess
+            cost += count * excess
         return cost
 
 
@@ -287,6 +332,8 @@
         self._model = model
         self._task_class = task.task_class
         self._limit = limit
+        self.quiet: _QuietSites | None = None
+        self.latency_tasks = 0
         self._batch_weight = weights.batch
         self._added: dict[ids.TaskClass, float] = {}
         self._mutual: dict[ids.TaskClass, float] = {}
@@ -296,6 +343,8 @@
         )
 
     def of(self, site: _Site) -> float:
+        if self.quiet and not self.quiet.opens(site, self.latency_tasks):
+            return math.inf
         cost = self._expected / (site.disturbance * site.disturbance)
         added_to = self._added
         for victim, count in site.latency.items():
@@ -324,6 +373,75 @@
         return excess
 
 
+class _QuietSites:
+    """Keeps disturbing batch tasks together and away from the other sites.
+
+    :ivar batch_slots: mean slots of a worker that batch tasks may take.
+    """
+
+    def __init__(self):
+        self.batch_slots = 0.0
+        self._sites = 0
+        self._slots = 0
+        self._open_slots = 0
+        self._quiet_latency_slots = 0
+        self._disturbing = 0
+        self._open_sites = 0
+
+    def add(self, site: _Site) -> None:
+        ledger = site.ledger
+        site.batch_slots = ledger.worker.slots - ledger.reserved_slots
+        site.latency_slots = max(1, ledger.reserved_slots)
+        self._sites += 1
+        self._slots += site.batch_slots
+        self._quiet_latency_slots += site.latency_slots
+        self.batch_slots = self._slots / self._sites
+
+    def remove(self, site: _Site) -> None:
+        self.move(site, 0)
+        self._sites -= 1
+        self._slots -= site.batch_slots
+        self._quiet_latency_slots -= site.latency_slots
+        self.batch_slots = self._slots / max(1, self._sites)
+
+    def resize(self, site: _Site) -> None:
+        """Follows a change of the worker's reserved slots."""
+        ledger = site.ledger
+        slots = ledger.worker.slots - ledger.reserved_slots
+        if slots != site.batch_slots:
+            disturbing = site.disturbing
+            self.remove(site)
+            self.add(site)
+            self.move(site, disturbing)
+
+    def move(self, site: _Site, disturbing: int) -> None:
+        """Replaces the number of disturbing tasks on a site."""
+        before, site.disturbing = site.disturbing, disturbing
+        self._disturbing += disturbing - before
+        if bool(before) == bool(disturbing):
+            return
+        sign = 1 if disturbing else -1
+        self._open_sites += sign
+        self._open_slots += sign * site.batch_slots
+        self._quiet_latency_slots -= sign * site.latency_slots
+
+    def opens(self, site: _Site, latency_tasks: int) -> bool:
+        """Tells whether a disturbing task may be placed on a site.
+
+        A quiet site is opened only once those open before are mostly taken,
+        and while the others have room for the latency-critical tasks. A few
+        may always be open, so that no class waits for ever.
+        """
+        if site.disturbing:
+            return True
+        if self._disturbing < _FILLED * self._open_slots:
+            return False
+        if self._open_sites < max(1, int(self._sites * _ALWAYS_OPEN)):
+            return True
+        left = self._quiet_latency_slots - site.latency_slots
+        return left >= latency_tasks * _LATENCY_HEADROOM
+
+
 class _Spread:
     """Counts of running latency-critical tasks by rack and zone."""
 
