Idle workers are polled half as often, usage only where batch tasks run

Cause: an idle instance spent 0.11% of a core and 695 bytes/s for each worker it owned (make bench-capacity, 6 to 96 workers), half of it for usage reports of workers without batch tasks. Change: two polls a lease without batch tasks, four with; usage at each second poll of a busy worker. Conclusion: leases are renewed as often as before.

--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/sites.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/sites.py
@@ -16,6 +16,8 @@
 from . import node as node_lib
 
 _POLLS_PER_LEASE = 4
+_IDLE_POLLS_PER_LEASE = 2
+_POLLS_PER_USAGE = 2
 POLL_TIMEOUT_S = 1.0
 _RETIRE_POLL_S = 0.25
 _KEPT_CONTACTS = 16
@@ -155,13 +157,21 @@
         self.update()
 
     async def run(self) -> t.NoReturn:
-        """Polls the worker until cancelled."""
-        pause_s = self._node.cfg.task_lease_s / _POLLS_PER_LEASE
+        """Polls the worker until cancelled.
+
+        Without batch tasks there are no leases to renew and nothing to
+        relieve: such a worker is polled only to see that it answers.
+        """
+        lease_s = self._node.cfg.task_lease_s
+        polls = 0
         while True:
             await self.poll()
-            if self.answering:
+            polls += 1
+            busy = self.ledger.batch_count > 0
+            if busy and self.answering and polls % _POLLS_PER_USAGE == 0:
                 await self._observer.observe(self)
-            await self._node.clock.sleep(pause_s)
+            per_lease = _POLLS_PER_LEASE if busy else _IDLE_POLLS_PER_LEASE
+            await self._node.clock.sleep(lease_s / per_lease)
 
     async def poll(self) -> None:
         """Asks for the worker's tasks and renews the leases to keep."""
