Steward: hand-overs go through begin_release and cancel_release

Cause: a hand-over that begins while the takeover still waits (leaving, or a rack that should move on after 3 s) released the rack as if the wait had been served, and one that was given up in that time served at once. Also, RackReleased did not say taken_over, so that racks once taken from a dead owner were never handed over without the wait again. Change: the record and the way back come from Ownership, which knows whether the takeover was complete.

--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/steward.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/steward.py
@@ -243,28 +243,27 @@
         if rack_id in self._moving:
             return
         self._moving.add(rack_id)
-        self._node.ownership.cease(rack_id)
+        right = self._node.ownership
+        released = right.begin_release(rack_id, holding.epoch)
         self._sites.update_rack(rack_id)
         try:
             await self._wait_idle(rack_id)
-            await self._release(holding)
+            await self._release(holding, released)
         except exceptions.NotReady as exc:
             logs.log_event('rack kept', rack=rack_id, reason=exc.reason)
             self._resume(holding)
         finally:
             self._moving.discard(rack_id)
 
-    async def _release(self, holding: racks.RackHolding) -> None:
+    async def _release(
+        self,
+        holding: racks.RackHolding,
+        released: records_pb2.RackReleased,
+    ) -> None:
         """Records the release; returns once the rack is surely given up.
 
         :raises NotReady: the record is surely not in the log.
         """
-        released = records_pb2.RackReleased(
-            rack_id=holding.rack_id,
-            instance_id=self._node.member.instance,
-            incarnation=self._node.member.incarnation,
-            epoch=holding.epoch,
-        )
         record = records_pb2.Record(rack_released=released)
         try:
             await self._node.journal.write(record, _RECORD_TIMEOUT_S)
@@ -281,7 +280,7 @@
         """Serves a rack on that could not be released."""
         right = self._node.ownership
         if right.holds(holding.rack_id, holding.epoch):
-            right.serve(holding.rack_id, holding.epoch)
+            right.cancel_release(holding.rack_id, holding.epoch)
             self._sites.update_rack(holding.rack_id)
 
     async def _wait_idle(self, rack_id: ids.RackId) -> None:
