Relief by measured call times; explanations of failed requests

Cause: the platform's usage reports list batch tasks; nothing told the owner how much requests are slowed, so relief never acted in the daemon. A request that failed left no explanation. With the log known to be down each non-idempotent call waited 1 s for its refusal. Change: CallTimes compares call times beside batch tasks with those without; the router keeps why an attempt failed; the claim is refused at once while the log is known not to answer.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import base64
 import gc
 import json
 import pathlib
@@ -16,17 +17,21 @@
 import typing as t
 
 import aiohttp
+import grpc.aio
 
 from amaranthflow import decisions
 from amaranthflow import ids
 from amaranthflow import latency
 from amaranthflow import state as state_lib
+from amaranthflow_daemon import peer_channel
 from amaranthflow_schema.v1 import peer_pb2
+from amaranthflow_schema.v1 import peer_pb2_grpc
 from amaranthflow_schema.v1 import records_pb2
 from amaranthflow_schema.v1 import world_pb2
 from amaranthflow_standins import fleet as fleet_lib
 from amaranthflow_standins import standin_process
 
+_HEARTBEATS = (200, 800, 3_200)
 _JOBS = (2_000, 8_000, 32_000)
 _KEYS = (500, 2_000, 8_000)
 _CLAIMS = (5_000, 20_000, 80_000)
@@ -35,6 +40,7 @@
 _WORKERS = (6, 24, 96)
 _INSTANCES = (3, 6, 12)
 _RATES = (20, 60, 120)
+_BATCH_TASKS = (24, 72, 168)
 _MEASURE_S = 6.0
 _SETTLE_S = 4.0
 _TENANTS = 46
@@ -345,6 +351,87 @@
     )
 
 
+class _Answering(peer_pb2_grpc.PeerServicer):
+    """Answers heartbeats and nothing else."""
+
+    async def Heartbeat(self, request, context):  # noqa: N802
+        """Answers as a peer with an idle worker does."""
+        return peer_pb2.HeartbeatReply(
+            instance_id='instance-2',
+            incarnation=1_700_000_000_000,
+            view_offset=request.view_offset,
+            load=request.load,
+        )
+
+
+class _Relay:
+    """Passes TCP on to another port and counts the bytes both ways."""
+
+    def __init__(self, *, port: int):
+        self._port = port
+        self.bytes = 0
+
+    async def open(self) -> str:
+        """Listens; returns the address."""
+        server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        return f'{host}:{port}'
+
+    async def _accept(self, reader, writer) -> None:
+        far_reader, far_writer = await asyncio.open_connection(
+            '127.0.0.1', self._port
+        )
+        await asyncio.gather(
+            self._copy(reader, far_writer), self._copy(far_reader, writer)
+        )
+
+    async def _copy(self, reader, writer) -> None:
+        while data := await reader.read(65536):
+            self.bytes += len(data)
+            writer.write(data)
+        writer.close()
+
+
+async def _exchange_heartbeats(count: int) -> tuple[float, float]:
+    """Returns bytes and processor time in us of a number of exchanges.
+
+    Both ends and the relay run in this process.
+    """
+    server = grpc.aio.server()
+    peer_pb2_grpc.add_PeerServicer_to_server(_Answering(), server)
+    relay = _Relay(port=server.add_insecure_port('127.0.0.1:0'))
+    await server.start()
+    channel = peer_channel.GrpcChannel(address=await relay.open())
+    req = peer_pb2.HeartbeatRequest(
+        instance_id='instance-1',
+        incarnation=1_700_000_000_000,
+        view_offset=1_000_000,
+        load=peer_pb2.LoadSummary(free_slots=100, total_slots=200),
+    )
+    await channel.heartbeat(req, 5.0)
+    relay.bytes = 0
+    started = time.process_time()
+    for _ in range(count):
+        await channel.heartbeat(req, 5.0)
+    spent_s = time.process_time() - started
+    await channel.close()
+    await server.stop(0)
+    return relay.bytes, spent_s * _US_PER_S
+
+
+def _measure_heartbeats() -> None:
+    found = [asyncio.run(_exchange_heartbeats(n)) for n in _HEARTBEATS]
+    _report(
+        'bytes of heartbeat exchanges',
+        'bytes',
+        _HEARTBEATS,
+        [f[0] for f in found],
+    )
+    _report(
+        'time of heartbeat exchanges', 'us', _HEARTBEATS, [f[1] for f in found]
+    )
+
+
 async def _start_fleet(
     fleet: fleet_lib.Fleet, instances: int, workers: int
 ) -> None:
@@ -427,6 +514,36 @@
     return answered
 
 
+async def _submit(
+    session: aiohttp.ClientSession, fleet: fleet_lib.Fleet, tasks: int
+) -> None:
+    """Submits batch jobs that outlast the measurement; waits until all run."""
+    instance = next(iter(fleet.instances.values()))
+    payload = base64.b64encode(b'{"run_ms": 600000}').decode()
+    for index in range(tasks):
+        body = {
+            'job_id': f'job-{index}',
+            'task_class': 'class',
+            'cores': 1,
+            'memory_mb': 100,
+            'idempotent': True,
+            'payload': payload,
+        }
+        async with session.post(
+            f'http://{instance.http_address}/v1/jobs',
+            json=body,
+            headers={'X-Tenant': 'tenant'},
+        ) as resp:
+            if resp.status != 202:
+                raise RuntimeError(await resp.text())
+    for _ in range(100):
+        status = await fleet.status(instance)
+        if status is not None and status.jobs_running == tasks:
+            return
+        await asyncio.sleep(0.2)
+    raise RuntimeError('not all tasks run')
+
+
 class _Measured(t.NamedTuple):
     """Use of one instance, mean of all."""
 
@@ -435,13 +552,20 @@
     resident_mb: float
 
 
-async def _measure_fleet(instances: int, workers: int, rate: int) -> _Measured:
-    """Measures the mean use of the instances of a fleet."""
+async def _measure_fleet(
+    instances: int, workers: int, rate: int = 0, tasks: int = 0
+) -> _Measured:
+    """Measures the mean use of the instances of a fleet.
+
+    :param rate: requests/s sent to it.
+    :param tasks: batch tasks that run on its workers.
+    """
     with tempfile.TemporaryDirectory() as folder:
         async with aiohttp.ClientSession() as session:
             fleet = fleet_lib.Fleet(session=session, logs=pathlib.Path(folder))
             try:
                 await _start_fleet(fleet, instances, workers)
+                await _submit(session, fleet, tasks)
                 return await _use(fleet, rate)
             finally:
                 await fleet.close()
@@ -469,12 +593,14 @@
 
 async def _measure_processes() -> None:
     """Use of a real daemon against workers owned, peers and requests."""
-    measured = [await _measure_fleet(1, n, 0) for n in _WORKERS]
+    measured = [await _measure_fleet(1, n) for n in _WORKERS]
     _report_use('idle instance by workers owned', _WORKERS, measured)
-    measured = [await _measure_fleet(n, 6, 0) for n in _INSTANCES]
+    measured = [await _measure_fleet(n, 6) for n in _INSTANCES]
     _report_use('idle instance by instances', _INSTANCES, measured)
-    measured = [await _measure_fleet(1, 24, n) for n in _RATES]
+    measured = [await _measure_fleet(1, 24, rate=n) for n in _RATES]
     _report_use('instance by requests/s, own workers', _RATES, measured)
+    measured = [await _measure_fleet(1, 24, tasks=n) for n in _BATCH_TASKS]
+    _report_use('instance by batch tasks, 24 workers', _BATCH_TASKS, measured)
 
 
 def _report_use(
@@ -500,6 +626,7 @@
     random.seed(1)
     _measure_state()
     _measure_records()
+    _measure_heartbeats()
     asyncio.run(_measure_processes())
     return 0
 
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/dispatch.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/dispatch.py
@@ -19,6 +19,7 @@
 from . import logs
 from . import metrics
 from . import node as node_lib
+from . import observer as observer_lib
 from . import sites as sites_lib
 
 _ANSWER_MARGIN_MS = 5
@@ -54,8 +55,10 @@
         placer: world.Placer,
         sites: sites_lib.Sites,
         health: health.CallHealth,
+        observer: observer_lib.UsageObserver,
     ):
         self._node = node
+        self._observer = observer
         self._health = health
         self._placer = placer
         self._sites = sites
@@ -162,8 +165,11 @@
             timeout_ms=timeout_ms,
         )
         payload = await self._ask(call, entrant, reservation)
-        self._free(reservation)
         spent_s = clock.monotonic() - started_at
+        self._observer.note_call(
+            reservation.site, reservation.task.task_class, spent_s
+        )
+        self._free(reservation)
         reply.verdict = verdict.Verdict.COMPLETED.value
         reply.payload = payload
         reply.sha256 = hashlib.sha256(payload).hexdigest()
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/observer.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/observer.py
@@ -2,6 +2,7 @@
 
 import typing as t
 
+from amaranthflow import calltimes
 from amaranthflow import decisions
 from amaranthflow import exceptions
 from amaranthflow import ids
@@ -56,8 +57,23 @@
         self._learner = learning.UsageLearner(
             interference=model, sizes=sizes, relief=self._relief
         )
+        self._calls = calltimes.CallTimes()
         self.mover: Mover | None = None
 
+    def note_call(
+        self,
+        site: sites_lib.WorkerSite,
+        task_class: ids.TaskClass,
+        seconds: float,
+    ) -> None:
+        """Takes the time that a backend server took for a request."""
+        self._calls.note(
+            site.worker.worker_id,
+            task_class,
+            seconds,
+            site.ledger.batch_count,
+        )
+
     async def observe(self, site: sites_lib.WorkerSite) -> None:
         """Asks for the worker's newest measurements and acts on them."""
         self.note_change(site)
@@ -68,6 +84,8 @@
             return
         now_ms = self._node.clock.wall_ms()
         self._learner.take(site.ledger, reports, now_ms)
+        slowdowns = self._calls.take(site.worker.worker_id)
+        self._learner.take_calls(site.ledger, slowdowns, now_ms)
         self._placer.changed(site.worker.worker_id)
         self._relieve(site)
 
@@ -79,6 +97,7 @@
         """Drops what is known of a worker that was given up."""
         worker_id = site.worker.worker_id
         self._learner.forget(worker_id)
+        self._calls.forget(worker_id)
         self._relief.forget(worker_id)
 
     def _relieve(self, site: sites_lib.WorkerSite) -> None:
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/parts.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/parts.py
@@ -103,7 +103,11 @@
         )
         self.runner.sites = self.sites
         self.dispatcher = dispatch.Dispatcher(
-            node=node, placer=self.placer, sites=self.sites, health=calls
+            node=node,
+            placer=self.placer,
+            sites=self.sites,
+            health=calls,
+            observer=self.observer,
         )
 
     def _build_entry(self) -> None:
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/router.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/router.py
@@ -4,6 +4,7 @@
 import hashlib
 import typing as t
 
+from amaranthflow import decisions
 from amaranthflow import exceptions
 from amaranthflow import ids
 from amaranthflow import results
@@ -149,6 +150,7 @@
                 budget=budget,
                 now_ms=self._node.clock.wall_ms(),
             )
+            self._explain(req, attempt, failure, decision)
             if not decision.retry:
                 raise _final(failure, may_have_run, decision)
             self._count(metrics.Metric.RETRIES, req, service)
@@ -217,6 +219,10 @@
             tenant_id=req.tenant_id, request_id=req.request_id
         )
         record = records_pb2.Record(request_claimed=claimed)
+        if not self._node.journal.reachable:
+            raise exceptions.NotReady(
+                'the log does not answer', retry_after_ms=1000
+            )
         try:
             result = await self._node.journal.write(record, _CLAIM_TIMEOUT_S)
         except exceptions.RequestUncertain as exc:
@@ -237,6 +243,23 @@
         except exceptions.AmaranthflowError:
             return
 
+    def _explain(
+        self,
+        req: CallerRequest,
+        attempt: int,
+        failure: exceptions.AmaranthflowError,
+        decision: retry.RetryDecision,
+    ) -> None:
+        """Keeps why an attempt failed; answered requests leave nothing."""
+        kind = decisions.DecisionKind.FAILED
+        if decision.retry:
+            kind = decisions.DecisionKind.RETRIED
+        reason = (
+            f'attempt {attempt} {failure.verdict.label}: {failure.reason};'
+            f' {decision.reason.value}'
+        )
+        self._node.explain(req.request_id, kind, reason, req.tenant_id)
+
     def _count(self, metric: metrics.Metric, req, service) -> None:
         self._node.metrics.count(
             metric, tenant_id=req.tenant_id, task_class=service.task_class
--- a/packages/amaranthflow/src/amaranthflow/learning.py
+++ b/packages/amaranthflow/src/amaranthflow/learning.py
@@ -5,6 +5,7 @@
 import dataclasses
 import typing as t
 
+from . import calltimes
 from . import ids
 from . import interference
 from . import platform
@@ -83,6 +84,32 @@
             self._learn_slowdown(ledger, moment, task, report, now_ms)
             _raise_reservation(ledger, report)
 
+    def take_calls(
+        self,
+        ledger: world.WorkerLedger,
+        measured: t.Iterable[calltimes.CallSlowdown],
+        now_ms: int,
+    ) -> None:
+        """Learns from call times of latency-critical classes of a worker."""
+        neighbours: dict[ids.TaskClass, float] = {}
+        for task in ledger.tasks.values():
+            if task.kind is world.TaskKind.BATCH:
+                share = self.relief.share(
+                    ledger.worker.worker_id, task.task_id
+                )
+                share += neighbours.get(task.task_class, 0.0)
+                neighbours[task.task_class] = share
+        for found in measured:
+            self.interference.observe(
+                found.task_class, neighbours, found.slowdown, now_ms, now_ms
+            )
+            self.relief.measured(
+                ledger.worker.worker_id,
+                found.task_class,
+                found.slowdown,
+                now_ms,
+            )
+
     def _learn_size(
         self, task: world.Task, report: platform.UsageReport
     ) -> None:
--- a/tests/amaranthflow_daemon/fleet.feature
+++ b/tests/amaranthflow_daemon/fleet.feature
@@ -199,6 +199,14 @@
     And the fleet runs for 60 s
     Then fleet job "j" is "set-aside"
 
+  Scenario: batch tasks that slow requests are throttled
+    When the fleet answers calls for 10 s
+    And batch tasks slow the fleet's calls 3 times
+    And fleet jobs of 60 s run on each worker
+    And the fleet answers calls for 30 s
+    Then the fleet has throttled or moved batch tasks
+    And every fleet job of 60 s has run in one place at a time
+
   Scenario: a cancelled job is stopped
     When fleet job "j" of 60 s is submitted
     And the fleet runs for 2 s
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -459,3 +459,56 @@
     broken = _run(context, fuzz.run(_FUZZ_STEPS))
     assert not broken, broken
     assert len(fuzz.events) > 5, fuzz.events
+
+
+async def _answer_calls(fleet, seconds, prefix):
+    for index in range(int(seconds * 20)):
+        for name in list(fleet.instances):
+            fleet.keep(
+                asyncio.ensure_future(
+                    _told(fleet, name, f'{prefix}-{name}-{index}', True)
+                )
+            )
+        await fleet.clock.run_for(0.05)
+    _check(fleet)
+
+
+@behave.when('the fleet answers calls for {seconds:g} s')
+def step_answer_calls(context, seconds):
+    prefix = f'load-{context.fleet.clock.monotonic()}'
+    _run(context, _answer_calls(context.fleet, seconds, prefix))
+
+
+@behave.when("batch tasks slow the fleet's calls {factor:d} times")
+def step_slow(context, factor):
+    def slowdown(task_class, neighbours):
+        # The stand-in names a call by its service.
+        slowed = task_class == local_fleet.SERVICE and neighbours
+        return float(factor) if slowed else 1.0
+
+    for machine in context.fleet.machines.values():
+        machine.slowdown = slowdown
+
+
+@behave.when('fleet jobs of {seconds:g} s run on each worker')
+def step_jobs_everywhere(context, seconds):
+    for index in range(2 * len(context.fleet.workers)):
+        _submit(context, f'wide-{index}', seconds, idempotent=True)
+
+
+@behave.then('the fleet has throttled or moved batch tasks')
+def step_relieved(context):
+    wanted = {'throttled', 'moved'}
+    found = set()
+    for instance in context.fleet.instances.values():
+        log = instance.parts.node.decisions
+        for run in context.fleet.runs('job:'):
+            for decision in log.explain(ids.TenantId(''), run.subject):
+                found.add(decision.kind.value)
+    assert found & wanted, found
+
+
+@behave.then('every fleet job of 60 s has run in one place at a time')
+def step_one_place(context):
+    assert not context.fleet.overlaps()
+    assert not context.fleet.violations()
