Heartbeats of a channel share one stream

Cause: an idle instance spent 0.32% of a core for each other instance (make bench-capacity, 3 to 12 instances): with nine that is most of the 3.9% that control may take. Change: Heartbeat is a stream; a failed exchange gives the stream up, so that a late reply is never taken for a later one. Ruled out: one-sided heartbeats, which give the answering side no proof.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -354,14 +354,15 @@
 class _Answering(peer_pb2_grpc.PeerServicer):
     """Answers heartbeats and nothing else."""
 
-    async def Heartbeat(self, request, context):  # noqa: N802
+    async def Heartbeat(self, request_iterator, context):
         """Answers as a peer with an idle worker does."""
-        return peer_pb2.HeartbeatReply(
-            instance_id='instance-2',
-            incarnation=1_700_000_000_000,
-            view_offset=request.view_offset,
-            load=request.load,
-        )
+        async for request in request_iterator:
+            yield peer_pb2.HeartbeatReply(
+                instance_id='instance-2',
+                incarnation=1_700_000_000_000,
+                view_offset=request.view_offset,
+                load=request.load,
+            )
 
 
 class _Relay:
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/peer_channel.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/peer_channel.py
@@ -59,13 +59,44 @@
             address, options=_CLIENT_OPTIONS
         )
         self._stub = peer_pb2_grpc.PeerStub(self._channel)
+        self._stream: grpc.aio.StreamStreamCall | None = None
         self._closed = False
 
     async def heartbeat(
         self, req: peer_pb2.HeartbeatRequest, timeout_s: float
     ) -> peer_pb2.HeartbeatReply:
-        """Tells about this instance and asks about the peer."""
-        return await self._answer(self._stub.Heartbeat(req, timeout=timeout_s))
+        """Tells about this instance and asks about the peer.
+
+        All heartbeats of a channel share one stream, which costs less than
+        a call for each. After a failure it is given up: a late reply must
+        not be taken for the answer to a later request.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._answer(self._exchange(req))
+        except BaseException as exc:
+            self._drop_stream()
+            if isinstance(exc, TimeoutError):
+                raise exceptions.RequestUncertain(
+                    'the peer gave no answer in time'
+                ) from exc
+            raise
+
+    async def _exchange(
+        self, req: peer_pb2.HeartbeatRequest
+    ) -> peer_pb2.HeartbeatReply:
+        if self._stream is None:
+            self._stream = self._stub.Heartbeat()
+        await self._stream.write(req)
+        reply = await self._stream.read()
+        if reply is grpc.aio.EOF:
+            raise exceptions.RequestUncertain('the peer ended the stream')
+        return reply
+
+    def _drop_stream(self) -> None:
+        if self._stream is not None:
+            self._stream.cancel()
+            self._stream = None
 
     async def execute(
         self, req: peer_pb2.ExecuteRequest, timeout_s: float
@@ -83,6 +114,7 @@
     async def close(self) -> None:
         """Ends the calls in progress and closes the connection."""
         self._closed = True
+        self._drop_stream()
         await self._channel.close()
 
     async def _answer(self, call: t.Awaitable[_Reply]) -> _Reply:
@@ -92,6 +124,10 @@
             raise exceptions.RequestUncertain(
                 f'the peer gave no answer: {exc.code().name}'
             ) from exc
+        except asyncio.InvalidStateError as exc:
+            raise exceptions.RequestUncertain(
+                'the stream to the peer has ended'
+            ) from exc
         except asyncio.CancelledError:
             if not self._closed:
                 raise
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/peer_service.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/peer_service.py
@@ -38,10 +38,15 @@
 
     async def Heartbeat(
         self,
-        request: peer_pb2.HeartbeatRequest,
+        request_iterator: t.AsyncIterator[peer_pb2.HeartbeatRequest],
         context: grpc.aio.ServicerContext,
-    ) -> peer_pb2.HeartbeatReply:
-        """Answers with the newest view seen and the load."""
+    ) -> t.AsyncIterator[peer_pb2.HeartbeatReply]:
+        """Answers each heartbeat of a peer."""
+        async for _ in request_iterator:
+            yield self.answer_heartbeat()
+
+    def answer_heartbeat(self) -> peer_pb2.HeartbeatReply:
+        """Tells the newest view seen and the load."""
         beat = self._peers.beat()
         return peer_pb2.HeartbeatReply(
             instance_id=beat.instance_id,
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/local_fleet.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/local_fleet.py
@@ -123,17 +123,22 @@
         clock = self._fleet.clock
         await clock.sleep(_PEER_LATENCY_S)
         peer = await self._fleet.reach(self._source, self._address)
-        answer = getattr(peer.service, method)(req, None)
-        if method == 'FetchState':
-            reply = b''.join([chunk.data async for chunk in answer])
-        else:
-            reply = await answer
+        reply = await _answer(peer.service, method, req)
         await clock.sleep(_PEER_LATENCY_S)
         await peer.gate.wait()
         await self._fleet.reach(peer.name, self._source)
         return reply
 
 
+async def _answer(service: peer_service.PeerService, method: str, req):
+    if method == 'Heartbeat':
+        return service.answer_heartbeat()
+    if method == 'FetchState':
+        chunks = service.FetchState(req, None)
+        return b''.join([chunk.data async for chunk in chunks])
+    return await service.Execute(req, None)
+
+
 class LocalFleet:
     """Instances, workers, log and list, with faults between them.
 
