Fields of a job's JSON are checked one by one

Cause: the protobuf message took what JSON gave: true or null as cores, 1 as a flag, 0 or [] as "no job id"; its refusals named no field. Change: each field has a check of its type and range; the reason names it.

--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/entry.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/entry.py
@@ -21,6 +21,8 @@
 from . import submissions as submissions_lib
 
 _MAX_TIMEOUT_MS = 3_600_000
+_MAX_UINT32 = 2**32 - 1
+_MAX_UINT64 = 2**64 - 1
 _TRUE_FALSE = {'true': True, 'false': False}
 _RETRY_HEADER = 'X-Retry-After-Ms'
 
@@ -200,41 +202,75 @@
 
 
 def _job_of(body: dict[str, t.Any], tenant_id: str) -> world_pb2.Job:
-    unknown = sorted(set(body) - _JOB_FIELDS)
+    unknown = sorted(set(body) - _JOB_FIELDS.keys())
     if unknown:
         raise _BadRequest(f'unknown field {unknown[0]!r}')
-    try:
-        return world_pb2.Job(
-            job_id=body.get('job_id') or uuid.uuid4().hex,
-            tenant_id=tenant_id,
-            task_class=body.get('task_class', ''),
-            declared=world_pb2.Size(
-                cores=body.get('cores', 0),
-                memory_mb=body.get('memory_mb', 0),
-                accelerators=body.get('accelerators', 0),
-            ),
-            declared_run_ms=body.get('run_ms', 0),
-            idempotent=body.get('idempotent', False),
-            urgent=body.get('urgent', False),
-            payload=base64.b64decode(body.get('payload', ''), validate=True),
-        )
-    except (TypeError, ValueError, binascii.Error) as exc:
-        raise _BadRequest(f'a field has a wrong value: {exc}') from exc
-
-
-_JOB_FIELDS = frozenset(
-    (
-        'job_id',
-        'task_class',
-        'cores',
-        'memory_mb',
-        'accelerators',
-        'run_ms',
-        'idempotent',
-        'urgent',
-        'payload',
+    for name, value in body.items():
+        _JOB_FIELDS[name](name, value)
+    return world_pb2.Job(
+        job_id=body.get('job_id', uuid.uuid4().hex),
+        tenant_id=tenant_id,
+        task_class=body.get('task_class', ''),
+        declared=world_pb2.Size(
+            cores=body.get('cores', 0),
+            memory_mb=body.get('memory_mb', 0),
+            accelerators=body.get('accelerators', 0),
+        ),
+        declared_run_ms=body.get('run_ms', 0),
+        idempotent=body.get('idempotent', False),
+        urgent=body.get('urgent', False),
+        payload=_payload(body.get('payload', '')),
     )
-)
+
+
+def _check_text(name: str, value: t.Any) -> None:
+    if not isinstance(value, str):
+        raise _BadRequest(f'{name} is not a string')
+
+
+def _check_flag(name: str, value: t.Any) -> None:
+    if not isinstance(value, bool):
+        raise _BadRequest(f'{name} is neither true nor false')
+
+
+def _check_number(name: str, value: t.Any) -> None:
+    if type(value) not in (int, float):
+        raise _BadRequest(f'{name} is not a number')
+    if not 0 <= value <= validation.MAX_CORES:
+        raise _BadRequest(f'{name} is not in 0..{validation.MAX_CORES}')
+
+
+def _check_uint32(name: str, value: t.Any) -> None:
+    _check_whole(name, value, _MAX_UINT32)
+
+
+def _check_uint64(name: str, value: t.Any) -> None:
+    _check_whole(name, value, _MAX_UINT64)
+
+
+def _check_whole(name: str, value: t.Any, limit: int) -> None:
+    if type(value) is not int or not 0 <= value <= limit:
+        raise _BadRequest(f'{name} is not a whole number in 0..{limit}')
+
+
+def _payload(text: str) -> bytes:
+    try:
+        return base64.b64decode(text, validate=True)
+    except (ValueError, binascii.Error) as exc:
+        raise _BadRequest('payload is not base64') from exc
+
+
+_JOB_FIELDS: dict[str, t.Callable[[str, t.Any], None]] = {
+    'job_id': _check_text,
+    'task_class': _check_text,
+    'cores': _check_number,
+    'memory_mb': _check_uint64,
+    'accelerators': _check_uint32,
+    'run_ms': _check_uint64,
+    'idempotent': _check_flag,
+    'urgent': _check_flag,
+    'payload': _check_text,
+}
 
 
 def _answer_job(
