A timeout header of thousands of digits is refused as a bad request

Cause: int() raises ValueError above 4300 digits; the caller got status 500 without a verdict. Change: the number of digits is checked first. Figures: status 500 before, 400 with the header's name after.

--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/entry.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/entry.py
@@ -185,7 +185,9 @@
 
 def _timeout_ms(request: sanic.Request) -> int:
     text = request.headers.get('X-Timeout-Ms', '0')
-    if not text.isdecimal() or int(text) > _MAX_TIMEOUT_MS:
+    digits = text.lstrip('0')
+    too_long = len(digits) > len(str(_MAX_TIMEOUT_MS))
+    if not text.isdecimal() or too_long or int(digits or 0) > _MAX_TIMEOUT_MS:
         raise _BadRequest(f'X-Timeout-Ms is not in 0..{_MAX_TIMEOUT_MS}')
     return int(text)
 
--- a/tests/amaranthflow_daemon/entry.feature
+++ b/tests/amaranthflow_daemon/entry.feature
@@ -96,6 +96,11 @@
       | X-Timeout-Ms | 3600001 |
       | X-Request-Id | a b     |
 
+  Scenario: a header of thousands of digits is refused
+    When the entry is called with a timeout of 5000 digits
+    Then the entry answers 400, not run, with "X-Timeout-Ms"
+    And the entry still serves
+
   Scenario Outline: what has no handler is answered with a verdict
     When the entry is asked to "<method>" "<path>" for "tenant-a"
     Then the entry answers <status>, not run, with ""
