An unexpected error is answered with a verdict

Cause: an error that no handler expects got the HTTP library's own page, without a verdict, and the library's server errors (a response that took too long) were called "not run" though the handler had begun. Change: both are answered 500, "may have run" and "internal error"; the error itself goes to the log only.

--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/entry.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/entry.py
@@ -24,6 +24,7 @@
 _MAX_UINT32 = 2**32 - 1
 _MAX_UINT64 = 2**64 - 1
 _TRUE_FALSE = {'true': True, 'false': False}
+_SERVER_ERROR = 500
 _RETRY_HEADER = 'X-Retry-After-Ms'
 
 
@@ -65,6 +66,7 @@
         app.error_handler.add(
             sanic_exceptions.SanicException, _answer_sanic_error
         )
+        app.error_handler.add(Exception, _answer_unexpected)
         return app
 
     async def live(self, request: sanic.Request) -> sanic.HTTPResponse:
@@ -322,8 +324,29 @@
 def _answer_sanic_error(
     request: sanic.Request, exc: sanic_exceptions.SanicException
 ) -> sanic.HTTPResponse:
-    """Answers what the HTTP library refuses before a handler runs."""
+    """Answers what the HTTP library refuses.
+
+    It does so before a handler runs, but for its own server errors.
+    """
+    if exc.status_code >= _SERVER_ERROR:
+        return _answer_unexpected(request, exc)
     body = {'verdict': 'not run', 'reason': str(exc)}
     return sanic.response.json(
         body, status=exc.status_code, headers={'X-Verdict': 'not-run'}
     )
+
+
+def _answer_unexpected(
+    request: sanic.Request, exc: Exception
+) -> sanic.HTTPResponse:
+    """Answers after a fault of this program; tells nothing of it."""
+    logs.log_event(
+        'handler failed',
+        level=logs.ERROR,
+        path=request.path,
+        reason=repr(exc),
+    )
+    failure = exceptions.RequestUncertain('internal error')
+    body = {'verdict': failure.verdict.label, 'reason': failure.reason}
+    headers = {'X-Verdict': failure.verdict.label.replace(' ', '-')}
+    return sanic.response.json(body, status=_SERVER_ERROR, headers=headers)
--- a/tests/amaranthflow_daemon/entry.feature
+++ b/tests/amaranthflow_daemon/entry.feature
@@ -110,6 +110,10 @@
       | GET    | /nowhere | 404    |
       | PUT    | /v1/jobs | 405    |
 
+  Scenario: an error in the daemon is answered with a verdict
+    When the entry's router fails
+    Then the entry answers 500 and that the request may have run
+
   Scenario: an undecodable log entry stops nothing
     When the entry's log takes undecodable entries
     Then the entry still serves
