A worker's address must have a port in 1..65535

Cause: only digits were asked for, so 127.0.0.1:99999 took effect and its owner could never reach the worker. Change: the port is checked where a change is.

--- a/packages/amaranthflow/src/amaranthflow/validation.py
+++ b/packages/amaranthflow/src/amaranthflow/validation.py
@@ -11,6 +11,7 @@
 MAX_SERVICE_TIMEOUT_MS = 4000  # no request may outlast a task lease
 MAX_CORES = 1_000_000
 MAX_ATTEMPTS = 100
+_MAX_PORT = 65535
 _ID_EXTRA = frozenset('-_.:')
 _CHANGE_ID_EXTRA = _ID_EXTRA | {'/', '@'}
 _BODIES = {
@@ -119,12 +120,18 @@
     check_id('zone_id', body.zone_id)
     check_size('capacity', body.capacity)
     host, _, port = body.address.rpartition(':')
-    if not host or not port.isdigit():
+    if not host or not _is_port(port):
         raise exceptions.RequestRefused('address is not IP:PORT')
     if body.slots < 1 or body.connections < 1:
         raise exceptions.RequestRefused('slots or connections is zero')
 
 
+def _is_port(text: str) -> bool:
+    if not text.isascii() or not text.isdigit() or len(text) > 5:
+        return False
+    return 0 < int(text) <= _MAX_PORT
+
+
 def _check_policy(body: world_pb2.Policy) -> None:
     if not math.isfinite(body.relief_slowdown) or body.relief_slowdown < 1:
         raise exceptions.RequestRefused('relief_slowdown is below 1')
