Operators' bad messages are refused before the log, with a clear status

Causes: a change that no state could make valid was appended to the log before it was refused, also one of any size or with fields this version does not know (which were dropped in silence); bytes that are no message ended in status UNKNOWN and a stack trace; the server took requests of 64 MiB. Change: a change is checked by itself before it is written, with a limit of 16 KiB; unknown fields of changes and jobs are refused; the operators' methods decode their requests themselves and answer INVALID_ARGUMENT; the server's limit follows max_body_bytes, at least 4 MiB.

--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/operators.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/operators.py
@@ -1,11 +1,14 @@
 """Answers operators' remote procedure calls."""
 
+from google.protobuf import message as protobuf_message
+from google.protobuf import message_factory
 import grpc.aio
 
 from amaranthflow import configuration
 from amaranthflow import decisions
 from amaranthflow import exceptions
 from amaranthflow import ids
+from amaranthflow import validation
 from amaranthflow import verdict
 from amaranthflow_schema.v1 import operators_pb2
 from amaranthflow_schema.v1 import operators_pb2_grpc
@@ -20,6 +23,7 @@
 _RECORD_TIMEOUT_S = 3.0
 _PEER_TIMEOUT_S = 1.0
 _ONE_INSTANCE = 'one-instance'
+_MAX_CHANGE_BYTES = 16 * 1024
 
 
 class OperatorService(operators_pb2_grpc.OperatorsServicer):
@@ -60,6 +64,7 @@
         """Writes a change to the log and tells what became of it."""
         record = records_pb2.Record(change=request.change)
         try:
+            _check_change(request.change)
             self._check_writable()
             result = await self._node.journal.write(record, _RECORD_TIMEOUT_S)
         except exceptions.AmaranthflowError as exc:
@@ -97,6 +102,7 @@
     ) -> operators_pb2.JobReply:
         """Accepts a batch job."""
         try:
+            _check_known_fields(request.job)
             return await self._submissions.submit(request.job)
         except exceptions.AmaranthflowError as exc:
             return _job_error(request.job.job_id, exc)
@@ -263,6 +269,58 @@
         return entries
 
 
+def add_to_server(service: OperatorService, server: grpc.aio.Server) -> None:
+    """Adds the service; bytes that are no message are a caller's error."""
+    described = operators_pb2.DESCRIPTOR.services_by_name['Operators']
+    handlers = {
+        method.name: _handler(service, method) for method in described.methods
+    }
+    server.add_generic_rpc_handlers(
+        (grpc.method_handlers_generic_handler(described.full_name, handlers),)
+    )
+
+
+def _handler(service: OperatorService, method) -> grpc.RpcMethodHandler:
+    message = message_factory.GetMessageClass(method.input_type)
+    answer = getattr(service, method.name)
+
+    async def handle(
+        data: bytes, context: grpc.aio.ServicerContext
+    ) -> protobuf_message.Message:
+        try:
+            request = message.FromString(data)
+        except protobuf_message.DecodeError:
+            await context.abort(
+                grpc.StatusCode.INVALID_ARGUMENT,
+                f'not run: the request is not a {message.DESCRIPTOR.name}',
+            )
+        return await answer(request, context)
+
+    reply = message_factory.GetMessageClass(method.output_type)
+    return grpc.unary_unary_rpc_method_handler(
+        handle, response_serializer=reply.SerializeToString
+    )
+
+
+def _check_change(change: world_pb2.Change) -> None:
+    """Raises RequestRefused for what no state would make valid."""
+    if change.ByteSize() > _MAX_CHANGE_BYTES:
+        raise exceptions.RequestRefused(
+            f'the change is over {_MAX_CHANGE_BYTES} bytes'
+        )
+    _check_known_fields(change)
+    validation.check_change(change)
+
+
+def _check_known_fields(sent: protobuf_message.Message) -> None:
+    """Raises RequestRefused for fields of another version of the schema."""
+    known = type(sent)()
+    known.CopyFrom(sent)
+    known.DiscardUnknownFields()
+    if known.ByteSize() != sent.ByteSize():
+        raise exceptions.RequestRefused('the request has an unknown field')
+
+
 def _entry(
     timeline: configuration.Timeline, now_ms: int
 ) -> operators_pb2.ConfigurationEntry:
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/peer_channel.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/peer_channel.py
@@ -10,21 +10,34 @@
 from amaranthflow_schema.v1 import peer_pb2_grpc
 
 _MAX_MESSAGE_BYTES = 64 * 1024 * 1024
-OPTIONS = (
+_OPTIONS = (
     ('grpc.max_receive_message_length', _MAX_MESSAGE_BYTES),
     ('grpc.max_send_message_length', _MAX_MESSAGE_BYTES),
 )
 _CLIENT_OPTIONS = (
-    *OPTIONS,
+    *_OPTIONS,
     ('grpc.enable_http_proxy', 0),
     ('grpc.use_local_subchannel_pool', 1),
     ('grpc.initial_reconnect_backoff_ms', 100),
     ('grpc.max_reconnect_backoff_ms', 1000),
 )
 
+_MIN_RECEIVED_BYTES = 4 * 1024 * 1024
+_ENVELOPE_BYTES = 64 * 1024
+
 _Reply = t.TypeVar('_Reply')
 
 
+def server_options(max_body_bytes: int) -> tuple[tuple[str, int], ...]:
+    """Returns options of a server; no request is larger than a body."""
+    limit = max(_MIN_RECEIVED_BYTES, max_body_bytes + _ENVELOPE_BYTES)
+    return (
+        ('grpc.max_receive_message_length', limit),
+        ('grpc.max_send_message_length', _MAX_MESSAGE_BYTES),
+        ('grpc.so_reuseport', 0),
+    )
+
+
 class PeerChannel(t.Protocol):
     """One connection to a peer.
 
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/process.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/process.py
@@ -13,7 +13,6 @@
 from amaranthflow import clock as clock_lib
 from amaranthflow import http_calls
 from amaranthflow import world
-from amaranthflow_schema.v1 import operators_pb2_grpc
 from amaranthflow_schema.v1 import peer_pb2_grpc
 
 from . import guards
@@ -26,8 +25,6 @@
 from . import settings
 from . import sites
 
-_SERVER_OPTIONS = (*peer_channel.OPTIONS, ('grpc.so_reuseport', 0))
-
 
 class Process:
     """The whole daemon: parts, servers and their life."""
@@ -64,7 +61,8 @@
 
         :raises SettingsError: an address cannot be bound.
         """
-        server = grpc.aio.server(options=_SERVER_OPTIONS)
+        options = peer_channel.server_options(self._cfg.max_body_bytes)
+        server = grpc.aio.server(options=options)
         peer_pb2_grpc.add_PeerServicer_to_server(
             peer_service.PeerService(
                 node=self._parts.node,
@@ -73,7 +71,7 @@
             ),
             server,
         )
-        operators_pb2_grpc.add_OperatorsServicer_to_server(
+        operators.add_to_server(
             operators.OperatorService(
                 node=self._parts.node,
                 sites=self._parts.sites,
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/loopback.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/loopback.py
@@ -50,13 +50,15 @@
         )
         await self._http.startup()
         await self._http.start_serving()
-        self._grpc = grpc.aio.server(options=peer_channel.OPTIONS)
+        body_bytes = self._parts.node.cfg.max_body_bytes
+        options = peer_channel.server_options(body_bytes)
+        self._grpc = grpc.aio.server(options=options)
         service = operators.OperatorService(
             node=self._parts.node,
             sites=self._parts.sites,
             submissions=self._parts.submissions,
         )
-        operators_pb2_grpc.add_OperatorsServicer_to_server(service, self._grpc)
+        operators.add_to_server(service, self._grpc)
         port = self._grpc.add_insecure_port(f'{_HOST}:0')
         self.grpc_address = f'{_HOST}:{port}'
         await self._grpc.start()
--- /dev/null
+++ b/tests/amaranthflow_daemon/operators.feature
@@ -0,0 +1,64 @@
+Feature: operators
+
+  Background:
+    Given an operators instance on loopback
+
+  Scenario Outline: a wrong change is refused and not written
+    When the operators send a change of key "<key>" with body "<body>"
+    Then the operators are told "<reason>", not run
+    And the operators' log has no new entry
+    And the operators still change and see the status
+
+    Examples:
+      | key           | body           | reason             |
+      | plans         | tenant         | unknown kind       |
+      |               | tenant         | unknown kind       |
+      | service/plans | tenant         | does not take      |
+      | tenant/other  | tenant         | differs            |
+      | tenant/a/b    | tenant         | wrong character    |
+      | tenant/t      | none           | no body            |
+      | tenant/t      | nan-weight     | weight             |
+      | tenant/t      | huge-quota     | quota              |
+      | tenant/t      | false-remove   | false              |
+      | worker/w      | no-address     | address            |
+      | worker/w      | bad-port       | address            |
+      | tenant/t      | long-operator  | bytes              |
+      | tenant/t      | unknown-fields | unknown field      |
+
+  Scenario Outline: bytes that are no message are refused
+    When the operators send garbage to "<method>"
+    Then the operators' call ends with "INVALID_ARGUMENT"
+    And the operators still change and see the status
+
+    Examples:
+      | method       |
+      | SendChange   |
+      | ReviewChange |
+      | SubmitJob    |
+      | ShowJob      |
+
+  Scenario: a message over the limit is refused
+    When the operators send a job of 5000000 bytes
+    Then the operators' call ends with "RESOURCE_EXHAUSTED"
+    And the operators still change and see the status
+
+  Scenario Outline: a wrong job is refused
+    When the operators submit a job with "<field>" of <value>
+    Then the operators are told "<reason>", not run
+
+    Examples:
+      | field      | value                | reason         |
+      | cores      | -1.0                 | cores          |
+      | cores      | float('nan')         | cores          |
+      | cores      | float('inf')         | cores          |
+      | cores      | 33.0                 | fits no worker |
+      | memory_mb  | 2**64-1              | fits no worker |
+      | job_id     | ''                   | job_id         |
+      | job_id     | 'a/b'                | job_id         |
+      | tenant_id  | 'nobody'             | unknown tenant |
+      | task_class | 'x' * 200            | task_class     |
+      | payload    | b'x' * 70000         | payload        |
+
+  Scenario: another tenant's job is unknown
+    When the operators ask for job "none" of tenant "nobody"
+    Then the operators are told "unknown job", not run
