--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/dispatch.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/dispatch.py
@@ -3,9 +3,12 @@
 import asyncio
 import dataclasses
 import hashlib
+import typing as t
 
 from amaranthflow import admission
+from amaranthflow import decisions
 from amaranthflow import exceptions
+from amaranthflow import health
 from amaranthflow import ids
 from amaranthflow import platform
 from amaranthflow import verdict
@@ -16,6 +19,7 @@
 from . import logs
 from . import metrics
 from . import node as node_lib
+from . import observer as observer_lib
 from . import sites as sites_lib
 
 _ANSWER_MARGIN_MS = 5
@@ -50,11 +54,16 @@
         node: node_lib.Node,
         placer: world.Placer,
         sites: sites_lib.Sites,
+        health: health.CallHealth,
+        observer: observer_lib.UsageObserver,
     ):
         self._node = node
+        self._observer = observer
+        self._health = health
         self._placer = placer
         self._sites = sites
         self._tenants: set[str] = set()
+        self._under_way: set[asyncio.Future] = set()
         self.queue: admission.AdmissionQueue[_Reservation] = (
             admission.AdmissionQueue(
                 clock=node.clock,
@@ -111,7 +120,23 @@
             tenant_id=req.tenant_id,
             task_class=service.task_class,
         )
-        await self._call(req, reply, entrant, reservation)
+        await self._finish(self._call(req, reply, entrant, reservation))
+
+    async def _finish(self, call: t.Coroutine) -> None:
+        """Sees a call to its end, also where the caller has gone.
+
+        The worker runs on in that case, and its answer frees the slot.
+        """
+        work = asyncio.ensure_future(call)
+        self._under_way.add(work)
+        work.add_done_callback(self._note_end)
+        await asyncio.shield(work)
+
+    def _note_end(self, work: asyncio.Future) -> None:
+        self._under_way.discard(work)
+        if not work.cancelled():
+            # Marks the error as seen where nobody waits for it any more.
+            work.exception()
 
     def _service(self, req) -> world_pb2.Service:
         if self._node.draining:
@@ -139,34 +164,69 @@
             payload=req.payload,
             timeout_ms=timeout_ms,
         )
+        payload = await self._ask(call, entrant, reservation)
+        spent_s = clock.monotonic() - started_at
+        self._observer.note_call(
+            reservation.site, reservation.task.task_class, spent_s
+        )
+        self._free(reservation)
+        reply.verdict = verdict.Verdict.COMPLETED.value
+        reply.payload = payload
+        reply.sha256 = hashlib.sha256(payload).hexdigest()
+        reply.worker_id = reservation.site.worker.worker_id
+        reply.service_time_us = int(spent_s * _US_PER_S)
+
+    async def _ask(
+        self,
+        call: platform.BackendCall,
+        entrant: _Entrant,
+        reservation: _Reservation,
+    ) -> bytes:
+        """Calls the backend server; frees the slot where the call failed."""
+        sent_at = self._node.clock.monotonic()
         try:
             payload = await reservation.site.link.call(call)
         except exceptions.PlatformFailed as exc:
+            self._judge(entrant, reservation, answered=False)
             self._free(reservation)
             raise exceptions.RequestUncertain(exc.reason) from exc
         except exceptions.PlatformUncertain as exc:
-            self._free_later(reservation, started_at, timeout_ms)
+            self._judge(entrant, reservation, answered=False)
+            self._free_later(reservation, sent_at, call.timeout_ms)
             raise exceptions.RequestUncertain(exc.reason) from exc
         except exceptions.PlatformError:
+            self._judge(entrant, reservation, answered=False)
             self._free(reservation)
             raise
         except asyncio.CancelledError:
-            self._free_later(reservation, started_at, timeout_ms)
+            self._free_later(reservation, sent_at, call.timeout_ms)
             raise
-        self._free(reservation)
-        spent_s = clock.monotonic() - started_at
-        reply.verdict = verdict.Verdict.COMPLETED.value
-        reply.payload = payload
-        reply.sha256 = hashlib.sha256(payload).hexdigest()
-        reply.worker_id = reservation.site.worker.worker_id
-        reply.service_time_us = int(spent_s * _US_PER_S)
+        self._judge(entrant, reservation, answered=True)
+        return payload
+
+    def _judge(
+        self, entrant: _Entrant, reservation: _Reservation, answered: bool
+    ) -> None:
+        note = self._health.succeeded if answered else self._health.failed
+        findings = note(
+            entrant.service_id,
+            reservation.site.worker.worker_id,
+            reservation.task.task_id,
+            self._node.clock.wall_ms(),
+        )
+        for finding in findings:
+            self._node.explain(
+                finding.subject_id,
+                decisions.DecisionKind.QUARANTINED,
+                f'{finding.kind.value}: {finding.reason}',
+            )
 
     def _try_reserve(self, entrant: _Entrant) -> _Reservation | None:
         if not self._sites.open:
             # Another owner may have room, so the request must not wait here.
             raise exceptions.NotReady('no worker of this instance is open')
         if not self._node.ownership.fresh():
-            return None
+            raise exceptions.NotReady('the right to the workers is not fresh')
         task = world.Task(
             task_id=ids.request_task_id(entrant.request_id, entrant.attempt),
             tenant_id=entrant.tenant_id,
@@ -174,13 +234,18 @@
             kind=world.TaskKind.LATENCY,
             size=world.Size.from_message(entrant.service.size),
         )
-        placement = self._placer.choose(task)
+        now_ms = self._node.clock.wall_ms()
+        avoid = self._health.avoid(entrant.service_id, now_ms)
+        placement = self._placer.choose(task, avoid)
         if placement is None:
             return None
         site = self._sites.by_id[placement.worker_id]
         if not site.ledger.reserve(task):
             return None
         self._placer.changed(placement.worker_id)
+        self._health.started(
+            entrant.service_id, placement.worker_id, task.task_id, now_ms
+        )
         return _Reservation(site=site, task=task)
 
     def _release(self, reservation: _Reservation) -> None:
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/sites.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/sites.py
@@ -16,6 +16,8 @@
 from . import node as node_lib
 
 _POLLS_PER_LEASE = 4
+_IDLE_POLLS_PER_LEASE = 2
+_POLLS_PER_USAGE = 2
 POLL_TIMEOUT_S = 1.0
 _RETIRE_POLL_S = 0.25
 _KEPT_CONTACTS = 16
@@ -42,10 +44,23 @@
     async def observe(self, site: 'WorkerSite') -> None:
         """Asks for the worker's newest measurements and acts on them."""
 
+    def note_change(self, site: 'WorkerSite') -> None:
+        """Notes that other tasks run on a worker than before."""
+
     def forget(self, site: 'WorkerSite') -> None:
         """Drops what is known of a worker that was given up."""
 
 
+class Population(t.Protocol):
+    """Judges workers, and has to know which there are."""
+
+    def add(self, worker_id: ids.WorkerId) -> None:
+        """Adds a worker in good standing."""
+
+    def remove(self, worker_id: ids.WorkerId) -> None:
+        """Forgets a worker."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Contact:
     """A question that the worker answered, monotonic times."""
@@ -142,13 +157,21 @@
         self.update()
 
     async def run(self) -> t.NoReturn:
-        """Polls the worker until cancelled."""
-        pause_s = self._node.cfg.task_lease_s / _POLLS_PER_LEASE
+        """Polls the worker until cancelled.
+
+        Without batch tasks there are no leases to renew and nothing to
+        relieve: such a worker is polled only to see that it answers.
+        """
+        lease_s = self._node.cfg.task_lease_s
+        polls = 0
         while True:
             await self.poll()
-            if self.answering:
+            polls += 1
+            busy = self.ledger.batch_count > 0
+            if busy and self.answering and polls % _POLLS_PER_USAGE == 0:
                 await self._observer.observe(self)
-            await self._node.clock.sleep(pause_s)
+            per_lease = _POLLS_PER_LEASE if busy else _IDLE_POLLS_PER_LEASE
+            await self._node.clock.sleep(lease_s / per_lease)
 
     async def poll(self) -> None:
         """Asks for the worker's tasks and renews the leases to keep."""
@@ -229,11 +252,13 @@
         placer: world.Placer,
         reconciler: Reconciler,
         observer: Observer,
+        populations: t.Sequence[Population] = (),
     ):
         self._node = node
         self._placer = placer
         self._reconciler = reconciler
         self._observer = observer
+        self._populations = populations
         self._tasks: dict[ids.WorkerId, asyncio.Task] = {}
         self._leaving: frozenset[str] = frozenset()
         self.by_id: dict[ids.WorkerId, WorkerSite] = {}
@@ -270,7 +295,7 @@
             if worker_id not in self.by_id:
                 self._add(worker, epochs[worker.rack_id])
         self._reserve_slots()
-        self._tell()
+        self.tell_room()
 
     def note_leaving(self, names: frozenset[str]) -> None:
         """Takes the workers that the platform's list calls leaving."""
@@ -343,6 +368,8 @@
         site.leaving = worker.worker_id in self._leaving
         self.by_id[worker.worker_id] = site
         self._placer.add(site.ledger)
+        for population in self._populations:
+            population.add(worker.worker_id)
         self._tasks[worker.worker_id] = self._node.spawn(
             self._run(site), f'worker {worker.worker_id}'
         )
@@ -363,13 +390,16 @@
         site.update()
 
     async def _run(self, site: WorkerSite) -> None:
-        """Runs a site until it is retired and empty."""
-        running = asyncio.ensure_future(site.run())
+        """Runs a site until it is retired and empty.
+
+        A site whose task fails is run again: its leases must be renewed.
+        """
+        running = self._node.spawn(site.run(), 'worker polls')
         try:
             while not (site.retired and not site.ledger.tasks):
                 await self._node.clock.sleep(_RETIRE_POLL_S)
                 if running.done():
-                    running.result()
+                    running = self._node.spawn(site.run(), 'worker polls')
         finally:
             running.cancel()
         self._tasks.pop(site.worker.worker_id, None)
@@ -377,9 +407,10 @@
 
     def _note_change(self, site: WorkerSite) -> None:
         self._placer.changed(site.worker.worker_id)
-        self._tell()
+        self.tell_room()
 
-    def _tell(self) -> None:
+    def tell_room(self) -> None:
+        """Tells those who wait for room to look again."""
         for listener in self.on_room:
             listener()
 
@@ -392,3 +423,5 @@
         if site is not None:
             self._placer.remove(worker_id)
             self._observer.forget(site)
+            for population in self._populations:
+                population.remove(worker_id)
--- a/tests/steps/fairness_steps.py
+++ b/tests/steps/fairness_steps.py
@@ -2,13 +2,16 @@
 
 import itertools
 import random
+from unittest import mock
 
 import behave
 import hypothesis
 from hypothesis import strategies as st
 
+from amaranthflow import exceptions
 from amaranthflow import fairness
 from amaranthflow import ids
+from amaranthflow import verdict
 from amaranthflow import world
 from amaranthflow_schema.v1 import world_pb2
 from amaranthflow_standins import batch_driver
@@ -140,6 +143,29 @@
         context.queue.ended(context.started[-1].task_id)
 
 
+@behave.given(
+    'the fair queue takes at most {tasks:d} tasks of at most {tenants:d} '
+    'tenants'
+)
+def step_limits(context, tasks, tenants):
+    for name, limit in (('MAX_WAITING', tasks), ('MAX_TENANTS', tenants)):
+        patcher = mock.patch.object(fairness, name, limit)
+        patcher.start()
+        context.add_cleanup(patcher.stop)
+
+
+@behave.then('the fair queue refuses a task of "{tenant}" as not run')
+def step_refuses(context, tenant):
+    waiting = len(context.queue)
+    try:
+        context.queue.push(_task(tenant, 1), context.now_ms)
+    except exceptions.Overloaded as exc:
+        assert exc.verdict is verdict.Verdict.NOT_RUN
+    else:
+        raise AssertionError('the task was taken')
+    assert len(context.queue) == waiting
+
+
 @behave.when('{seconds:d} s pass for the fair queue')
 def step_pass(context, seconds):
     context.now_ms += seconds * 1000
@@ -331,7 +357,7 @@
     def hold(self, rng):
         asked = self.fair.overtaken(self.now_ms)
         for task in asked:
-            worker_id = ids.WorkerId(task.task_id)
+            worker_id = ids.WorkerId(f'w{next(_numbers)}')
             added = self.fair.hold(task.task_id, worker_id, self.now_ms)
             assert added == self.plain.hold(task.task_id, self.now_ms)
 
@@ -379,3 +405,14 @@
     worst = min(context.report.ratios.values())
     assert len(context.report.ratios) >= 20, context.report.ratios
     assert worst >= least, worst
+
+
+@behave.then(
+    'each urgent task of {cores:d} cores starts within {most:f} s on the '
+    'full fleet'
+)
+def step_urgent_waits(context, cores, most):
+    assert context.driver.loads[0].size.cores == cores
+    assert context.report.used_slots > 0.8
+    assert len(context.report.urgent_waits_s) == 50
+    assert max(context.report.urgent_waits_s) <= most
