A change id that another change has is refused

Cause: only the id was compared, so an operator who used one again for other content was told "accepted" with the version of the first change, and the new one was lost in silence. A record without digest matches any.

--- a/packages/amaranthflow/src/amaranthflow/configuration.py
+++ b/packages/amaranthflow/src/amaranthflow/configuration.py
@@ -3,6 +3,7 @@
 import bisect
 import collections
 import dataclasses
+import hashlib
 import types
 import typing as t
 
@@ -186,6 +187,9 @@
         self._forget_changes(now_ms)
         self._settle(now_ms)
         known = self._decided.get(change.change_id)
+        digest = _digest(change)
+        if known is not None and known.sha256 not in (b'', digest):
+            return results.refused('another change has this change_id')
         if known is not None:
             return results.Result(
                 accepted=known.accepted,
@@ -201,6 +205,7 @@
             accepted=result.accepted,
             reason=result.reason,
             at_ms=now_ms,
+            sha256=digest,
         )
         return result
 
@@ -395,6 +400,11 @@
             self._decided.popitem(last=False)
 
 
+def _digest(change: world_pb2.Change) -> bytes:
+    data = change.SerializeToString(deterministic=True)
+    return hashlib.sha256(data).digest()
+
+
 def _versions_after(change, timeline: Timeline, now_ms: int) -> Timeline:
     """Copies a timeline and enters a change into it."""
     after = Timeline(key=timeline.key)
--- a/tests/amaranthflow_daemon/operators.feature
+++ b/tests/amaranthflow_daemon/operators.feature
@@ -25,6 +25,12 @@
       | tenant/t      | long-operator  | bytes              |
       | tenant/t      | unknown-fields | unknown field      |
 
+  Scenario: a change with an id that was used for another is refused
+    When the operators send change "c" of tenant "t" with weight 1
+    Then the operators are told "", completed
+    When the operators send change "c" of tenant "t" with weight 2
+    Then the operators are told "change_id", not run
+
   Scenario Outline: bytes that are no message are refused
     When the operators send garbage to "<method>"
     Then the operators' call ends with "INVALID_ARGUMENT"
