A strange attempt in a task's id does not raise

Cause: str.isdigit() accepts digits that int() refuses, so a worker that reported "job:a/b:²" ended the task that polls it. Change: attempts are up to 10 ASCII digits.

--- a/packages/amaranthflow/src/amaranthflow/ids.py
+++ b/packages/amaranthflow/src/amaranthflow/ids.py
@@ -15,6 +15,7 @@
 Offset = t.NewType('Offset', int)
 Epoch = t.NewType('Epoch', int)
 Incarnation = t.NewType('Incarnation', int)
+_MAX_ATTEMPT_DIGITS = 10
 
 
 class Member(t.NamedTuple):
@@ -39,7 +40,9 @@
     """Returns (job, attempt) of a batch task's id, None for other tasks."""
     kind, _, rest = task_id.partition(':')
     job_id, _, attempt = rest.rpartition(':')
-    if kind != 'job' or not job_id or not attempt.isdigit():
+    if kind != 'job' or not job_id or len(attempt) > _MAX_ATTEMPT_DIGITS:
+        return None
+    if not attempt.isascii() or not attempt.isdigit():
         return None
     return JobId(job_id), int(attempt)
 
--- a/tests/amaranthflow/ids.feature
+++ b/tests/amaranthflow/ids.feature
@@ -7,3 +7,15 @@
   Scenario: the id of a request is not taken for a batch task
     Given the task id of request "job:1" and attempt 1
     Then splitting the id gives no job
+
+  Scenario Outline: an id with a strange attempt is no batch task's
+    Given the task id "<text>"
+    Then splitting the id gives no job
+
+    Examples:
+      | text               |
+      | job:a/b:²          |
+      | job:a/b:٣          |
+      | job:a/b:99999999999 |
+      | job:a/b:           |
+      | job::1             |
--- a/tests/steps/ids_steps.py
+++ b/tests/steps/ids_steps.py
@@ -15,6 +15,11 @@
     context.task_id = ids.request_task_id(request, attempt)
 
 
+@behave.given('the task id "{text}"')
+def step_text_id(context, text):
+    context.task_id = text
+
+
 @behave.then('splitting the id gives job "{job}" and attempt {attempt:d}')
 def step_split(context, job, attempt):
     assert ids.split_batch_task_id(context.task_id) == (job, attempt)
