Fields of a worker's reports are checked for their type

Cause: a report with a string for a lease or a number for a task's id passed the adapter and ended the task that polls the worker, which still counted as answering; NaN or a negative slowdown went into the learned sizes; deep nesting raised RecursionError. Change: each field of task and usage reports has its type and range; others count as garbage, which is handled as silence.

--- a/packages/amaranthflow/src/amaranthflow/worker_adapter.py
+++ b/packages/amaranthflow/src/amaranthflow/worker_adapter.py
@@ -19,6 +19,14 @@
 TIMEOUT_HEADER = 'X-Timeout-Ms'
 
 _CONTROL_CONNECTIONS = 4
+_NUMBER_LIMIT = 2**63
+_GARBAGE = (
+    ValueError,
+    TypeError,
+    KeyError,
+    AttributeError,
+    RecursionError,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -201,7 +209,9 @@
     """Reverses ``encode_report``."""
     phase = platform.TaskPhase(fields['phase'])
     result = base64.b64decode(fields['result'])
-    return platform.TaskReport(**dict(fields, phase=phase, result=result))
+    report = platform.TaskReport(**dict(fields, phase=phase, result=result))
+    _check_types(report)
+    return report
 
 
 def decode_reports(fields: list) -> tuple[platform.TaskReport, ...]:
@@ -211,7 +221,29 @@
 
 def decode_usage(fields: list) -> tuple[platform.UsageReport, ...]:
     """Reads a list of measurements."""
-    return tuple(platform.UsageReport(**report) for report in fields)
+    reports = tuple(platform.UsageReport(**report) for report in fields)
+    for report in reports:
+        _check_usage(report)
+    return reports
+
+
+def _check_usage(report: platform.UsageReport) -> None:
+    _check_types(report)
+    least = min(report.cores, report.memory_mb, report.peak_memory_mb)
+    if least < 0 or report.slowdown <= 0:
+        raise ValueError('a measurement is negative')
+
+
+def _check_types(report: platform.TaskReport | platform.UsageReport) -> None:
+    """Raises TypeError or ValueError for a field that JSON got wrong."""
+    for name, kind in t.get_type_hints(type(report)).items():
+        value = getattr(report, name)
+        kind = getattr(kind, '__supertype__', kind)
+        allowed = (int, float) if kind is float else (kind,)
+        if type(value) not in allowed:
+            raise TypeError(f'{name} has a wrong type')
+        if int in allowed and not abs(value) < _NUMBER_LIMIT:
+            raise ValueError(f'{name} is out of range')
 
 
 def _decode_checkpoint(fields: dict) -> str:
@@ -221,6 +253,6 @@
 def _decoded(decode: t.Callable, value: t.Any) -> t.Any:
     try:
         return decode(value)
-    except (ValueError, TypeError, KeyError, AttributeError) as exc:
+    except _GARBAGE as exc:
         reason = 'the worker answered garbage'
         raise exceptions.PlatformUncertain(reason) from exc
--- a/tests/amaranthflow/adapters.feature
+++ b/tests/amaranthflow/adapters.feature
@@ -82,6 +82,38 @@
       | [1, 2]      |
       | {"a": "xy"} |
 
+  Scenario Outline: a worker's report with a field of a wrong type is garbage
+    Given an adapter to a worker whose <kind> has "<name>" of <value>
+    Then the adapter's <kind> raises "PlatformUncertain"
+
+    Examples:
+      | kind   | name           | value    |
+      | report | task_id        | 5        |
+      | report | lease_left_ms  | "soon"   |
+      | report | lease_left_ms  | true     |
+      | report | lease_left_ms  | 1.5      |
+      | report | lease_left_ms  | 1e999    |
+      | report | checkpoint     | null     |
+      | report | phase          | "asleep" |
+      | report | result         | 7        |
+      | report | colour         | 1        |
+      | usage  | task_class     | []       |
+      | usage  | slowdown       | NaN      |
+      | usage  | slowdown       | 0        |
+      | usage  | cores          | "2"      |
+      | usage  | cores          | -1       |
+      | usage  | memory_mb      | Infinity |
+      | usage  | peak_memory_mb | -5       |
+      | usage  | measured_at_ms | 9223372036854775808 |
+
+  Scenario: a worker's right reports pass
+    Given an adapter to a worker whose report has "reason" of "fine"
+    Then the adapter's report and usage are read
+
+  Scenario: a worker's deeply nested answer is garbage
+    Given an adapter to a peer that answers 100000 nested lists
+    Then the adapter's list of tasks raises "PlatformUncertain"
+
   Scenario: the list adapter reads phases over TCP
     Given an adapter to an instance list with "i1" "live" and "w1" "leaving"
     Then the adapter's list of instances is "i1" "live" and "w1" "leaving"
--- a/tests/steps/adapters_steps.py
+++ b/tests/steps/adapters_steps.py
@@ -1,6 +1,7 @@
 """Steps for the adapters; peers are stand-ins on loopback ports."""
 
 import asyncio
+import json
 import random
 
 from aiohttp import web
@@ -130,6 +131,65 @@
     context.worker = adapters.HttpWorkerLink(session=session, address=address)
 
 
+@behave.given('an adapter to a peer that answers {count:d} nested lists')
+def step_nested(context, count):
+    step_garbage(context, '[' * count + ']' * count)
+
+
+_REPORT = {
+    'task_id': 'job:a:1',
+    'phase': 'running',
+    'lease_left_ms': 5,
+    'result': '',
+}
+_USAGE = {
+    'task_id': 'job:a:1',
+    'task_class': 'sort',
+    'measured_at_ms': 5,
+    'cores': 1,
+    'memory_mb': 5,
+    'peak_memory_mb': 5,
+    'slowdown': 1.0,
+}
+
+
+@behave.given('an adapter to a worker whose {kind} has "{name}" of {value}')
+def step_odd_field(context, kind, name, value):
+    rows = {'report': dict(_REPORT), 'usage': dict(_USAGE)}
+    rows[kind][name] = json.loads(value)
+    paths = {'/tasks/list': 'report', '/usage': 'usage'}
+
+    def answer_with(row):
+        async def answer(req):
+            return web.Response(text=json.dumps([row]))
+
+        return answer
+
+    handlers = {path: answer_with(rows[k]) for path, k in paths.items()}
+    _open(context, lambda: _Peer(handlers))
+    context.worker = adapters.HttpWorkerLink(
+        session=context.session, address=context.server.service.address
+    )
+
+
+@behave.then('the adapter\'s report raises "{error}"')
+def step_report_error(context, error):
+    _raises(context, context.worker.tasks(), error)
+
+
+@behave.then('the adapter\'s usage raises "{error}"')
+def step_usage_error(context, error):
+    _raises(context, context.worker.usage(), error)
+
+
+@behave.then("the adapter's report and usage are read")
+def step_right_reports(context):
+    [report] = _run(context, context.worker.tasks())
+    assert report.reason == 'fine', report
+    [usage] = _run(context, context.worker.usage())
+    assert usage.memory_mb == 5, usage
+
+
 @behave.given(
     'an adapter to an instance list with "{first}" "{phase}"'
     ' and "{second}" "{other}"'
