A worker is held for a job that others overtake for too long

Cause: the daemon tried jobs in fair order but never kept a worker for one, so a job as large as a worker waited while small ones filled each gap. Conclusion: a job that only workers of another owner could take is not helped by this.

--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/batch.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/batch.py
@@ -92,11 +92,52 @@
             return
         now_ms = self._node.clock.wall_ms()
         unfit = self._health.avoid(now_ms)
+        usable = self._usable(unfit)
+        self._queue.keep_holds(usable.keys())
         for entry, task in self._queue.candidates():
             if len(self._launching) >= _MAX_LAUNCHES:
                 return
             if entry.key not in self._launching:
                 self._place(entry, task, unfit)
+        self._hold_workers(usable)
+
+    def _usable(
+        self, unfit: frozenset[ids.WorkerId]
+    ) -> dict[ids.WorkerId, world.WorkerLedger]:
+        return {
+            worker_id: site.ledger
+            for worker_id, site in self.sites.by_id.items()
+            if worker_id not in unfit and not site.ledger.leaving
+        }
+
+    def _hold_workers(
+        self, usable: t.Mapping[ids.WorkerId, world.WorkerLedger]
+    ) -> None:
+        """Holds the emptiest worker for a job overtaken for too long.
+
+        Other batch jobs leave that worker alone until the job fits.
+        """
+        for entry, task in self._queue.overtaken():
+            avoid = self._queue.avoid(task).union(self._failed_on(entry))
+            ledgers = [
+                ledger
+                for worker_id, ledger in usable.items()
+                if worker_id not in avoid and _may_ever_fit(ledger, task)
+            ]
+            if ledgers:
+                emptiest = min(ledgers, key=_load)
+                self._hold(entry, task, emptiest.worker.worker_id)
+
+    def _hold(
+        self,
+        entry: jobs.JobEntry,
+        task: world.Task,
+        worker_id: ids.WorkerId,
+    ) -> None:
+        if self._queue.hold(task, worker_id):
+            self._explain(
+                entry, decisions.DecisionKind.QUEUED, f'{worker_id} is held'
+            )
 
     def _place(
         self,
@@ -104,7 +145,7 @@
         task: world.Task,
         unfit: frozenset[ids.WorkerId],
     ) -> None:
-        avoid = unfit.union(self._failed_on(entry))
+        avoid = unfit.union(self._failed_on(entry), self._queue.avoid(task))
         placement = self._placer.choose(task, avoid)
         if placement is None:
             return
@@ -545,6 +586,19 @@
         self._node.explain(entry.key.job_id, kind, reason, entry.key.tenant_id)
 
 
+def _may_ever_fit(ledger: world.WorkerLedger, task: world.Task) -> bool:
+    """Tells whether a worker without other batch tasks would take it."""
+    worker = ledger.worker
+    if not ledger.accepting_batch or worker.slots <= ledger.reserved_slots:
+        return False
+    return task.size.fits(worker.capacity)
+
+
+def _load(ledger: world.WorkerLedger) -> tuple[float, ids.WorkerId]:
+    worker = ledger.worker
+    return ledger.used.dominant_share(worker.capacity), worker.worker_id
+
+
 _DECISIONS = {
     jobs.JobPhase.COMPLETED: decisions.DecisionKind.COMPLETED,
     jobs.JobPhase.CANCELLED: decisions.DecisionKind.CANCELLED,
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/jobqueue.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/jobqueue.py
@@ -6,6 +6,7 @@
 import zlib
 
 from amaranthflow import fairness
+from amaranthflow import holds as holds_lib
 from amaranthflow import ids
 from amaranthflow import jobs
 from amaranthflow import sizes
@@ -16,6 +17,7 @@
 from . import node as node_lib
 
 _STEAL_MS = 500
+_HOLD_LIMIT = 1
 _JOB_RECORDS = {
     'job_submitted',
     'job_cancelled',
@@ -40,7 +42,9 @@
     def __init__(self, *, node: node_lib.Node, sizes: sizes.SizeModel):
         self._node = node
         self._sizes = sizes
-        self._queue = fairness.FairQueue(capacity=world.NOTHING, slots=0)
+        self._queue = fairness.FairQueue(
+            capacity=world.NOTHING, slots=0, hold_limit=_HOLD_LIMIT
+        )
         self._counted: dict[jobs.JobKey, ids.TaskId] = {}
         self._later: list[tuple[int, int, jobs.JobKey]] = []
         self._sequence = itertools.count()
@@ -84,13 +88,39 @@
         now_ms = self._node.clock.wall_ms()
         self._push_due(now_ms)
         for queued in self._queue.candidates(now_ms):
-            job_id, _ = ids.split_batch_task_id(queued.task_id)
-            entry = self._node.state.jobs.waiting.get(
-                jobs.JobKey.parse(job_id)
-            )
+            key = _key_of_task(queued.task_id)
+            entry = self._node.state.jobs.waiting.get(key)
             if entry is not None:
                 yield entry, self.task_of(entry, entry.attempt + 1)
 
+    def overtaken(self) -> t.Iterator[tuple[jobs.JobEntry, world.Task]]:
+        """Yields jobs to hold a worker for; only their home does."""
+        for queued in self._queue.overtaken(self._node.clock.wall_ms()):
+            key = _key_of_task(queued.task_id)
+            entry = self._node.state.jobs.waiting.get(key)
+            if entry is not None and self._is_home(key):
+                yield entry, queued
+
+    def hold(self, task: world.Task, worker_id: ids.WorkerId) -> bool:
+        """Holds a worker for a waiting job; False where it cannot."""
+        now_ms = self._node.clock.wall_ms()
+        return self._queue.hold(task.task_id, worker_id, now_ms)
+
+    def holds(self) -> tuple[holds_lib.Hold, ...]:
+        """Returns the holds, oldest first."""
+        return self._queue.holds()
+
+    def keep_holds(self, usable: t.Collection[ids.WorkerId]) -> None:
+        """Ends holds on other workers, and for jobs whose home has moved."""
+        for hold in self._queue.holds():
+            home = self._is_home(_key_of_task(hold.task_id))
+            if not home or hold.worker_id not in usable:
+                self._queue.release_worker(hold.worker_id)
+
+    def avoid(self, task: world.Task) -> frozenset[ids.WorkerId]:
+        """Returns the workers held for other jobs."""
+        return self._queue.avoid(task)
+
     def launched(self, entry: jobs.JobEntry, task: world.Task) -> None:
         """Counts a task that is being started."""
         self._counted[entry.key] = task.task_id
@@ -156,6 +186,11 @@
         )
 
 
+def _key_of_task(task_id: ids.TaskId) -> jobs.JobKey:
+    job_id, _ = ids.split_batch_task_id(task_id)
+    return jobs.JobKey.parse(job_id)
+
+
 def _key_of(record: records_pb2.Record) -> jobs.JobKey:
     kind = record.WhichOneof('kind')
     body = getattr(record, kind)
