Requests that would be answered late are refused before they start

Cause: the dispatcher passed no run time to the admission queue, so a request was started with less time left than its service takes and came back as "may have run"; a cancelled or never sent call stayed with the health as a probe without an outcome. Change: the 95th percentile of the last 64 run times of each configured service, at most half of the request's timeout, is left for the run; calls without outcome are reported as stopped. Figures: with a service time of 300 ms, a full worker and 400 ms to the deadline a request was started before and is refused as not run now; with 900 ms it is answered as before. Two cancelled calls, none noted before and both now.

--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/dispatch.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/dispatch.py
@@ -1,6 +1,7 @@
 """Runs latency-critical requests on the workers of this instance."""
 
 import asyncio
+import collections
 import dataclasses
 import hashlib
 import typing as t
@@ -24,6 +25,10 @@
 _ANSWER_MARGIN_MS = 5
 _CONTACT_POLL_S = 0.1
 _MS_PER_S = 1000
+_RUNS_KEPT = 64
+_RUNS_PER_SORT = 8
+_HIGH_SHARE = 0.95
+_MAX_RUN_SHARE = 0.5
 _US_PER_S = 1_000_000
 
 
@@ -31,6 +36,7 @@
 class _Reservation:
     site: sites_lib.WorkerSite
     task: world.Task
+    service_id: ids.ServiceId
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -39,6 +45,40 @@
     attempt: int
 
 
+class _RunTimes:
+    """A high percentile of the recent run times of each service."""
+
+    def __init__(self):
+        self._recent: dict[str, collections.deque[float]] = {}
+        self._high_s: dict[str, float] = {}
+        self._noted: dict[str, int] = {}
+
+    def note(self, service_id: str, spent_s: float) -> None:
+        """Counts one run that was answered."""
+        recent = self._recent.get(service_id)
+        if recent is None:
+            recent = collections.deque(maxlen=_RUNS_KEPT)
+            self._recent[service_id] = recent
+        recent.append(spent_s)
+        self._noted[service_id] = noted = self._noted.get(service_id, 0) + 1
+        # Sorting for each of many calls would cost too much.
+        if noted <= _RUNS_KEPT or noted % _RUNS_PER_SORT == 0:
+            ordered = sorted(recent)
+            place = int(len(ordered) * _HIGH_SHARE)
+            self._high_s[service_id] = ordered[place]
+
+    def high_s(self, service_id: str) -> float:
+        """Returns the percentile; 0 while there is no run."""
+        return self._high_s.get(service_id, 0.0)
+
+    def keep(self, service_ids: t.Collection[str]) -> None:
+        """Forgets the services that are not among these."""
+        for service_id in self._recent.keys() - set(service_ids):
+            del self._recent[service_id]
+            del self._high_s[service_id]
+            del self._noted[service_id]
+
+
 class Dispatcher:
     """Admits requests to workers' slots and calls the backend servers.
 
@@ -60,12 +100,13 @@
         self._placer = placer
         self._sites = sites
         self._tenants: set[str] = set()
+        self._run_times = _RunTimes()
         self._under_way: set[asyncio.Future] = set()
         self.queue: admission.AdmissionQueue[_Reservation] = (
             admission.AdmissionQueue(
                 clock=node.clock,
                 try_reserve=self._try_reserve,
-                release=self._release,
+                release=self._give_back,
             )
         )
         sites.on_room.append(self.queue.wake)
@@ -78,6 +119,10 @@
         for tenant_id in self._tenants - bodies.keys():
             self.queue.remove_tenant(ids.TenantId(tenant_id))
         self._tenants = set(bodies)
+        services = self._node.state.config.bodies(
+            'service', self._node.now_ms()
+        )
+        self._run_times.keep(services)
 
     async def execute(
         self, req: peer_pb2.ExecuteRequest
@@ -106,6 +151,7 @@
             tenant_id=ids.TenantId(req.tenant_id),
             service_id=ids.ServiceId(req.service_id),
             deadline_s=entered_at + req.timeout_ms / _MS_PER_S,
+            run_s=self._run_s(req),
             service=service,
             attempt=req.attempt,
         )
@@ -119,6 +165,15 @@
         )
         await self._finish(self._call(req, reply, entrant, reservation))
 
+    def _run_s(self, req) -> float:
+        """Time to leave for the run, so that its answer is not late.
+
+        Never more than a part of the timeout: a service that has become
+        fast again must get runs that show it.
+        """
+        most_s = req.timeout_ms / _MS_PER_S * _MAX_RUN_SHARE
+        return min(most_s, self._run_times.high_s(req.service_id))
+
     async def _finish(self, call: t.Coroutine) -> None:
         """Sees a call to its end, also where the caller has gone.
 
@@ -151,7 +206,8 @@
         left_ms = int((entrant.deadline_s - started_at) * _MS_PER_S)
         timeout_ms = left_ms - _ANSWER_MARGIN_MS
         if timeout_ms <= 0 or not reservation.site.admits:
-            self._free(reservation)
+            self._give_back(reservation)
+            self.queue.wake()
             raise exceptions.Overloaded('no time or no right to run it')
         call = platform.BackendCall(
             request_id=entrant.request_id,
@@ -164,6 +220,7 @@
         payload = await self._ask(call, entrant, reservation)
         self._free(reservation)
         spent_s = clock.monotonic() - started_at
+        self._run_times.note(entrant.service_id, spent_s)
         reply.verdict = verdict.Verdict.COMPLETED.value
         reply.payload = payload
         reply.sha256 = hashlib.sha256(payload).hexdigest()
@@ -193,6 +250,7 @@
             self._free(reservation)
             raise
         except asyncio.CancelledError:
+            self._note_stopped(reservation)
             self._free_later(reservation, sent_at, call.timeout_ms)
             raise
         self._judge(entrant, reservation, answered=True)
@@ -240,7 +298,22 @@
         self._health.started(
             entrant.service_id, placement.worker_id, task.task_id, now_ms
         )
-        return _Reservation(site=site, task=task)
+        return _Reservation(
+            site=site, task=task, service_id=entrant.service_id
+        )
+
+    def _give_back(self, reservation: _Reservation) -> None:
+        """Releases a slot whose request was never sent."""
+        self._note_stopped(reservation)
+        self._release(reservation)
+
+    def _note_stopped(self, reservation: _Reservation) -> None:
+        """Tells the health that the call will have no outcome."""
+        self._health.stopped(
+            reservation.service_id,
+            reservation.site.worker.worker_id,
+            reservation.task.task_id,
+        )
 
     def _release(self, reservation: _Reservation) -> None:
         site = reservation.site
--- a/tests/amaranthflow_daemon/dispatch.feature
+++ b/tests/amaranthflow_daemon/dispatch.feature
@@ -29,3 +29,28 @@
     And 1 seconds pass for the dispatcher
     Then the dispatcher has told each that it may have run
     And the dispatcher has 4 free slots
+
+  Scenario: a request that would be answered late is not started
+    Given a dispatcher that serves a worker of 4 slots
+    When 4 requests reach the dispatcher
+    And 1 seconds pass for the dispatcher
+    And 4 requests reach the dispatcher
+    And a request that has 400 ms reaches the dispatcher
+    And 1 seconds pass for the dispatcher
+    Then the dispatcher has told it that it did not run
+
+  Scenario: a request with time enough waits for its turn
+    Given a dispatcher that serves a worker of 4 slots
+    When 4 requests reach the dispatcher
+    And 1 seconds pass for the dispatcher
+    And 4 requests reach the dispatcher
+    And a request that has 900 ms reaches the dispatcher
+    And 1 seconds pass for the dispatcher
+    Then the dispatcher has answered it
+
+  Scenario: a cancelled call says nothing of its worker
+    Given a dispatcher that serves a worker of 4 slots
+    When the dispatcher's worker stands still
+    And 2 requests reach the dispatcher
+    And the dispatcher's calls are cancelled
+    Then the dispatcher's health knows 2 calls as stopped
--- a/tests/steps/dispatch_steps.py
+++ b/tests/steps/dispatch_steps.py
@@ -64,13 +64,13 @@
     assert result.accepted, result
 
 
-async def _execute(context, request_id):
+async def _execute(context, request_id, timeout_ms=_TIMEOUT_MS):
     req = peer_pb2.ExecuteRequest(
         request_id=request_id,
         attempt=1,
         tenant_id='house-a',
         service_id='quotes',
-        timeout_ms=_TIMEOUT_MS,
+        timeout_ms=timeout_ms,
     )
     return await context.parts.dispatcher.execute(req)
 
@@ -265,3 +265,49 @@
 @behave.then('the dispatcher has {count:d} free slots')
 def step_free_slots(context, count):
     assert context.parts.sites.load().free_slots == count
+
+
+@behave.when('a request that has {timeout_ms:d} ms reaches the dispatcher')
+def step_short(context, timeout_ms):
+    async def begin():
+        await context.clock.settle()
+        work = _execute(context, 'short', timeout_ms)
+        context.reply = asyncio.ensure_future(work)
+
+    scenario.run(context, begin())
+
+
+@behave.then('the dispatcher has told it that it did not run')
+def step_not_run(context):
+    reply = context.reply.result()
+    assert reply.verdict == verdict.Verdict.NOT_RUN.value, reply
+    names = [run.subject for run in context.machine.history.runs]
+    assert 'short' not in str(names), names
+
+
+@behave.then('the dispatcher has answered it')
+def step_answered(context):
+    reply = context.reply.result()
+    assert reply.verdict == verdict.Verdict.COMPLETED.value, reply
+
+
+@behave.when("the dispatcher's calls are cancelled")
+def step_cancel(context):
+    async def cancel():
+        await context.clock.settle()
+        for work in tuple(context.parts.dispatcher._under_way):
+            work.cancel()
+        await context.clock.settle()
+
+    health = context.parts.dispatcher._health
+    context.stopped = []
+    health.stopped = lambda *args: context.stopped.append(args)
+    scenario.run(context, cancel())
+
+
+@behave.then("the dispatcher's health knows {count:d} calls as stopped")
+def step_stopped(context, count):
+    expected = [
+        ('quotes', 'w1', f'req:early-{index}:1') for index in range(count)
+    ]
+    assert sorted(context.stopped) == expected, context.stopped
