Peers are asked for explanations at once, under one deadline

Cause: they were asked one after another with a second each, so each silent peer made the operator wait a second longer; a reply could have 4 MiB. Change: up to 64 at a time, one deadline of a second for all, replies of at most 64 KiB; who is late or says too much is left out. Figures: with 20 silent peers of 25 the four answers come after 1 s of the fleet's time.

--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/operators.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/operators.py
@@ -1,5 +1,8 @@
 """Answers operators' remote procedure calls."""
 
+import asyncio
+import typing as t
+
 from google.protobuf import message as protobuf_message
 from google.protobuf import message_factory
 import grpc.aio
@@ -22,6 +25,12 @@
 
 _RECORD_TIMEOUT_S = 3.0
 _PEER_TIMEOUT_S = 1.0
+_PEERS_AT_ONCE = 64
+_MAX_PEER_BYTES = 64 * 1024
+_PEER_OPTIONS = (
+    ('grpc.max_receive_message_length', _MAX_PEER_BYTES),
+    ('grpc.enable_http_proxy', 0),
+)
 _ONE_INSTANCE = 'one-instance'
 _MAX_CHANGE_BYTES = 16 * 1024
 
@@ -245,28 +254,63 @@
     async def _ask_peers(
         self, request: operators_pb2.ExplainRequest
     ) -> list[operators_pb2.Explanation]:
-        entries = []
+        """Asks all peers at once; those too late or broken are left out."""
         own = self._node.member.instance
-        for instance_id, info in self._node.state.members.members.items():
-            if instance_id == own:
-                continue
-            async with grpc.aio.insecure_channel(info.peer_address) as channel:
+        members = self._node.state.members.members
+        limit = asyncio.Semaphore(_PEERS_AT_ONCE)
+        asked = {
+            asyncio.create_task(
+                self._ask_peer(limit, instance_id, info.peer_address, request),
+                name=f'explain {instance_id}',
+            )
+            for instance_id, info in members.items()
+            if instance_id != own
+        }
+        if not asked:
+            return []
+        timer = asyncio.ensure_future(self._node.clock.sleep(_PEER_TIMEOUT_S))
+        try:
+            await _wait_all(asked, timer)
+            answered = [task for task in asked if task.done()]
+            return [entry for task in answered for entry in task.result()]
+        finally:
+            for task in (*asked, timer):
+                task.cancel()
+
+    async def _ask_peer(
+        self,
+        limit: asyncio.Semaphore,
+        instance_id: ids.InstanceId,
+        address: str,
+        request: operators_pb2.ExplainRequest,
+    ) -> t.Sequence[operators_pb2.Explanation]:
+        channel = grpc.aio.insecure_channel(address, options=_PEER_OPTIONS)
+        try:
+            async with limit, channel:
                 stub = operators_pb2_grpc.OperatorsStub(channel)
-                try:
-                    reply = await stub.Explain(
-                        request,
-                        timeout=_PEER_TIMEOUT_S,
-                        metadata=((_ONE_INSTANCE, 'true'),),
-                    )
-                except grpc.aio.AioRpcError as exc:
-                    logs.log_event(
-                        'peer gave no explanation',
-                        peer=instance_id,
-                        reason=exc.code().name,
-                    )
-                    continue
-            entries += reply.entries
-        return entries
+                reply = await stub.Explain(
+                    request,
+                    timeout=_PEER_TIMEOUT_S,
+                    metadata=((_ONE_INSTANCE, 'true'),),
+                )
+        except grpc.aio.AioRpcError as exc:
+            logs.log_event(
+                'peer gave no explanation',
+                peer=instance_id,
+                reason=exc.code().name,
+            )
+            return ()
+        return reply.entries
+
+
+async def _wait_all(asked: set[asyncio.Future], timer: asyncio.Future) -> None:
+    """Waits until all are done or the timer is."""
+    left = set(asked)
+    while left and not timer.done():
+        done, _ = await asyncio.wait(
+            left | {timer}, return_when=asyncio.FIRST_COMPLETED
+        )
+        left -= done
 
 
 def add_to_server(service: OperatorService, server: grpc.aio.Server) -> None:
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/loopback.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/loopback.py
@@ -83,7 +83,16 @@
 
     async def grpc(self, method: str, req: t.Any) -> t.Any:
         """Sends one request to the operators' interface."""
-        return await self.finish(self._ask(method, req))
+        return await self.finish(self.ask(method, req))
+
+    async def ask(self, method: str, req: t.Any) -> t.Any:
+        """Does so while the fleet's time stands still."""
+        async with grpc.aio.insecure_channel(self.grpc_address) as channel:
+            if isinstance(req, bytes):
+                path = f'/amaranthflow.v1.Operators/{method}'
+                return await channel.unary_unary(path)(req)
+            stub = operators_pb2_grpc.OperatorsStub(channel)
+            return await getattr(stub, method)(req)
 
     async def _send(self, method: str, path: str, **kwargs) -> HttpReply:
         url = f'http://{self.http_address}{path}'
@@ -94,11 +103,3 @@
                     headers=resp.headers,
                     body=await resp.read(),
                 )
-
-    async def _ask(self, method: str, req: t.Any) -> t.Any:
-        async with grpc.aio.insecure_channel(self.grpc_address) as channel:
-            if isinstance(req, bytes):
-                path = f'/amaranthflow.v1.Operators/{method}'
-                return await channel.unary_unary(path)(req)
-            stub = operators_pb2_grpc.OperatorsStub(channel)
-            return await getattr(stub, method)(req)
--- a/tests/amaranthflow_daemon/operators.feature
+++ b/tests/amaranthflow_daemon/operators.feature
@@ -68,3 +68,9 @@
   Scenario: another tenant's job is unknown
     When the operators ask for job "none" of tenant "nobody"
     Then the operators are told "unknown job", not run
+
+  Scenario: explanations of peers are gathered at once, under one deadline
+    Given operators' peers of which 4 answer, 20 are silent and 1 says too much
+    When the operators ask to explain "job-1"
+    Then the operators have 4 explanations of peers
+    And the operators' silent peers were given 1 s of the fleet's time
--- a/tests/steps/operators_steps.py
+++ b/tests/steps/operators_steps.py
@@ -1,13 +1,17 @@
 """Steps for operators.feature, over gRPC on loopback."""
 
 import ast
+import asyncio
 import math
 
 import behave
 import grpc.aio
 
+from amaranthflow import ids
+from amaranthflow import membership
 from amaranthflow import verdict
 from amaranthflow_schema.v1 import operators_pb2
+from amaranthflow_schema.v1 import operators_pb2_grpc
 from amaranthflow_schema.v1 import world_pb2
 from amaranthflow_standins import local_fleet
 from amaranthflow_standins import loopback
@@ -168,3 +172,81 @@
     _ask(context, 'Status', operators_pb2.StatusRequest())
     assert context.error is None, context.error
     assert context.reply.ready, context.reply
+
+
+class _Peer(operators_pb2_grpc.OperatorsServicer):
+    """Explains with a reason of some length, or never."""
+
+    def __init__(self, reason):
+        self._reason = reason
+
+    async def Explain(self, request, context):
+        if self._reason is None:
+            await asyncio.Event().wait()
+        entry = operators_pb2.Explanation(at_ms=1, reason=self._reason)
+        return operators_pb2.ExplainReply(entries=[entry])
+
+
+@behave.given(
+    "operators' peers of which {good:d} answer, {silent:d} are silent and"
+    ' {loud:d} says too much'
+)
+def step_peers(context, good, silent, loud):
+    context.silent = silent
+    scenario.run(context, _open_peers(context, 'good', good, 'because'))
+    scenario.run(context, _open_peers(context, 'silent', silent, None))
+    loud_reason = 'x' * 1_000_000
+    scenario.run(context, _open_peers(context, 'loud', loud, loud_reason))
+
+
+async def _open_peers(context, kind, count, reason):
+    server = grpc.aio.server()
+    operators_pb2_grpc.add_OperatorsServicer_to_server(_Peer(reason), server)
+    port = server.add_insecure_port('127.0.0.1:0')
+    await server.start()
+    context.add_cleanup(scenario.run, context, server.stop(None))
+    members = context.fleet.instances[_NAME].parts.node.state.members.members
+    for index in range(count):
+        name = ids.InstanceId(f'{kind}-{index}')
+        members[name] = membership.MemberInfo(
+            member=ids.Member(name, ids.Incarnation(1)),
+            zone_id=ids.ZoneId('zone-1'),
+            peer_address=f'127.0.0.1:{port}',
+        )
+
+
+@behave.when('the operators ask to explain "{subject}"')
+def step_explain(context, subject):
+    scenario.run(context, _explain(context, subject))
+
+
+async def _explain(context, subject):
+    clock = context.fleet.clock
+    req = operators_pb2.ExplainRequest(tenant_id='t', subject_id=subject)
+    work = asyncio.ensure_future(context.loopback.ask('Explain', req))
+    begun = False
+    while not begun or _left() > context.silent:
+        await asyncio.sleep(0)
+        begun = begun or _left() > context.silent
+    await clock.run_for(0.9)
+    context.left_before = _left()
+    await clock.run_for(0.2)
+    context.left_after = _left()
+    context.reply = await work
+
+
+def _left():
+    names = [task.get_name() for task in asyncio.all_tasks()]
+    return sum(name.startswith('explain ') for name in names)
+
+
+@behave.then('the operators have {count:d} explanations of peers')
+def step_explained(context, count):
+    reasons = [entry.reason for entry in context.reply.entries]
+    assert reasons == ['because'] * count, reasons
+
+
+@behave.then("the operators' silent peers were given 1 s of the fleet's time")
+def step_waited(context):
+    assert context.left_before == context.silent, context.left_before
+    assert context.left_after == 0, context.left_after
