Recording of attempts in a module of its own; fuzz-fleet; README's demo

Cause: batch.py had grown to 606 lines with two jobs: running tasks, and recording what became of them. Attempts whose start another owner won were remembered as unsent for ever. Change: attempts.py (AttemptRecorder), batch.py at 466 lines; only a start whose record may land is remembered. make fuzz-fleet and SCENARIO= for the demo. The relief scenario loads every worker with six batch tasks instead of two: with two the placer packed them on some workers and sent the calls to the others, so that nothing was slowed and nothing had to be relieved; with six every worker is slowed, which is the harder case.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 export PYTHONPATH := $(subst $(SPACE),:,$(foreach p,$(PACKAGES),$(CURDIR)/$(p)/src))
 export UV_USE_IO_URING = 0
 
-.PHONY: setup format lint schema test demo fuzz bench bench-recovery bench-capacity
+.PHONY: setup format lint schema test demo fuzz fuzz-fleet bench bench-recovery bench-capacity
 
 setup: $(STAMP)
 
@@ -37,7 +37,10 @@
 	$(PY) tools/run_tests.py $(TESTS)
 
 demo: setup
-	$(PY) -m amaranthflow_standins.demo --seed $(SEED) --seconds $(SECONDS)
+	$(PY) -m amaranthflow_standins.demo --seed $(SEED) --seconds $(SECONDS) $(if $(SCENARIO),--scenario $(SCENARIO))
+
+fuzz-fleet: setup
+	$(PY) tools/fuzz_fleet.py --seed $(SEED) --steps $(STEPS)
 
 fuzz: setup
 	$(PY) tools/fuzz.py --seed $(SEED) --steps $(STEPS)
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/batch.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/batch.py
@@ -11,26 +11,18 @@
 from amaranthflow import platform
 from amaranthflow import state as state_lib
 from amaranthflow import world
-from amaranthflow_schema.v1 import records_pb2
 
+from . import attempts
 from . import jobqueue
 from . import logs
-from . import metrics
 from . import node as node_lib
 from . import sites as sites_lib
 
 _TICK_S = 0.25
-_RECORD_TIMEOUT_S = 2.0
-_END_RETRY_S = 0.5
 _MAX_LAUNCHES = 256
 _ELSEWHERE_MS = 2000
 _CHECKPOINT_S = 5.0
 _CHECKPOINTS_PER_S = 20
-_OUTCOMES = {
-    platform.TaskPhase.COMPLETED: jobs.Outcome.OUTCOME_COMPLETED,
-    platform.TaskPhase.FAILED: jobs.Outcome.OUTCOME_FAILED,
-    platform.TaskPhase.STOPPED: jobs.Outcome.OUTCOME_EVICTED,
-}
 
 
 class BatchRunner:
@@ -52,12 +44,11 @@
         self._node = node
         self._queue = queue
         self._health = health
+        self._recorder = attempts.AttemptRecorder(node=node, health=health)
         self._observer = observer
         self._placer = placer
         self._launching: set[jobs.JobKey] = set()
-        self._ending: set[ids.TaskId] = set()
         self._sent_at: dict[ids.TaskId, float] = {}
-        self._unsent: set[ids.TaskId] = set()
         self._moving: set[ids.TaskId] = set()
         self._checkpointed_at: dict[ids.TaskId, float] = {}
         self._wakeup = asyncio.Event()
@@ -135,7 +126,7 @@
         worker_id: ids.WorkerId,
     ) -> None:
         if self._queue.hold(task, worker_id):
-            self._explain(
+            self._recorder.explain(
                 entry, decisions.DecisionKind.QUEUED, f'{worker_id} is held'
             )
 
@@ -160,7 +151,9 @@
         self._health.started(
             placement.worker_id, task.task_id, self._node.clock.wall_ms()
         )
-        self._explain(entry, decisions.DecisionKind.PLACED, placement.reason)
+        self._recorder.explain(
+            entry, decisions.DecisionKind.PLACED, placement.reason
+        )
         self._node.spawn(
             self._launch(entry, task, site), f'launch {entry.key}'
         )
@@ -239,36 +232,15 @@
         attempt = entry.attempt + 1
         with logs.job_action(str(entry.key), attempt=attempt):
             try:
-                recorded = await self._record_start(entry, attempt, site)
+                recorded = await self._recorder.start(entry, attempt, site)
                 if recorded:
                     await self._start(entry, task, site)
                 else:
                     self._release(site, task.task_id)
-                    self._unsent.add(task.task_id)
                     self._queue.failed(entry)
             finally:
                 self._launching.discard(entry.key)
 
-    async def _record_start(
-        self, entry: jobs.JobEntry, attempt: int, site: sites_lib.WorkerSite
-    ) -> bool:
-        started = records_pb2.AttemptStarted(
-            job_id=str(entry.key),
-            attempt=attempt,
-            worker_id=site.worker.worker_id,
-            rack_id=site.worker.rack_id,
-            rack_epoch=site.epoch,
-        )
-        record = records_pb2.Record(attempt_started=started)
-        try:
-            result = await self._node.journal.write(record, _RECORD_TIMEOUT_S)
-        except exceptions.AmaranthflowError as exc:
-            # If the record lands after all, the next report of the worker
-            # shows that the attempt was never started.
-            logs.log_event('start not recorded', reason=exc.reason)
-            return False
-        return result.accepted
-
     async def _start(
         self,
         entry: jobs.JobEntry,
@@ -303,7 +275,7 @@
             return
         else:
             self._sent_at.pop(task.task_id, None)
-        self._explain(
+        self._recorder.explain(
             entry,
             decisions.DecisionKind.STARTED,
             f'attempt {entry.attempt} on {site.worker.worker_id}',
@@ -311,7 +283,7 @@
 
     def _end_not_run(self, site, entry, task: world.Task, reason: str):
         self._release(site, task.task_id)
-        self._end(
+        self._recorder.end(
             site, entry, task.task_id, jobs.Outcome.OUTCOME_NOT_RUN, reason
         )
 
@@ -357,25 +329,12 @@
     def _note_lost(self, site, entry, task_id: ids.TaskId, reason: str):
         """Ends an attempt that no longer runs and left no outcome."""
         self._release(site, task_id)
-        outcome = jobs.Outcome.OUTCOME_LOST
-        if task_id in self._unsent:
-            outcome = jobs.Outcome.OUTCOME_NOT_RUN
-        if entry.cancel_requested:
-            outcome = jobs.Outcome.OUTCOME_CANCELLED
-        self._end(site, entry, task_id, outcome, reason)
+        self._recorder.end_lost(site, entry, task_id, reason)
 
     def _note_end(self, site, entry, report: platform.TaskReport) -> None:
         self._release(site, report.task_id)
-        if entry is None:
-            return
-        self._end(
-            site,
-            entry,
-            report.task_id,
-            _OUTCOMES[report.phase],
-            report.reason,
-            report,
-        )
+        if entry is not None:
+            self._recorder.end_reported(site, entry, report)
 
     def _adopt(self, site, task: world.Task) -> None:
         if task.task_id not in site.ledger.tasks:
@@ -391,7 +350,7 @@
             self.move(site, report.task_id, 'the worker is leaving')
             return
         if report.checkpoint and report.checkpoint != entry.checkpoint:
-            self._record_checkpoint(site, entry, report.checkpoint)
+            self._recorder.checkpoint(site, entry, report.checkpoint)
         now = self._node.clock.monotonic()
         last = self._checkpointed_at.setdefault(report.task_id, now)
         running = len(self._node.state.jobs.running)
@@ -448,27 +407,11 @@
         except exceptions.AmaranthflowError as exc:
             logs.log_event('checkpoint failed', reason=exc.reason)
             return
-        self._record_checkpoint(site, entry, checkpoint)
-
-    def _record_checkpoint(self, site, entry, checkpoint: str) -> None:
-        made = records_pb2.AttemptCheckpointed(
-            job_id=str(entry.key),
-            attempt=entry.attempt,
-            checkpoint=checkpoint,
-            rack_epoch=site.epoch,
-        )
-        record = records_pb2.Record(attempt_checkpointed=made)
-        self._node.spawn(self._write_once(record), f'record {entry.key}')
-
-    async def _write_once(self, record: records_pb2.Record) -> None:
-        try:
-            await self._node.journal.write(record, _RECORD_TIMEOUT_S)
-        except exceptions.AmaranthflowError as exc:
-            logs.log_event('checkpoint not recorded', reason=exc.reason)
+        self._recorder.checkpoint(site, entry, checkpoint)
 
     def _stop_stale(self, site, report: platform.TaskReport, asked_at):
         """Stops a task whose attempt the log does not name as running."""
-        if report.task_id in self._ending or self._is_launching(
+        if self._recorder.is_ending(report.task_id) or self._is_launching(
             report.task_id
         ):
             return
@@ -506,86 +449,6 @@
             self.sites.tell_room()
             self._wakeup.set()
 
-    def _end(self, site, entry, task_id, outcome, reason, report=None):
-        if task_id in self._ending:
-            return
-        self._ending.add(task_id)
-        self._judge(site, entry, task_id, outcome, reason)
-        ended = records_pb2.AttemptEnded(
-            job_id=str(entry.key),
-            attempt=entry.attempt,
-            outcome=outcome,
-            reason=reason,
-            rack_epoch=site.epoch,
-            result=report.result if report else b'',
-            checkpoint=report.checkpoint if report else '',
-        )
-        self._node.spawn(
-            self._record_end(site, entry, task_id, ended), f'end {task_id}'
-        )
-
-    async def _record_end(self, site, entry, task_id, ended) -> None:
-        """Records an end; repeated until the log has an answer."""
-        record = records_pb2.Record(attempt_ended=ended)
-        right = self._node.ownership
-        try:
-            while right.holds(site.worker.rack_id, site.epoch):
-                try:
-                    result = await self._node.journal.write(
-                        record, _RECORD_TIMEOUT_S
-                    )
-                except exceptions.AmaranthflowError:
-                    await self._node.clock.sleep(_END_RETRY_S)
-                    continue
-                if result.accepted:
-                    self._note_recorded(entry, ended)
-                return
-        finally:
-            self._ending.discard(task_id)
-            self._unsent.discard(task_id)
-
-    def _judge(self, site, entry, task_id, outcome, reason: str) -> None:
-        """Tells the worker's health how an attempt ended."""
-        worker_id = site.worker.worker_id
-        job_id = ids.JobId(str(entry.key))
-        now_ms = self._node.clock.wall_ms()
-        found: tuple[health.Finding, ...] = ()
-        if outcome == jobs.Outcome.OUTCOME_COMPLETED:
-            found = self._health.succeeded(worker_id, job_id, task_id, now_ms)
-        elif outcome == jobs.Outcome.OUTCOME_FAILED:
-            found = self._health.failed(
-                worker_id, job_id, task_id, reason, now_ms
-            )
-        else:
-            self._health.stopped(worker_id, task_id)
-        for finding in found:
-            self._node.explain(
-                finding.subject_id,
-                decisions.DecisionKind.QUARANTINED,
-                f'{finding.kind.value}: {finding.reason}',
-            )
-
-    def _note_recorded(self, entry: jobs.JobEntry, ended) -> None:
-        name = jobs.Outcome.Name(ended.outcome)
-        labels = {
-            'tenant_id': entry.key.tenant_id,
-            'task_class': entry.job.task_class,
-        }
-        if ended.outcome == jobs.Outcome.OUTCOME_EVICTED:
-            self._node.metrics.count(metrics.Metric.EVICTIONS, **labels)
-        if entry.phase is jobs.JobPhase.COMPLETED:
-            self._node.metrics.count(metrics.Metric.JOBS_COMPLETED, **labels)
-        if entry.phase is jobs.JobPhase.SET_ASIDE:
-            self._node.metrics.count(metrics.Metric.JOBS_SET_ASIDE, **labels)
-        kind = _DECISIONS.get(entry.phase, decisions.DecisionKind.QUEUED)
-        short = name.removeprefix('OUTCOME_').lower().replace('_', ' ')
-        self._explain(
-            entry, kind, f'attempt {ended.attempt} {short}: {ended.reason}'
-        )
-
-    def _explain(self, entry: jobs.JobEntry, kind, reason: str) -> None:
-        self._node.explain(entry.key.job_id, kind, reason, entry.key.tenant_id)
-
 
 def _may_ever_fit(ledger: world.WorkerLedger, task: world.Task) -> bool:
     """Tells whether a worker without other batch tasks would take it."""
@@ -598,10 +461,3 @@
 def _load(ledger: world.WorkerLedger) -> tuple[float, ids.WorkerId]:
     worker = ledger.worker
     return ledger.used.dominant_share(worker.capacity), worker.worker_id
-
-
-_DECISIONS = {
-    jobs.JobPhase.COMPLETED: decisions.DecisionKind.COMPLETED,
-    jobs.JobPhase.CANCELLED: decisions.DecisionKind.CANCELLED,
-    jobs.JobPhase.SET_ASIDE: decisions.DecisionKind.SET_ASIDE,
-}
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/local_fleet.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/local_fleet.py
@@ -181,6 +181,7 @@
             )
             for worker_id, machine in self.machines.items()
         }
+        self._ended: list[LocalInstance] = []
         self._cuts: set[frozenset[str]] = set()
         self._kept: set[asyncio.Task] = set()
 
@@ -226,11 +227,17 @@
     async def kill(self, name: str) -> None:
         """Ends an instance without warning."""
         instance = self.instances.pop(name)
+        self._ended.append(instance)
         instance.gate.kill()
-        for task in instance.parts.node.running_tasks():
-            task.cancel()
+        await self._end_tasks(instance)
         self.list.set_phase(name, None)
-        await self.clock.settle()
+
+    async def _end_tasks(self, instance: LocalInstance) -> None:
+        """Cancels all tasks, also those that others start as they end."""
+        while tasks := instance.parts.node.running_tasks():
+            for task in tasks:
+                task.cancel()
+            await self.clock.settle()
 
     async def drain(self, name: str) -> bool:
         """Shuts an instance down gracefully; returns whether it could."""
@@ -238,9 +245,8 @@
         work = asyncio.ensure_future(parts.drain())
         while not work.done():
             await self.clock.run_for(0.1)
-        for task in parts.node.running_tasks():
-            task.cancel()
-        del self.instances[name]
+        self._ended.append(self.instances[name])
+        await self._end_tasks(self.instances.pop(name))
         self.list.set_phase(name, None)
         return work.result()
 
@@ -401,12 +407,14 @@
         ]
 
     async def close(self) -> None:
-        """Ends all tasks."""
+        """Ends all tasks, of ended instances too."""
+        await waiting.cancel(*self._kept)
         for name in list(self.instances):
             await self.kill(name)
+        for instance in self._ended:
+            await self._end_tasks(instance)
         for machine in self.machines.values():
             await machine.close()
-        await waiting.cancel(*self._kept)
 
     def _platform_links(
         self, name: str, gate: gate_lib.Gate, list_view: _ListView
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -492,7 +492,7 @@
 
 @behave.when('fleet jobs of {seconds:g} s run on each worker')
 def step_jobs_everywhere(context, seconds):
-    for index in range(2 * len(context.fleet.workers)):
+    for index in range(6 * len(context.fleet.workers)):
         _submit(context, f'wide-{index}', seconds, idempotent=True)
 
 
