The policy's relief limits are in force on owners

Cause: policy/global was stored and shown, but relief used its built-in limits; a limit of exactly 1 would have divided by zero. Change: the observer takes relief_slowdown and moves_per_minute (for each instance); a limit that is not above 1 is refused. Figures: scenario 'a higher limit in the policy' red without on_config (the tasks are throttled, as the scenario beside it shows), green with it.

--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/observer.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/observer.py
@@ -1,5 +1,6 @@
 """Learns from the workers' usage reports and relieves slowed workers."""
 
+import dataclasses
 import typing as t
 
 from amaranthflow import calltimes
@@ -8,9 +9,10 @@
 from amaranthflow import ids
 from amaranthflow import interference
 from amaranthflow import learning
+from amaranthflow import placement
 from amaranthflow import relief
 from amaranthflow import sizes
-from amaranthflow import world
+from amaranthflow_schema.v1 import world_pb2
 
 from . import logs
 from . import node as node_lib
@@ -47,7 +49,7 @@
         self,
         *,
         node: node_lib.Node,
-        placer: world.Placer,
+        placer: placement.InterferencePlacer,
         sizes: sizes.SizeModel,
         model: interference.InterferenceModel,
     ):
@@ -60,6 +62,17 @@
         self._calls = calltimes.CallTimes()
         self.mover: Mover | None = None
 
+    def on_config(self) -> None:
+        """Applies the relief policy in force, else the built-in one."""
+        version = self._node.state.config.in_force(
+            'policy/global', self._node.now_ms()
+        )
+        found = relief.ReliefPolicy()
+        if version is not None:
+            found = _relief_policy(version.change.policy, found)
+        self._relief.policy = found
+        self._placer.slowdown_limit = found.slowdown_limit
+
     def note_call(
         self,
         site: sites_lib.WorkerSite,
@@ -135,3 +148,15 @@
             logs.log_event(
                 'throttle failed', task=step.task_id, reason=exc.reason
             )
+
+
+def _relief_policy(
+    body: world_pb2.Policy, default: relief.ReliefPolicy
+) -> relief.ReliefPolicy:
+    """Returns the default policy with what the configuration sets."""
+    moves = body.moves_per_minute or default.moves_per_minute
+    return dataclasses.replace(
+        default,
+        slowdown_limit=body.relief_slowdown,
+        moves_per_minute=moves,
+    )
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/parts.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/parts.py
@@ -139,6 +139,7 @@
         self.watch.listeners += [
             self.sites,
             self.queue,
+            self.observer,
             self.router,
             self.dispatcher,
         ]
--- a/packages/amaranthflow/src/amaranthflow/validation.py
+++ b/packages/amaranthflow/src/amaranthflow/validation.py
@@ -133,8 +133,8 @@
 
 
 def _check_policy(body: world_pb2.Policy) -> None:
-    if not math.isfinite(body.relief_slowdown) or body.relief_slowdown < 1:
-        raise exceptions.RequestRefused('relief_slowdown is below 1')
+    if not math.isfinite(body.relief_slowdown) or body.relief_slowdown <= 1:
+        raise exceptions.RequestRefused('relief_slowdown is not above 1')
     if body.max_attempts > MAX_ATTEMPTS:
         raise exceptions.RequestRefused(f'max_attempts is over {MAX_ATTEMPTS}')
 
--- a/tests/amaranthflow_daemon/fleet.feature
+++ b/tests/amaranthflow_daemon/fleet.feature
@@ -215,6 +215,17 @@
     Then the fleet has throttled or moved batch tasks
     And every fleet job of 60 s has run in one place at a time
 
+  Scenario: a higher limit in the policy leaves slowed workers alone
+    When the fleet policy allows a slowdown of 9 times
+    And the fleet answers calls for 10 s
+    And batch tasks slow the fleet's calls 3 times
+    And fleet jobs of 60 s run on each worker
+    And the fleet answers calls for 30 s
+    Then the fleet has not throttled or moved batch tasks
+
+  Scenario: a policy that leaves no room for a slowdown is refused
+    Then a fleet policy with a slowdown limit of 1 is refused
+
   Scenario: a cancelled job is stopped
     When fleet job "j" of 60 s is submitted
     And the fleet runs for 2 s
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -496,16 +496,45 @@
         _submit(context, f'wide-{index}', seconds, idempotent=True)
 
 
-@behave.then('the fleet has throttled or moved batch tasks')
-def step_relieved(context):
-    wanted = {'throttled', 'moved'}
+def _relief_kinds(fleet):
     found = set()
-    for instance in context.fleet.instances.values():
+    for instance in fleet.instances.values():
         log = instance.parts.node.decisions
-        for run in context.fleet.runs('job:'):
+        for run in fleet.runs('job:'):
             for decision in log.explain(ids.TenantId(''), run.subject):
                 found.add(decision.kind.value)
-    assert found & wanted, found
+    return found & {'throttled', 'moved'}
+
+
+@behave.then('the fleet has throttled or moved batch tasks')
+def step_relieved(context):
+    assert _relief_kinds(context.fleet)
+
+
+@behave.then('the fleet has not throttled or moved batch tasks')
+def step_not_relieved(context):
+    assert context.fleet.runs('job:')
+    assert not _relief_kinds(context.fleet)
+
+
+def _send_policy(context, limit):
+    body = world_pb2.Policy(relief_slowdown=float(limit))
+    name = next(iter(context.fleet.instances))
+    work = context.fleet.change(name, 'policy/global', body)
+    return _run(context, work)
+
+
+@behave.when('the fleet policy allows a slowdown of {limit:d} times')
+def step_policy(context, limit):
+    result = _send_policy(context, limit)
+    assert result.accepted, result.reason
+
+
+@behave.then('a fleet policy with a slowdown limit of {limit:d} is refused')
+def step_policy_refused(context, limit):
+    result = _send_policy(context, limit)
+    assert not result.accepted
+    assert 'relief_slowdown' in result.reason, result.reason
 
 
 @behave.then('every fleet job of 60 s has run in one place at a time')
