Waiting requests count in the load summary and in the choice of an owner

Cause: LoadSummary.queued was always 0. Change: sites.load carries the admission queue's length; the router compares free slots less waiting requests.

--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/dispatch.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/dispatch.py
@@ -113,6 +113,7 @@
             )
         )
         sites.on_room.append(self.queue.wake)
+        sites.queued = self.queue.__len__
 
     def on_config(self) -> None:
         """Applies the tenants' weights."""
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/router.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/router.py
@@ -194,7 +194,7 @@
             tried.clear()
             fresh = list(loads)
         pair = self._node.rng.sample(fresh, min(2, len(fresh)))
-        best = max(pair, key=lambda i: loads[i].free_slots)
+        best = max(pair, key=lambda i: _room(loads[i]))
         tried.add(best)
         if best == self._node.member.instance:
             return self._dispatcher, None
@@ -285,6 +285,11 @@
         )
 
 
+def _room(load: peer_pb2.LoadSummary) -> int:
+    """Free slots, less the requests that wait for one."""
+    return load.free_slots - load.queued
+
+
 def _check_claim(result: results.Result) -> None:
     if not result.accepted:
         raise exceptions.RequestUncertain(result.reason)
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/sites.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/sites.py
@@ -273,6 +273,7 @@
         self._leaving: frozenset[str] = frozenset()
         self.by_id: dict[ids.WorkerId, WorkerSite] = {}
         self.on_room: list[t.Callable[[], None]] = []
+        self.queued: t.Callable[[], int] = _none_queued
 
     def on_applied(self, applied: state_lib.Applied) -> None:
         """Follows changes of ownership."""
@@ -331,7 +332,7 @@
 
     def load(self) -> peer_pb2.LoadSummary:
         """Sums the slots of the workers that admit work."""
-        summary = peer_pb2.LoadSummary()
+        summary = peer_pb2.LoadSummary(queued=self.queued())
         if not self._node.ownership.fresh():
             return summary
         for site in self.by_id.values():
@@ -435,3 +436,7 @@
             self._observer.forget(site)
             for population in self._populations:
                 population.remove(worker_id)
+
+
+def _none_queued() -> int:
+    return 0
