--- a/tests/amaranthflow_daemon/fleet.feature
+++ b/tests/amaranthflow_daemon/fleet.feature
@@ -223,6 +223,11 @@
     And the fleet answers calls for 30 s
     Then the fleet has not throttled or moved batch tasks
 
+  Scenario: a burst of changes beside task records stays in the log's rate
+    When 100 fleet changes arrive in 5 s beside 100 jobs
+    Then every fleet change was in force everywhere within 9 s
+    And the fleet log took at most 300 appends a second
+
   Scenario: a policy that leaves no room for a slowdown is refused
     Then a fleet policy with a slowdown limit of 1 is refused
 
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -8,6 +8,7 @@
 from amaranthflow import ids
 from amaranthflow import platform
 from amaranthflow import verdict
+from amaranthflow_schema.v1 import records_pb2
 from amaranthflow_schema.v1 import world_pb2
 from amaranthflow_standins import fleet_fuzz
 from amaranthflow_standins import history
@@ -541,3 +542,56 @@
 def step_one_place(context):
     assert not context.fleet.overlaps()
     assert not context.fleet.violations()
+
+
+@behave.when('{count:d} fleet changes arrive in {seconds:d} s beside 100 jobs')
+def step_burst(context, count, seconds):
+    _run(context, _burst(context, count, seconds))
+
+
+async def _burst(context, count, seconds):
+    fleet = context.fleet
+    names = sorted(fleet.instances)
+    before = fleet.log.append_count
+    context.sent = {}
+    for index in range(count):
+        name = names[index % len(names)]
+        tenant_id = f'burst-{index}'
+        context.sent[tenant_id] = fleet.clock.monotonic()
+        body = world_pb2.Tenant(tenant_id=tenant_id, weight=1.0)
+        change = world_pb2.Change(
+            change_id=tenant_id, key=f'tenant/{tenant_id}', tenant=body
+        )
+        record = records_pb2.Record(change=change)
+        journal = fleet.instances[name].parts.node.journal
+        fleet.keep(asyncio.ensure_future(journal.write(record, 5.0)))
+        job = fleet.make_job(f'burst-{index}', 1.0, idempotent=True)
+        submissions = fleet.instances[name].parts.submissions
+        fleet.keep(asyncio.ensure_future(submissions.submit(job)))
+        await fleet.clock.run_for(seconds / count)
+    context.appends_per_s = (fleet.log.append_count - before) / seconds
+    await fleet.clock.run_for(0.5)
+    while any(not _everywhere(fleet, t) for t in context.sent):
+        assert fleet.clock.monotonic() < context.sent['burst-99'] + 9.0
+        await fleet.clock.run_for(0.5)
+
+
+def _everywhere(fleet, tenant_id):
+    return all(
+        i.parts.node.state.config.in_force(
+            f'tenant/{tenant_id}', i.parts.node.now_ms()
+        )
+        for i in fleet.instances.values()
+    )
+
+
+@behave.then('every fleet change was in force everywhere within {limit:d} s')
+def step_in_force(context, limit):
+    waited_s = context.fleet.clock.monotonic() - context.sent['burst-99']
+    assert waited_s < limit, waited_s
+    assert all(_everywhere(context.fleet, t) for t in context.sent)
+
+
+@behave.then('the fleet log took at most {limit:d} appends a second')
+def step_appends(context, limit):
+    assert 0 < context.appends_per_s <= limit, context.appends_per_s
