controller.py in place of steward.py

Cause: the name was a picture; the field calls a loop that brings the state to what it should be a controller. Change: module and class renamed, an unused argument removed. Conclusion: behaviour as before.

--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/batch.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/batch.py
@@ -189,7 +189,7 @@
             if report.phase is not platform.TaskPhase.RUNNING:
                 self._note_end(site, entry, report)
             elif entry is None:
-                self._stop_stale(site, report, asked_at)
+                self._stop_stale(site, report)
             else:
                 self._sent_at.pop(report.task_id, None)
                 self._adopt(site, self._queue.task_of(entry, entry.attempt))
@@ -409,7 +409,7 @@
             return
         self._recorder.checkpoint(site, entry, checkpoint)
 
-    def _stop_stale(self, site, report: platform.TaskReport, asked_at):
+    def _stop_stale(self, site, report: platform.TaskReport) -> None:
         """Stops a task whose attempt the log does not name as running."""
         if self._recorder.is_ending(report.task_id) or self._is_launching(
             report.task_id
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/steward.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/controller.py
@@ -32,7 +32,7 @@
 _SNAPSHOT_S = 600.0
 
 
-class Steward:
+class Controller:
     """Joins the fleet, claims racks, hands them over and leaves.
 
     Every decision here is only a proposal to the log. What protects the
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/parts.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/parts.py
@@ -11,6 +11,7 @@
 
 from . import batch
 from . import bootstrap
+from . import controller as controller_lib
 from . import dispatch
 from . import entry as entry_lib
 from . import gauges as gauges_lib
@@ -21,7 +22,6 @@
 from . import router as router_lib
 from . import settings
 from . import sites as sites_lib
-from . import steward as steward_lib
 from . import submissions as submissions_lib
 from . import watch
 
@@ -55,8 +55,8 @@
         node.spawn(self.watch.run(), 'bookings')
         node.spawn(self.dispatcher.queue.run(), 'admission queue')
         node.spawn(self.runner.run(), 'batch runner')
-        node.spawn(self.steward.run(), 'steward')
-        node.spawn(self.steward.watch_list(), 'list')
+        node.spawn(self.controller.run(), 'controller')
+        node.spawn(self.controller.watch_list(), 'list')
         node.spawn(self.gauges.run(), 'gauges')
 
     async def drain(self) -> bool:
@@ -114,7 +114,7 @@
         """Makes the parts that serve callers and keep the fleet."""
         node = self.node
         self.peers = peers_lib.Peers(node=node, load=self.sites.load)
-        self.steward = steward_lib.Steward(
+        self.controller = controller_lib.Controller(
             node=node, peers=self.peers, sites=self.sites, runner=self.runner
         )
         self.router = router_lib.Router(
@@ -148,13 +148,13 @@
             self.sites,
             self.peers,
             self.queue,
-            self.steward,
+            self.controller,
             self.runner,
         ]
 
     async def _hand_over_all(self) -> None:
         # The balancer needs a moment to see that this instance is leaving.
         await self.node.clock.sleep(_NOTICE_S)
-        await self.steward.leave()
+        await self.controller.leave()
         while self.entry.in_progress:
             await self.node.clock.sleep(_DRAIN_POLL_S)
