--- a/packages/amaranthflow-standins/src/amaranthflow_standins/local_fleet.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/local_fleet.py
@@ -413,6 +413,8 @@
             await self.kill(name)
         for instance in self._ended:
             await self._end_tasks(instance)
+        for link in self._links.values():
+            await link.close()
         for machine in self.machines.values():
             await machine.close()
 
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/worker.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/worker.py
@@ -89,6 +89,10 @@
         work = self.machine.stop(task_id)
         return await self._deliver(work, self._timeout_s)
 
+    async def close(self) -> None:
+        """Ends the operations that nobody waits for any more."""
+        await waiting.cancel(*self._pending)
+
     def _count_calls(self, change: int) -> None:
         self._calls += change
         self.machine.count_connections(self._calls)
