Read-through: one event wait, one list of lost instances, the cache in use

Change: clock.wait_event, Node.explain_findings, Controller._lost, and the cache by configuration generation and members. Ruled out: joining the replay's and the runner's choice of a worker to hold, which take their workers from different places; it stays for the next time. The saving was not measured.

--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/attempts.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/attempts.py
@@ -179,12 +179,7 @@
             )
         else:
             self._health.stopped(worker_id, task_id)
-        for finding in found:
-            self._node.explain(
-                finding.subject_id,
-                decisions.DecisionKind.QUARANTINED,
-                f'{finding.kind.value}: {finding.reason}',
-            )
+        self._node.explain_findings(found)
 
     def _note_recorded(self, entry: jobs.JobEntry, ended) -> None:
         name = jobs.Outcome.Name(ended.outcome)
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/batch.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/batch.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing as t
 
+from amaranthflow import clock as clock_lib
 from amaranthflow import decisions
 from amaranthflow import exceptions
 from amaranthflow import health
@@ -67,15 +68,7 @@
         while True:
             self.place_waiting()
             self._wakeup.clear()
-            timer = asyncio.ensure_future(self._node.clock.sleep(_TICK_S))
-            woken = asyncio.ensure_future(self._wakeup.wait())
-            try:
-                await asyncio.wait(
-                    {timer, woken}, return_when=asyncio.FIRST_COMPLETED
-                )
-            finally:
-                timer.cancel()
-                woken.cancel()
+            await clock_lib.wait_event(self._node.clock, self._wakeup, _TICK_S)
 
     def place_waiting(self) -> None:
         """Begins the launch of each waiting job that has room here."""
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/controller.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/controller.py
@@ -156,17 +156,30 @@
         ]
         await asyncio.gather(*claims)
 
-    def _desired(self) -> dict[ids.RackId, ids.InstanceId]:
-        workers = self._node.state.config.bodies('worker', self._node.now_ms())
-        rack_ids = {ids.RackId(body.rack_id) for body in workers.values()}
+    def _desired(self) -> t.Mapping[ids.RackId, ids.InstanceId]:
+        """Returns the desired owners, computed anew after a change only."""
         out = self._unavailable()
-        members = [i for i in self._node.state.members.members if i not in out]
-        return assignment.desired_owners(rack_ids, members)
+        members = frozenset(self._node.state.members.members) - out
+        basis = (self._node.config_generation, members)
+        if basis != self._desired_basis:
+            self._desired_basis = basis
+            self._desired_now = assignment.desired_owners(
+                self._rack_ids(), members
+            )
+        return self._desired_now
+
+    def _rack_ids(self) -> set[ids.RackId]:
+        workers = self._node.state.config.bodies('worker', self._node.now_ms())
+        return {ids.RackId(body.rack_id) for body in workers.values()}
 
     def _unavailable(self) -> frozenset[str]:
         draining = {i for i, n in self._peers.links.items() if n.draining}
+        return self._lost() | draining
+
+    def _lost(self) -> frozenset[str]:
+        """Instances that are taken to have ended or to be cut off."""
         gone = self._absent & self._peers.suspects()
-        return self._peers.agreed_suspects() | gone | draining
+        return self._peers.agreed_suspects() | gone
 
     def _is_free(self, holding: racks.RackHolding | None) -> bool:
         """Tells whether a rack has no owner that could serve it."""
@@ -175,8 +188,7 @@
         current = self._node.state.members.current(holding.owner.instance)
         if current != holding.owner:
             return True
-        gone = self._absent & self._peers.suspects()
-        return holding.owner.instance in self._peers.agreed_suspects() | gone
+        return holding.owner.instance in self._lost()
 
     async def _claim(self, rack_id: ids.RackId) -> None:
         epoch = self._node.state.racks.epoch(rack_id)
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/dispatch.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/dispatch.py
@@ -7,7 +7,6 @@
 import typing as t
 
 from amaranthflow import admission
-from amaranthflow import decisions
 from amaranthflow import exceptions
 from amaranthflow import health
 from amaranthflow import ids
@@ -273,12 +272,7 @@
             reservation.task.task_id,
             self._node.clock.wall_ms(),
         )
-        for finding in findings:
-            self._node.explain(
-                finding.subject_id,
-                decisions.DecisionKind.QUARANTINED,
-                f'{finding.kind.value}: {finding.reason}',
-            )
+        self._node.explain_findings(findings)
 
     def _try_reserve(self, entrant: _Entrant) -> _Reservation | None:
         if not self._sites.open:
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/node.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/node.py
@@ -9,6 +9,7 @@
 from amaranthflow import decisions
 from amaranthflow import exceptions
 from amaranthflow import follower
+from amaranthflow import health
 from amaranthflow import ids
 from amaranthflow import journal
 from amaranthflow import latency
@@ -134,6 +135,15 @@
             tenant=tenant_id,
         )
 
+    def explain_findings(self, findings: t.Iterable[health.Finding]) -> None:
+        """Keeps what was found out about workers and jobs."""
+        for finding in findings:
+            self.explain(
+                finding.subject_id,
+                decisions.DecisionKind.QUARANTINED,
+                f'{finding.kind.value}: {finding.reason}',
+            )
+
     def spawn(self, work: t.Coroutine, name: str) -> asyncio.Task:
         """Starts a task that is cancelled when the process ends.
 
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/watch.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/watch.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing as t
 
+from amaranthflow import clock as clock_lib
 from amaranthflow import state as state_lib
 
 from . import node as node_lib
@@ -49,23 +50,13 @@
             if next_ms is None:
                 await self._changed.wait()
                 continue
-            await self._sleep((next_ms - now_ms) / _MS_PER_S)
+            sleep_s = min((next_ms - now_ms) / _MS_PER_S, _LONGEST_SLEEP_S)
+            await clock_lib.wait_event(
+                self._node.clock, self._changed, sleep_s
+            )
             if self._node.now_ms() >= next_ms:
                 self._notify()
 
-    async def _sleep(self, seconds: float) -> None:
-        """Sleeps, shorter where the configuration changes meanwhile."""
-        sleep_s = min(seconds, _LONGEST_SLEEP_S)
-        timer = asyncio.ensure_future(self._node.clock.sleep(sleep_s))
-        changed = asyncio.ensure_future(self._changed.wait())
-        try:
-            await asyncio.wait(
-                {timer, changed}, return_when=asyncio.FIRST_COMPLETED
-            )
-        finally:
-            timer.cancel()
-            changed.cancel()
-
     def _notify(self) -> None:
         self._revision = self._node.state.config.revision
         self._node.config_generation += 1
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/log.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/log.py
@@ -10,8 +10,6 @@
 from amaranthflow import ids
 from amaranthflow import platform
 
-from . import waiting
-
 _PAGE_ENTRIES = 2000
 _PAGE_BYTES = 4 * 1024 * 1024
 _MAX_QUEUE_S = 1.0
@@ -118,7 +116,7 @@
         deadline_s = self._clock.monotonic() + wait_s
         while start >= self._next_offset:
             left_s = deadline_s - self._clock.monotonic()
-            if not await waiting.wait_event(
+            if not await clock_lib.wait_event(
                 self._clock, self._changed, left_s
             ):
                 break
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/machine.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/machine.py
@@ -114,7 +114,7 @@
         died = self._died
         service_s = self._draw_service_s(call.service_id)
         limit_s = call.timeout_ms / 1000
-        await waiting.wait_event(self._clock, died, min(service_s, limit_s))
+        await clock_lib.wait_event(self._clock, died, min(service_s, limit_s))
         if died.is_set():
             raise exceptions.PlatformUncertain('the worker died')
         self._active_services.pop(id(run), None)
@@ -345,7 +345,7 @@
                 return
             task.changed.clear()
             wait_s = min(task.left_s, lease_left_s)
-            await waiting.wait_event(self._clock, task.changed, wait_s)
+            await clock_lib.wait_event(self._clock, task.changed, wait_s)
 
     def _task_outcome(
         self, task: running_task.RunningTask
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/waiting.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/waiting.py
@@ -1,4 +1,4 @@
-"""Waiting for an event with a timeout of a given clock."""
+"""Waiting for work with a timeout of a given clock."""
 
 import asyncio
 import contextlib
@@ -7,23 +7,6 @@
 from amaranthflow import clock as clock_lib
 
 
-async def wait_event(
-    clock: clock_lib.Clock, event: asyncio.Event, seconds: float
-) -> bool:
-    """Waits until the event is set, at most ``seconds``; tells whether."""
-    if event.is_set() or seconds <= 0:
-        return event.is_set()
-    waiter = asyncio.ensure_future(event.wait())
-    timer = asyncio.ensure_future(clock.sleep(seconds))
-    try:
-        await asyncio.wait(
-            {waiter, timer}, return_when=asyncio.FIRST_COMPLETED
-        )
-    finally:
-        await cancel(waiter, timer)
-    return event.is_set()
-
-
 async def run_with_timeout(
     clock: clock_lib.Clock, work: t.Awaitable, seconds: float
 ):
--- a/packages/amaranthflow/src/amaranthflow/clock.py
+++ b/packages/amaranthflow/src/amaranthflow/clock.py
@@ -37,3 +37,21 @@
     async def sleep(self, seconds: float) -> None:
         """Suspends the calling task."""
         await asyncio.sleep(seconds)
+
+
+async def wait_event(
+    clock: Clock, event: asyncio.Event, seconds: float
+) -> bool:
+    """Waits until the event is set, at most ``seconds``; tells whether."""
+    if event.is_set() or seconds <= 0:
+        return event.is_set()
+    waiter = asyncio.ensure_future(event.wait())
+    timer = asyncio.ensure_future(clock.sleep(seconds))
+    try:
+        await asyncio.wait(
+            {waiter, timer}, return_when=asyncio.FIRST_COMPLETED
+        )
+    finally:
+        waiter.cancel()
+        timer.cancel()
+    return event.is_set()
--- a/packages/amaranthflow/src/amaranthflow/journal.py
+++ b/packages/amaranthflow/src/amaranthflow/journal.py
@@ -247,15 +247,7 @@
         """Waits for the follower to see the batch."""
         if self._batch_seen:
             return True
-        landed = asyncio.ensure_future(self._landed.wait())
-        timer = asyncio.ensure_future(self._clock.sleep(at_most_s))
-        try:
-            await asyncio.wait(
-                {landed, timer}, return_when=asyncio.FIRST_COMPLETED
-            )
-        finally:
-            landed.cancel()
-            timer.cancel()
+        await clock_lib.wait_event(self._clock, self._landed, at_most_s)
         return self._batch_seen
 
     def _surely_absent(self) -> bool:
