--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/guards.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/guards.py
@@ -14,9 +14,25 @@
 
 _PROC = pathlib.Path('/proc')
 _STANDARD_STREAMS = frozenset(('0', '1', '2'))
-_SHARED_MEMORY = ('/dev/shm/', '/memfd:', '/SYSV')
+_SHARED_MEMORY = ('/memfd:', '/SYSV')
 _IO_URING = 'anon_inode:[io_uring]'
 _MAPS_FIELDS = 6
+_MOUNT_FIELDS = 3
+
+
+def shared_memory_places(proc: pathlib.Path = _PROC) -> tuple[str, ...]:
+    """Returns prefixes of what the kernel calls shared memory.
+
+    POSIX shared memory are files of the memory file systems below /dev,
+    wherever they are mounted.
+    """
+    places = []
+    for line in (proc / 'mounts').read_text().splitlines():
+        fields = line.split(maxsplit=_MOUNT_FIELDS)
+        point, kind = fields[1], fields[2]
+        if kind == 'tmpfs' and point.startswith('/dev/'):
+            places.append(f'{point}/')
+    return (*_SHARED_MEMORY, *places)
 
 
 class ForbiddenResource(exceptions.SettingsError):
@@ -41,30 +57,35 @@
     :raises ForbiddenResource: naming all that was found.
     """
     pid = os.getpid() if pid is None else pid
+    shared = shared_memory_places(proc)
     findings = [
-        *_descriptor_findings(proc / str(pid)),
-        *_mapping_findings(proc / str(pid)),
+        *_descriptor_findings(proc / str(pid), shared),
+        *_mapping_findings(proc / str(pid), shared),
         *_child_findings(proc, pid),
     ]
     if findings:
         raise ForbiddenResource(findings)
 
 
-def _descriptor_findings(process: pathlib.Path) -> t.Iterator[str]:
+def _descriptor_findings(
+    process: pathlib.Path, shared: tuple[str, ...]
+) -> t.Iterator[str]:
     for link in sorted((process / 'fd').iterdir()):
         try:
-            finding = _descriptor_finding(process, link)
+            finding = _descriptor_finding(process, link, shared)
         except FileNotFoundError:
             continue
         if finding:
             yield f'descriptor {link.name} {finding}'
 
 
-def _descriptor_finding(process: pathlib.Path, link: pathlib.Path) -> str:
+def _descriptor_finding(
+    process: pathlib.Path, link: pathlib.Path, shared: tuple[str, ...]
+) -> str:
     target = os.readlink(link)
     if target == _IO_URING:
         return 'is an io_uring'
-    if target.startswith(_SHARED_MEMORY):
+    if target.startswith(shared):
         return f'is shared memory {target}'
     if link.name in _STANDARD_STREAMS:
         return ''
@@ -84,7 +105,9 @@
     return False
 
 
-def _mapping_findings(process: pathlib.Path) -> t.Iterator[str]:
+def _mapping_findings(
+    process: pathlib.Path, shared: tuple[str, ...]
+) -> t.Iterator[str]:
     found = set()
     for line in (process / 'maps').read_text().splitlines():
         fields = line.split(maxsplit=_MAPS_FIELDS - 1)
@@ -92,7 +115,7 @@
         path = fields[-1] if len(fields) == _MAPS_FIELDS else 'no file'
         if path.startswith(_IO_URING):
             found.add('mapping of an io_uring')
-        elif path.startswith(_SHARED_MEMORY):
+        elif path.startswith(shared):
             found.add(f'mapping of shared memory {path}')
         elif 'w' in permissions and 's' in permissions:
             found.add(f'shared writable mapping of {path}')
--- /dev/null
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/elections.py
@@ -0,0 +1,112 @@
+"""Who leads: records in the store, conditional on the table's end.
+
+A claim's offset is unique and rises, so the number after it is the leader's
+token. The leader repeats its record; an instance that reads the table
+without gaps and sees no repeat for a while claims.
+"""
+
+import dataclasses
+
+import msgspec
+
+from amaranthflow import exceptions
+from amaranthflow import ids
+
+from . import model
+from . import ports
+
+KEY = b'leader'
+# How often the leader repeats its record. Three missing ones are a third of
+# a lease, so that a new leader reaches the workers before leases lapse.
+RENEW_S = 0.5
+TAKEOVER_S = 1.6
+# Reads further apart than this prove nothing about the time between them.
+_GAP_S = 1.6
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Term:
+    """A leader's time in office as its newest record tells.
+
+    :ivar released: the leader has stepped down.
+    """
+
+    token: model.Token
+    instance: ids.InstanceId
+    address: str
+    released: bool = False
+
+
+def encode(term: Term | None, *, instance: str, address: str) -> bytes:
+    """Returns a record; without a term it is a claim."""
+    fields = {'instance': instance, 'address': address}
+    if term is not None:
+        fields['token'] = term.token
+        fields['released'] = term.released
+    return msgspec.json.encode(fields)
+
+
+def decode(record: ports.Record) -> Term:
+    """Returns the term that a record tells of. Raises InvalidRecord."""
+    try:
+        fields = msgspec.json.decode(record.value)
+        token = fields.get('token') or record.offset + 1
+        return Term(
+            token=model.Token(token),
+            instance=ids.InstanceId(fields['instance']),
+            address=str(fields['address']),
+            released=bool(fields.get('released')),
+        )
+    except (
+        msgspec.MsgspecError,
+        ValueError,
+        TypeError,
+        KeyError,
+        AttributeError,
+    ) as exc:
+        reason = f'leader record at {record.offset}: {exc}'
+        raise exceptions.InvalidRecord(reason) from exc
+
+
+class Observer:
+    """What an instance has read of the leaders' table.
+
+    :param patience_s: silence after which this instance claims.
+    """
+
+    def __init__(self, *, patience_s: float = TAKEOVER_S):
+        self.term: Term | None = None
+        self.end = 0
+        self._patience_s = patience_s
+        self._silent_since_s: float | None = None
+        self._read_s: float | None = None
+
+    def on_read(
+        self, batch: ports.Batch, asked_s: float, now_s: float
+    ) -> Term | None:
+        """Takes a read; returns a term that is new or has changed.
+
+        :param asked_s: when the read was sent, seconds.
+        """
+        gap = self._read_s is None or asked_s - self._read_s > _GAP_S
+        self._read_s = now_s
+        if gap or batch.records or self._silent_since_s is None:
+            self._silent_since_s = now_s
+        self.end = batch.end
+        before = self.term
+        for record in batch.records:
+            if record.value:
+                self.term = decode(record)
+        return self.term if self.term != before else None
+
+    def on_failure(self) -> None:
+        """Notes that a read has failed; silence counts anew."""
+        self._silent_since_s = None
+
+    def may_claim(self, now_s: float) -> bool:
+        """Tells whether there is no leader that repeats its record."""
+        if self._silent_since_s is None:
+            return False
+        if self.term is None or self.term.released:
+            return True
+        return now_s - self._silent_since_s >= self._patience_s
--- /dev/null
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
@@ -0,0 +1,343 @@
+"""How far a job has come, and the record that a new leader restores it from.
+
+A record holds the whole state of one job, so that the newest one suffices.
+"""
+
+import dataclasses
+import enum
+import typing as t
+
+import msgspec
+
+from amaranthflow import exceptions
+from amaranthflow import ids
+
+from . import model
+
+_FORMAT = 1  # layout of the record; raise it when a field changes its meaning
+
+
+class CopyState(enum.Enum):
+    """What the leader knows of one run of a task.
+
+    PLANNED: its record is being written, no order was sent. SENT: the order
+    was sent. RUNNING: its worker said so. UNCERTAIN: the order has no answer
+    and may be carried out late. STOPPING: a stop was ordered.
+    """
+
+    PLANNED = 'planned'
+    SENT = 'sent'
+    RUNNING = 'running'
+    UNCERTAIN = 'uncertain'
+    STOPPING = 'stopping'
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class Copy:
+    """One run of a task on one worker.
+
+    Times are seconds of the leader's clock.
+
+    :ivar settled_s: from here on a report of the worker that does not list
+        the run proves that it is not there; None while it may still arrive.
+    :ivar moved_s: when ``percent`` last rose.
+    :ivar paused_s: when the pace was set to 0.
+    :ivar resumed: the run did not begin at 0 percent under this leader.
+    :ivar reported: a report has listed the run.
+    """
+
+    task: 'TaskRun'
+    worker: ids.WorkerId
+    run: model.Run
+    state: CopyState
+    planned_s: float
+    settled_s: float | None = None
+    running_s: float = 0.0
+    moved_s: float = 0.0
+    percent: float = 0.0
+    first_percent: float = 0.0
+    gauge: float = 0.0
+    saved: str = ''
+    pace: int = 100
+    paused_s: float = 0.0
+    resumed: bool = False
+    reported: bool = False
+    why: str = ''
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class TaskRun:
+    """A task and its runs."""
+
+    key: model.TaskKey
+    step_run: 'StepRun'
+    done: bool = False
+    next_run: int = 1
+    failed_runs: list[int] = dataclasses.field(default_factory=list)
+    failed_on: list[ids.WorkerId] = dataclasses.field(default_factory=list)
+    checkpoint: str = ''
+    copies: list[Copy] = dataclasses.field(default_factory=list)
+
+    @property
+    def waiting(self) -> bool:
+        """True while the task needs a run and has none."""
+        return not self.done and not self.copies
+
+    @property
+    def pristine(self) -> bool:
+        """True while nothing has happened to the task."""
+        return not self.done and self.next_run == 1 and not self.copies
+
+
+class StepRun:
+    """One occurrence of a step."""
+
+    __slots__ = (
+        'job_run',
+        'occurrence',
+        'number',
+        'step',
+        'tasks',
+        'left',
+        'speeds',
+    )
+
+    def __init__(self, *, job_run: 'JobRun', occurrence: int, number: int):
+        self.job_run = job_run
+        self.occurrence = occurrence
+        self.number = number
+        self.step = job_run.job.steps[number]
+        self.left = self.step.count
+        self.speeds: list[float] = []
+        self.tasks = [
+            TaskRun(
+                key=model.TaskKey(job_run.job.id, occurrence, number, index),
+                step_run=self,
+            )
+            for index in range(self.step.count)
+        ]
+
+    @property
+    def complete(self) -> bool:
+        """True once all tasks are done."""
+        return self.left == 0
+
+    def copies(self) -> t.Iterator[Copy]:
+        """Yields all runs that may be there."""
+        for task in self.tasks:
+            yield from task.copies
+
+    def mark_done(self, task: TaskRun) -> None:
+        """Takes a task as done; again is harmless."""
+        if not task.done:
+            task.done = True
+            self.left -= 1
+
+
+class JobRun:
+    """A job and how far it has come."""
+
+    def __init__(self, *, job: model.Job):
+        self.job = job
+        self.state = model.JobState.PENDING
+        self.shown = model.JobState.PENDING
+        self.started = False
+        self.ended_ms = 0
+        self.opened: dict[int, list[StepRun]] = {}
+        self.closed: set[int] = set()
+
+    @property
+    def ended(self) -> bool:
+        """True once the job needs no further run."""
+        return self.state in model.ENDED
+
+    def open_due(self, now_ms: int) -> bool:
+        """Opens the occurrences that are due; tells whether any was."""
+        opened = False
+        for occurrence in range(self.job.runs_of_steps):
+            if occurrence in self.opened or occurrence in self.closed:
+                continue
+            if self.job.due_ms(occurrence) > now_ms:
+                break
+            self.open(occurrence)
+            opened = True
+        return opened
+
+    def next_due_ms(self) -> int | None:
+        """Unix time of the next occurrence that is not open yet."""
+        count = len(self.opened) + len(self.closed)
+        if count >= self.job.runs_of_steps:
+            return None
+        return self.job.due_ms(count)
+
+    def close_complete(self) -> None:
+        """Forgets the tasks of occurrences that are complete."""
+        for occurrence, step_runs in list(self.opened.items()):
+            if all(step_run.complete for step_run in step_runs):
+                if not any(True for s in step_runs for _ in s.copies()):
+                    del self.opened[occurrence]
+                    self.closed.add(occurrence)
+
+    def all_done(self) -> bool:
+        """Tells whether every task of every occurrence is done."""
+        count = len(self.opened) + len(self.closed)
+        return count == self.job.runs_of_steps and all(
+            step_run.complete
+            for step_runs in self.opened.values()
+            for step_run in step_runs
+        )
+
+    def find(self, key: model.TaskKey) -> TaskRun | None:
+        """Returns a task of an open occurrence, or None."""
+        step_runs = self.opened.get(key.occurrence)
+        if step_runs is None or not 0 <= key.step < len(step_runs):
+            return None
+        tasks = step_runs[key.step].tasks
+        return tasks[key.index] if 0 <= key.index < len(tasks) else None
+
+    def ready_steps(self) -> t.Iterator[StepRun]:
+        """Yields steps with tasks left whose earlier steps are complete."""
+        for step_runs in self.opened.values():
+            for step_run in step_runs:
+                if step_run.left and all(
+                    step_runs[n].complete for n in step_run.step.after
+                ):
+                    yield step_run
+
+    def tasks(self) -> t.Iterator[TaskRun]:
+        """Yields the tasks of all open occurrences."""
+        for step_runs in self.opened.values():
+            for step_run in step_runs:
+                yield from step_run.tasks
+
+    def copies(self) -> t.Iterator[Copy]:
+        """Yields all runs that may be there."""
+        for task in self.tasks():
+            yield from task.copies
+
+    def work_left(self) -> float:
+        """Returns core-ms of estimated work that is not done."""
+        total = 0.0
+        for step_runs in self.opened.values():
+            for step_run in step_runs:
+                step = step_run.step
+                total += step_run.left * step.estimate_ms * step.resources.cpu
+        return total / 1000
+
+    def open(self, occurrence: int) -> None:
+        """Lists the tasks of an occurrence."""
+        self.opened[occurrence] = [
+            StepRun(job_run=self, occurrence=occurrence, number=number)
+            for number in range(len(self.job.steps))
+        ]
+
+
+def longest_chain_ms(job: model.Job) -> int:
+    """Returns the estimated time of a job's longest chain of steps."""
+    ends: list[int] = []
+    for step in job.steps:
+        start = max((ends[n] for n in step.after), default=0)
+        ends.append(start + step.estimate_ms)
+    return max(ends, default=0)
+
+
+def encode(job_run: JobRun) -> bytes:
+    """Returns the record of a job's progress."""
+    full = [
+        [s.occurrence, s.number]
+        for step_runs in job_run.opened.values()
+        for s in step_runs
+        if s.complete and not any(True for _ in s.copies())
+    ]
+    complete = {(occurrence, number) for occurrence, number in full}
+    tasks = [
+        _encode_task(task)
+        for task in job_run.tasks()
+        if not task.pristine
+        and (task.key.occurrence, task.key.step) not in complete
+    ]
+    return msgspec.json.encode(
+        [
+            _FORMAT,
+            job_run.state.value,
+            int(job_run.started),
+            job_run.ended_ms,
+            sorted(job_run.closed),
+            full,
+            tasks,
+        ]
+    )
+
+
+def _encode_task(task: TaskRun) -> list:
+    return [
+        task.key.occurrence,
+        task.key.step,
+        task.key.index,
+        int(task.done),
+        task.next_run,
+        task.failed_runs,
+        task.checkpoint,
+        [[copy.worker, copy.run] for copy in task.copies],
+    ]
+
+
+def restore(job_run: JobRun, value: bytes, now_s: float) -> None:
+    """Sets a fresh job's progress from its record.
+
+    Recorded runs are taken as running until their worker's report.
+    Raises InvalidRecord.
+    """
+    try:
+        fields = msgspec.json.decode(value)
+        if fields[0] != _FORMAT:
+            raise exceptions.InvalidRecord(f'format {fields[0]} of progress')
+        _, state, started, ended_ms, closed, full, tasks = fields
+        job_run.state = job_run.shown = model.JobState(state)
+        job_run.started = bool(started)
+        job_run.ended_ms = ended_ms
+        job_run.closed = set(closed)
+        for occurrence, number in full:
+            step_run = _step_run(job_run, occurrence, number)
+            for task in step_run.tasks:
+                step_run.mark_done(task)
+        for row in tasks:
+            _restore_task(job_run, row, now_s)
+    except (
+        msgspec.MsgspecError,
+        ValueError,
+        TypeError,
+        IndexError,
+        KeyError,
+    ) as exc:
+        reason = f'progress of job {job_run.job.id}: {exc}'
+        raise exceptions.InvalidRecord(reason) from exc
+
+
+def _step_run(job_run: JobRun, occurrence: int, number: int) -> StepRun:
+    if occurrence not in job_run.opened:
+        job_run.open(occurrence)
+    return job_run.opened[occurrence][number]
+
+
+def _restore_task(job_run: JobRun, row: list, now_s: float) -> None:
+    occurrence, number, index, done, next_run, failed, saved, copies = row
+    step_run = _step_run(job_run, occurrence, number)
+    task = step_run.tasks[index]
+    task.next_run = next_run
+    task.failed_runs = failed
+    task.checkpoint = saved
+    if done:
+        step_run.mark_done(task)
+    for worker, run in copies:
+        copy = Copy(
+            task=task,
+            worker=ids.WorkerId(worker),
+            run=model.Run(run),
+            state=CopyState.RUNNING,
+            planned_s=now_s,
+            settled_s=now_s,
+            pace=0,
+            resumed=True,
+        )
+        task.copies.append(copy)
--- /dev/null
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/journal.py
@@ -0,0 +1,122 @@
+"""Writes the progress of jobs, many jobs to one append."""
+
+import asyncio
+import time
+import typing as t
+
+from amaranthflow import exceptions
+
+from . import execution
+from . import logs
+from . import metrics
+from . import model
+from . import ports
+from . import scheduler
+
+# Changes gather this long, so that calls to the store stay few.
+_GATHER_S = 0.02
+_RETRY_S = 0.15
+_MOST_ITEMS = 400  # keeps an append well under a call's limit of bytes
+_MOST_BYTES = 500_000
+
+
+class Journal:
+    """Appends the records of changed jobs in the name of one leader."""
+
+    def __init__(
+        self,
+        *,
+        store: ports.Store,
+        core: scheduler.Scheduler,
+        token: model.Token,
+        meters: metrics.Metrics,
+    ):
+        self._store = store
+        self._core = core
+        self._token = token
+        self._meters = meters
+        self._number = 0
+        self._wake = asyncio.Event()
+        self._waiting: list[asyncio.Future[None]] = []
+        self.failing_since: float | None = None
+
+    async def open(self) -> None:
+        """Shuts out earlier leaders. Raises Conflict and PlatformError."""
+        writer = ports.Writer(self._token, 0)
+        await self._store.append(ports.Table.PROGRESS, (), writer=writer)
+
+    def flush(self) -> asyncio.Future[None]:
+        """Returns a future that is done once all changes are stored."""
+        fut = asyncio.get_running_loop().create_future()
+        self._waiting.append(fut)
+        self._wake.set()
+        return fut
+
+    async def run(self) -> None:
+        """Writes until cancelled. Raises Conflict once shut out."""
+        while True:
+            if not self._core.dirty and not self._waiting:
+                self._wake.clear()
+                await self._wake.wait()
+            await asyncio.sleep(_GATHER_S)
+            await self._write()
+
+    async def _write(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        ends = self._core.seen_ends()
+        states: dict = {}
+        items: list[tuple[bytes, bytes]] = []
+        for job_id in list(self._core.dirty):
+            job_run = self._core.jobs.get(job_id)
+            if job_run is not None:
+                states[job_id] = job_run.state
+                value = execution.encode(job_run)
+                items.append((job_id.encode(), value))
+        self._core.dirty.clear()
+        for chunk in _chunks(items):
+            await self._append(chunk)
+        self._core.recorded(states, ends)
+        for fut in waiting:
+            if not fut.done():
+                fut.set_result(None)
+
+    async def _append(self, items: list[tuple[bytes, bytes]]) -> None:
+        """Repeats one append, under one number, until it is confirmed."""
+        writer = ports.Writer(self._token, self._number)
+        while True:
+            begun = time.monotonic()
+            try:
+                await self._store.append(
+                    ports.Table.PROGRESS, items, writer=writer
+                )
+            except exceptions.AmaranthflowError as exc:
+                self._note_failure(exc, len(items))
+                await asyncio.sleep(_RETRY_S)
+                continue
+            self._number += 1
+            self._meters.observe('progress_append', time.monotonic() - begun)
+            if self.failing_since is not None:
+                logs.event('progress_resumed', items=len(items))
+                self.failing_since = None
+            return
+
+    def _note_failure(self, exc: Exception, items: int) -> None:
+        self._meters.count('progress_append_failures')
+        if self.failing_since is None:
+            self.failing_since = time.monotonic()
+            logs.event('progress_stalled', items=items, error=str(exc))
+
+
+def _chunks(
+    items: list[tuple[bytes, bytes]],
+) -> t.Iterator[list[tuple[bytes, bytes]]]:
+    chunk: list[tuple[bytes, bytes]] = []
+    size = 0
+    for key, value in items:
+        if chunk and (len(chunk) >= _MOST_ITEMS or size > _MOST_BYTES):
+            yield chunk
+            chunk, size = [], 0
+        chunk.append((key, value))
+        size += len(value)
+    if chunk:
+        yield chunk
--- /dev/null
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -0,0 +1,677 @@
+"""Work of the leading instance: holds workers and carries out orders."""
+
+import asyncio
+import dataclasses
+import typing as t
+
+from amaranthflow import clock as clock_lib
+from amaranthflow import exceptions
+from amaranthflow import ids
+
+from . import elections
+from . import execution
+from . import jobrecord
+from . import journal
+from . import logs
+from . import metrics
+from . import model
+from . import orders
+from . import ports
+from . import scheduler
+from . import workers
+
+# Lease that each hold renews. It outlasts a takeover and two lost holds, and
+# bounds how long the work of a silent worker cannot start elsewhere.
+_LEASE_MS = 4_000
+# A start that is not carried out within this time is void.
+_START_VALID_MS = 1_500
+# A worker's report is at most this old; a lease is renewed several times.
+_HOLD_WAIT_MS = 500
+_HOLD_PAUSE_S = 0.25
+_RECORD_WAIT_S = 0.3
+_STOP_RETRY_S = 0.3
+_WORKERS_POLL_S = 0.4
+_JOBS_WAIT_MS = 1_000
+_STORE_RETRY_S = 0.2
+_TICK_S = 0.1
+_PLAN_GATHER_S = 0.004
+_FORGET_EVERY_S = 5.0
+_RESIGN_S = 0.6
+# A job that was accepted longer ago is known to a leader that reads the
+# jobs' table this often, so that "unknown" may be told.
+_FRESH_S = 1.8
+
+
+class Deposed(Exception):
+    """Another instance leads; nothing more may be ordered under the token."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Tools:
+    """What a leader works with."""
+
+    store: ports.Store
+    fleet: ports.Fleet
+    decoder: ports.Decoder
+    clock: clock_lib.Clock
+    meters: metrics.Metrics
+    limits: scheduler.Limits
+
+
+class Leader:
+    """One term in office, from the claim to the end."""
+
+    def __init__(
+        self,
+        *,
+        tools: Tools,
+        term: elections.Term,
+        leaders_end: int,
+        cfg: model.Configuration | None,
+    ):
+        self.term = term
+        self.ready = False
+        self._tools = tools
+        self._clock = tools.clock
+        self._leaders_end = leaders_end
+        self.core = scheduler.Scheduler(
+            limits=tools.limits, now_s=tools.clock.monotonic()
+        )
+        if cfg is not None:
+            self.core.configure(cfg)
+        self._journal = journal.Journal(
+            store=tools.store,
+            core=self.core,
+            token=term.token,
+            meters=tools.meters,
+        )
+        self._links: dict[ids.WorkerId, tuple[str, ports.WorkerLink]] = {}
+        self._replan = asyncio.Event()
+        self._jobs_end = 0
+        self._workers_end = 0
+        self._jobs_read_s = float('-inf')
+        self._group: asyncio.TaskGroup | None = None
+        self._over = asyncio.Event()
+        self._why = ''
+
+    # life
+
+    async def run(self) -> None:
+        """Leads until deposed or resigned."""
+        logs.event('leading', token=self.term.token)
+        self._tools.meters.count('terms')
+        try:
+            async with asyncio.TaskGroup() as group:
+                self._group = group
+                office = group.create_task(self._lead())
+                await self._over.wait()
+                office.cancel()
+                raise Deposed(self._why)
+        except* Deposed:
+            pass
+        finally:
+            self.ready = False
+            for _, link in self._links.values():
+                link.close()
+            logs.event('led', token=self.term.token, why=self._why)
+
+    def depose(self, why: str) -> None:
+        """Ends the term at once."""
+        if not self._over.is_set():
+            self._why = why
+            self._over.set()
+
+    async def resign(self) -> None:
+        """Stores what is not stored yet and lets another instance lead."""
+        if self._over.is_set():
+            return
+        self.ready = False
+        try:
+            async with asyncio.timeout(_RESIGN_S):
+                await self._journal.flush()
+                await self._renew(released=True)
+        except (
+            TimeoutError,
+            exceptions.AmaranthflowError,
+            ports.Conflict,
+        ) as exc:
+            logs.event('resignation_not_stored', error=repr(exc))
+        self.depose('resigned')
+
+    async def _lead(self) -> None:
+        group = self._group
+        assert group is not None
+        group.create_task(self._guard(self._renew_loop))
+        await self._recover()
+        self.ready = True
+        loops = [
+            self._journal.run,
+            self._jobs_loop,
+            self._workers_loop,
+            self._tick_loop,
+            self._plan_loop,
+            self._forget_loop,
+        ]
+        for loop in loops:
+            group.create_task(self._guard(loop))
+
+    async def _guard(self, loop: t.Callable[[], t.Awaitable[None]]) -> None:
+        try:
+            await loop()
+        except ports.Conflict as exc:
+            self.depose(f'store: {exc}')
+        except exceptions.AmaranthflowError as exc:
+            self.depose(f'{loop.__name__}: {exc}')
+        except Exception as exc:
+            # A fault of the program: another instance takes over.
+            logs.event('loop_failed', loop=loop.__name__, error=repr(exc))
+            self.depose(f'{loop.__name__} failed')
+
+    async def _renew_loop(self) -> None:
+        while True:
+            await asyncio.sleep(elections.RENEW_S)
+            try:
+                await self._renew(released=False)
+            except exceptions.AmaranthflowError as exc:
+                logs.event('renewal_failed', error=str(exc))
+
+    async def _renew(self, *, released: bool) -> None:
+        term = dataclasses.replace(self.term, released=released)
+        value = elections.encode(
+            term, instance=term.instance, address=term.address
+        )
+        table = ports.Table.LEADERS
+        try:
+            offset = await self._tools.store.append(
+                table,
+                [(elections.KEY, value)],
+                expected_end=self._leaders_end,
+            )
+        except ports.Conflict:
+            self._leaders_end = await self._own_end()
+            return
+        self._leaders_end = offset + 1
+
+    async def _own_end(self) -> int:
+        """Returns the end of the table if its newest record is our own."""
+        batch = await self._tools.store.newest(ports.Table.LEADERS)
+        for record in batch.records:
+            if elections.decode(record).token != self.term.token:
+                raise ports.Conflict('another instance has claimed')
+        newest = max((r.offset for r in batch.records), default=-1)
+        return newest + 1
+
+    # recovery
+
+    async def _recover(self) -> None:
+        begun_s = self._clock.monotonic()
+        await self._retry(self._journal.open)
+        progress = await self._retry(
+            lambda: self._tools.store.newest(ports.Table.PROGRESS)
+        )
+        jobs = await self._retry(
+            lambda: self._tools.store.newest(ports.Table.JOBS)
+        )
+        entries = await self._retry(
+            lambda: self._tools.store.newest(ports.Table.WORKERS)
+        )
+        now_s = self._clock.monotonic()
+        self._take_workers(entries, now_s)
+        self._workers_end = entries.end
+        self._restore(jobs, progress, now_s)
+        self._jobs_end = jobs.end
+        self._jobs_read_s = begun_s
+        for worker in list(self.core.workers.values()):
+            self._attend(worker)
+        counts = self.core.counts()
+        logs.event(
+            'recovered',
+            token=self.term.token,
+            jobs=counts.jobs,
+            runs=counts.copies,
+            workers=counts.workers,
+            seconds=round(self._clock.monotonic() - begun_s, 3),
+        )
+
+    async def _retry(self, call: t.Callable[[], t.Awaitable]) -> t.Any:
+        while True:
+            try:
+                return await call()
+            except exceptions.AmaranthflowError as exc:
+                logs.event('recovery_stalled', error=str(exc))
+                await asyncio.sleep(_STORE_RETRY_S)
+
+    def _restore(
+        self, jobs: ports.Batch, progress: ports.Batch, now_s: float
+    ) -> None:
+        known = {record.key: record.value for record in progress.records}
+        for record in jobs.records:
+            job = self._decode_job(record)
+            if job is None:
+                continue
+            try:
+                self.core.restore_job(job, known.get(record.key), now_s)
+            except exceptions.InvalidRecord as exc:
+                logs.event('record_set_aside', id=job.id, error=str(exc))
+
+    def _decode_job(self, record: ports.Record) -> model.Job | None:
+        if not record.value:
+            return None
+        job_id = ids.JobId(record.key.decode('latin-1'))
+        try:
+            return jobrecord.decode(job_id, record.value)
+        except exceptions.InvalidRecord as exc:
+            logs.event('record_set_aside', id=job_id, error=str(exc))
+            return None
+
+    # tables
+
+    async def _jobs_loop(self) -> None:
+        while True:
+            asked_s = self._clock.monotonic()
+            try:
+                batch = await self._tools.store.read(
+                    ports.Table.JOBS, self._jobs_end, wait_ms=_JOBS_WAIT_MS
+                )
+            except exceptions.OffsetExpired:
+                batch = await self._retry(
+                    lambda: self._tools.store.newest(ports.Table.JOBS)
+                )
+            except exceptions.AmaranthflowError as exc:
+                logs.event('jobs_unread', error=str(exc))
+                await asyncio.sleep(_STORE_RETRY_S)
+                continue
+            self._jobs_end = batch.end
+            self._jobs_read_s = max(self._jobs_read_s, asked_s)
+            for record in batch.records:
+                job = self._decode_job(record)
+                if job is not None:
+                    self.take_job(job)
+
+    def take_job(self, job: model.Job) -> None:
+        """Takes a job whose record is stored."""
+        if not self.core.add_job(job):
+            return
+        self._tools.meters.count('jobs')
+        logs.event(
+            'job_taken',
+            id=job.id,
+            queue=job.queue.id,
+            tasks=sum(step.count for step in job.steps),
+            age_ms=self._clock.wall_ms() - job.accepted_ms,
+        )
+        self._replan.set()
+
+    async def _workers_loop(self) -> None:
+        while True:
+            await asyncio.sleep(_WORKERS_POLL_S)
+            try:
+                batch = await self._tools.store.read(
+                    ports.Table.WORKERS, self._workers_end
+                )
+                whole = False
+            except exceptions.OffsetExpired:
+                batch = await self._retry(
+                    lambda: self._tools.store.newest(ports.Table.WORKERS)
+                )
+                whole = True
+            except exceptions.AmaranthflowError as exc:
+                logs.event('workers_unread', error=str(exc))
+                continue
+            now_s = self._clock.monotonic()
+            self._take_workers(batch, now_s)
+            if whole:
+                self._drop_missing(batch, now_s)
+            self._workers_end = batch.end
+
+    def _drop_missing(self, batch: ports.Batch, now_s: float) -> None:
+        listed = {record.key.decode('latin-1') for record in batch.records}
+        for worker_id in list(self.core.workers):
+            if worker_id not in listed:
+                self.core.entry_gone(worker_id, now_s)
+
+    def _take_workers(self, batch: ports.Batch, now_s: float) -> None:
+        for record in batch.records:
+            worker_id = ids.WorkerId(record.key.decode('latin-1'))
+            if not record.value:
+                self.core.entry_gone(worker_id, now_s)
+                continue
+            entry = self._tools.decoder.worker(record.key, record.value)
+            if entry is None:
+                continue
+            known = worker_id in self.core.workers
+            self.core.entry_changed(entry, now_s)
+            if not known and self.ready:
+                self._attend(self.core.workers[entry.id])
+
+    def _attend(self, worker: workers.Worker) -> None:
+        assert self._group is not None
+        self._group.create_task(self._guard(lambda: self._attendance(worker)))
+
+    # workers
+
+    async def _attendance(self, worker: workers.Worker) -> None:
+        """Holds one worker until it is gone."""
+        lost = False
+        while True:
+            if self.core.drop_worker(worker.id, self._clock.monotonic()):
+                self._drop_link(worker.id)
+                return
+            if not worker.entry.address:
+                await asyncio.sleep(_HOLD_PAUSE_S)
+                continue
+            try:
+                await self._hold(worker)
+                if lost:
+                    logs.event('worker_back', worker=worker.id)
+                lost = False
+            except ports.OrderRefused as exc:
+                if exc.refusal is ports.Refusal.TOKEN:
+                    self.depose(f'worker {worker.id} has a higher token')
+                    return
+                await asyncio.sleep(_HOLD_PAUSE_S)
+            except exceptions.AmaranthflowError as exc:
+                if not lost:
+                    self._note_lost(worker, exc)
+                lost = True
+                await asyncio.sleep(_HOLD_PAUSE_S)
+
+    def _note_lost(self, worker: workers.Worker, exc: Exception) -> None:
+        now_s = self._clock.monotonic()
+        logs.event(
+            'worker_lost',
+            worker=worker.id,
+            runs=len(worker.copies),
+            lease_left_s=round(worker.lapsed_s - now_s, 2),
+            error=str(exc),
+        )
+        self._tools.meters.count('workers_lost')
+
+    async def _hold(self, worker: workers.Worker) -> None:
+        link = self._link(worker)
+        # The first call on a connection may reach another life of the
+        # worker: it must neither forget ends nor trust the clock.
+        known = link.connected() and worker.born_ms != 0
+        sent_s = self._clock.monotonic()
+        deadline_ms = None
+        if known:
+            deadline_ms = worker.clock_now(sent_s) + _LEASE_MS
+            worker.extend_lease(deadline_ms)
+        settled = worker.observed == worker.processed
+        report = await link.hold(
+            token=self.term.token,
+            observed=worker.observed if known else 0,
+            deadline_ms=deadline_ms,
+            wait_ms=_HOLD_WAIT_MS if known and settled else 0,
+        )
+        before = (worker.born_ms, worker.processed)
+        self.core.on_report(
+            worker,
+            report,
+            sent_s,
+            self._clock.monotonic(),
+            self._clock.wall_ms(),
+        )
+        self._dispatch()
+        if worker.observed != worker.processed:
+            self._replan.set()
+            await self._stored()
+            if worker.observed != worker.processed:
+                await asyncio.sleep(_HOLD_PAUSE_S)
+        elif before[0] != worker.born_ms:
+            self._replan.set()
+
+    async def _stored(self) -> bool:
+        """Waits a little for all changes to be stored; tells whether."""
+        try:
+            async with asyncio.timeout(_RECORD_WAIT_S):
+                await self._journal.flush()
+        except TimeoutError:
+            return False
+        return True
+
+    def _link(self, worker: workers.Worker) -> ports.WorkerLink:
+        address = worker.entry.address
+        found = self._links.get(worker.id)
+        if found is not None and found[0] == address:
+            return found[1]
+        self._drop_link(worker.id)
+        link = self._tools.fleet.link(worker.id, address)
+        self._links[worker.id] = (address, link)
+        return link
+
+    def _drop_link(self, worker_id: ids.WorkerId) -> None:
+        found = self._links.pop(worker_id, None)
+        if found is not None:
+            found[1].close()
+
+    # orders
+
+    def _dispatch(self) -> None:
+        taken = self.core.take_orders()
+        starts = [o.copy for o in taken if isinstance(o, orders.Start)]
+        if starts:
+            self._spawn(self._start_all(starts))
+        for one in taken:
+            if isinstance(one, orders.Stop):
+                self._spawn(self._stop(one.copy))
+            elif isinstance(one, orders.StopStray):
+                self._spawn(self._stop_stray(one))
+            elif isinstance(one, orders.Pace):
+                self._spawn(self._pace(one))
+
+    def _spawn(self, work: t.Coroutine) -> None:
+        if self._group is None or self._over.is_set():
+            work.close()
+            return
+
+        async def run() -> None:
+            await work
+
+        self._group.create_task(self._guard(run))
+
+    async def _start_all(self, copies: list[execution.Copy]) -> None:
+        await self._journal.flush()
+        for copy in copies:
+            self._spawn(self._start(copy))
+
+    async def _start(self, copy: execution.Copy) -> None:
+        worker = self.core.workers.get(copy.worker)
+        if worker is None or copy.state is not execution.CopyState.PLANNED:
+            return
+        if copy not in worker.copies:
+            return
+        now_s = self._clock.monotonic()
+        task = copy.task
+        order = ports.StartOrder(
+            task=task.key,
+            run=copy.run,
+            payload=task.step_run.job_run.job.payload,
+            deadline_ms=worker.clock_now(now_s) + _START_VALID_MS,
+            checkpoint=task.checkpoint,
+        )
+        worker.extend_lease(order.deadline_ms)
+        void_s = worker.passed_s(order.deadline_ms)
+        self.core.on_sent(copy)
+        self._tools.meters.count('starts')
+        try:
+            await self._link(worker).start(order, self.term.token)
+            self.core.on_started(copy, self._clock.monotonic())
+            self._tools.meters.observe(
+                'start', self._clock.monotonic() - now_s
+            )
+            return
+        except ports.OrderRefused as exc:
+            if exc.refusal is ports.Refusal.TOKEN:
+                self.depose(f'worker {worker.id} has a higher token')
+                return
+            now_s = self._clock.monotonic()
+            self.core.on_start_refused(copy, exc.refusal, now_s)
+        except exceptions.PlatformUncertain as exc:
+            self._note_unanswered(copy, exc)
+            now_s = self._clock.monotonic()
+            self.core.on_start_uncertain(copy, void_s, now_s)
+        except exceptions.PlatformError:
+            self.core.on_start_failed(copy, self._clock.monotonic())
+        self._replan.set()
+        self._dispatch()
+
+    def _note_unanswered(self, copy: execution.Copy, exc: Exception) -> None:
+        self._tools.meters.count('starts_unanswered')
+        logs.event(
+            'start_unanswered',
+            id=copy.task.key.job,
+            run=copy.run,
+            worker=copy.worker,
+            error=str(exc),
+        )
+
+    async def _stop(self, copy: execution.Copy) -> None:
+        while True:
+            worker = self.core.workers.get(copy.worker)
+            if worker is None or copy not in worker.copies:
+                return
+            if await self._stop_once(worker, copy.task.key, copy.run):
+                self.core.on_stopped(copy, self._clock.monotonic())
+                return
+            await asyncio.sleep(_STOP_RETRY_S)
+
+    async def _stop_stray(self, stray: orders.StopStray) -> None:
+        worker = self.core.workers.get(ids.WorkerId(stray.worker))
+        if worker is not None:
+            logs.event(
+                'stray_stopped',
+                id=stray.task.job,
+                run=stray.run,
+                worker=stray.worker,
+            )
+            await self._stop_once(worker, stray.task, stray.run)
+
+    async def _stop_once(
+        self, worker: workers.Worker, task: model.TaskKey, run: model.Run
+    ) -> bool:
+        if not worker.entry.address:
+            return False
+        try:
+            await self._link(worker).stop(task, run, self.term.token)
+            return True
+        except ports.OrderRefused as exc:
+            if exc.refusal is ports.Refusal.TOKEN:
+                self.depose(f'worker {worker.id} has a higher token')
+                return False
+            logs.event(
+                'stop_refused',
+                id=task.job,
+                run=run,
+                worker=worker.id,
+                refusal=exc.refusal.value,
+            )
+            return False
+        except exceptions.AmaranthflowError as exc:
+            logs.event(
+                'stop_unanswered',
+                id=task.job,
+                run=run,
+                worker=worker.id,
+                error=str(exc),
+            )
+            return False
+
+    async def _pace(self, change: orders.Pace) -> None:
+        copy = change.copy
+        worker = self.core.workers.get(copy.worker)
+        if worker is None or copy not in worker.copies:
+            return
+        try:
+            await self._link(worker).pace(
+                copy.task.key, copy.run, change.percent, self.term.token
+            )
+        except ports.OrderRefused as exc:
+            if exc.refusal is ports.Refusal.TOKEN:
+                self.depose(f'worker {worker.id} has a higher token')
+        except exceptions.AmaranthflowError as exc:
+            logs.event(
+                'pace_unanswered',
+                id=copy.task.key.job,
+                run=copy.run,
+                worker=worker.id,
+                percent=change.percent,
+                error=str(exc),
+            )
+            # Unknown pace: the next report orders it anew.
+            copy.pace = -1
+
+    # decisions
+
+    async def _tick_loop(self) -> None:
+        while True:
+            await asyncio.sleep(_TICK_S)
+            self.core.tick(self._clock.monotonic(), self._clock.wall_ms())
+            self._dispatch()
+
+    async def _plan_loop(self) -> None:
+        while True:
+            await self._replan.wait()
+            await asyncio.sleep(_PLAN_GATHER_S)
+            self._replan.clear()
+            self.core.plan(self._clock.monotonic(), self._clock.wall_ms())
+            self._dispatch()
+
+    async def _forget_loop(self) -> None:
+        while True:
+            await asyncio.sleep(_FORGET_EVERY_S)
+            counts = self.core.counts()
+            for name, value in counts._asdict().items():
+                self._tools.meters.gauge(name, value)
+            old = self.core.forgettable(self._clock.wall_ms())
+            if not old:
+                continue
+            items = [(job_id.encode(), b'') for job_id in old]
+            try:
+                for table in (ports.Table.JOBS, ports.Table.PROGRESS):
+                    await self._tools.store.append(table, items)
+            except exceptions.AmaranthflowError as exc:
+                logs.event('records_not_dropped', error=str(exc))
+                continue
+            self.core.forget(old)
+
+    # questions of callers
+
+    def state(self, job_id: ids.JobId) -> model.JobState | None:
+        """Returns a job's state, None for an unknown job.
+
+        Raises NotReady where a job might be stored that is not known here.
+        """
+        self._check_ready()
+        state = self.core.state(job_id)
+        if state is None:
+            self._check_fresh()
+        return state
+
+    async def cancel(self, job_id: ids.JobId) -> bool:
+        """Cancels a job; False for an unknown one.
+
+        Raises NotReady, also where the cancelling is not stored in time.
+        """
+        self._check_ready()
+        if not self.core.cancel(job_id, self._clock.wall_ms()):
+            self._check_fresh()
+            return False
+        self._dispatch()
+        await self._journal.flush()
+        return True
+
+    def pending_count(self, queue: model.QueueId) -> int:
+        """Returns the number of a queue's jobs that have had no run yet."""
+        self._check_ready()
+        return self.core.pending_count(queue)
+
+    def _check_ready(self) -> None:
+        if not self.ready or self._over.is_set():
+            raise exceptions.NotReady('the leader is not ready')
+
+    def _check_fresh(self) -> None:
+        age_s = self._clock.monotonic() - self._jobs_read_s
+        if age_s > _FRESH_S:
+            reason = f'jobs were last read {age_s:.1f} s ago'
+            raise exceptions.NotReady(reason)
--- /dev/null
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/logs.py
@@ -0,0 +1,56 @@
+"""Log of an instance: JSON lines on standard output, never waited for."""
+
+import sys
+import time
+import typing as t
+
+import msgspec
+
+from amaranthflow import linewriter
+
+# Lines that are gathered before a write; saves system calls at high rates.
+_GATHER_S = 0.1
+_QUEUE_LINES = 5_000  # about 1 MB of lines that a stalled reader may hold up
+
+
+class _Log:
+    """Where lines go; nowhere before ``configure``."""
+
+    def __init__(self):
+        self.writer: linewriter.LineWriter | None = None
+        self.instance = ''
+
+
+_log = _Log()
+
+
+def configure(
+    *, instance: str, stream: t.BinaryIO | None = None
+) -> t.Callable[[], None]:
+    """Starts writing; returns a function that writes the rest and stops."""
+    writer = linewriter.LineWriter(
+        stream=stream or sys.stdout.buffer,
+        limit=_QUEUE_LINES,
+        gather_s=_GATHER_S,
+    )
+    _log.writer = writer
+    _log.instance = instance
+
+    def stop() -> None:
+        _log.writer = None
+        writer.stop()
+
+    return stop
+
+
+def event(name: str, **fields: t.Any) -> None:
+    """Writes one line; ``id`` is the job or request it is about."""
+    if _log.writer is None:
+        return
+    line = {
+        'time': round(time.time(), 3),
+        'event': name,
+        'instance': _log.instance,
+        **fields,
+    }
+    _log.writer.write(msgspec.json.encode(line, enc_hook=str) + b'\n')
--- /dev/null
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -0,0 +1,914 @@
+"""Decisions of the leader: which run starts, stops or slows, and where.
+
+No network and no clock of its own: facts come in by methods with their
+times, orders go out by ``take_orders``. What must last is named by ``dirty``
+until ``recorded`` says that it is stored.
+"""
+
+import collections
+import dataclasses
+import typing as t
+
+from amaranthflow import ids
+
+from . import execution
+from . import logs
+from . import model
+from . import order
+from . import orders
+from . import pacing
+from . import placement
+from . import ports
+from . import stragglers
+from . import workers
+
+# A worker whose last answer is older gets no new run; holds are answered
+# after half a second at most.
+_CONTACT_S = 1.2
+# An entry that lapsed while the store was away is back within this time
+# (platform's pages say about two seconds).
+_UNLISTED_GRACE_S = 2.5
+# Time in which a new leader may meet runs of jobs that it has not read yet.
+_SETTLING_S = 2.0
+# A worker that lists more ends than it can send at once lists 500.
+_MOST_ENDS = 500
+_ROOM_PAUSE_S = 0.3
+_UNHEALTHY_PAUSE_S = 1.0
+# A worker on which runs of two jobs failed, and none ended well since.
+_GREY_JOBS = 2
+_GREY_PAUSE_S = 5.0
+_HUNG_PAUSE_S = 4.0
+# Weight of the newest observation in a worker's relative speed.
+_PACE_WEIGHT = 0.4
+# An opportunistic run that is paused this long beside a service moves.
+_PAUSED_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Limits:
+    """Times set by the platform, in seconds.
+
+    :ivar hold_max_s: longest lease a worker grants.
+    :ivar state_kept_s: how long the state of an ended job is told.
+    """
+
+    hold_max_s: float
+    state_kept_s: float
+
+
+class Counts(t.NamedTuple):
+    """Sizes for metrics and logs."""
+
+    jobs: int
+    waiting_tasks: int
+    copies: int
+    workers: int
+
+
+class Scheduler:
+    """State and decisions of one leader, from its election on."""
+
+    def __init__(self, *, limits: Limits, now_s: float):
+        self.jobs: dict[ids.JobId, execution.JobRun] = {}
+        self.workers: dict[ids.WorkerId, workers.Worker] = {}
+        self.dirty: set[ids.JobId] = set()
+        self._limits = limits
+        self._since_s = now_s
+        self._active: dict[ids.JobId, execution.JobRun] = {}
+        self._queues: dict[model.QueueId, model.Queue] = {}
+        self._orders: list[orders.Order] = []
+        self._unknown_leases_s = now_s + self._longest_lease_s()
+
+    def _longest_lease_s(self) -> float:
+        longest_s = self._limits.hold_max_s / workers.CLOCK_RATE
+        return longest_s + workers.LAPSE_SLACK_S
+
+    # jobs
+
+    def configure(self, cfg: model.Configuration) -> None:
+        """Takes the queues in force; those that went are remembered."""
+        for queue in cfg.queues:
+            self._queues[queue.id] = queue
+
+    def queue_of(self, job: model.Job) -> model.Queue:
+        """Returns a job's queue as it is now."""
+        return self._queues.get(job.queue.id, job.queue)
+
+    def add_job(self, job: model.Job) -> bool:
+        """Takes an accepted job; False where it is known already."""
+        if job.id in self.jobs:
+            return False
+        job_run = execution.JobRun(job=job)
+        self.jobs[job.id] = job_run
+        self._active[job.id] = job_run
+        return True
+
+    def restore_job(
+        self, job: model.Job, progress: bytes | None, now_s: float
+    ) -> None:
+        """Takes a job and what an earlier leader recorded of it."""
+        if not self.add_job(job) or progress is None:
+            return
+        job_run = self.jobs[job.id]
+        execution.restore(job_run, progress, now_s)
+        for copy in list(job_run.copies()):
+            self._recall(copy, now_s)
+        self._settle_job(job_run)
+
+    def _recall(self, copy: execution.Copy, now_s: float) -> None:
+        worker = self.workers.get(copy.worker)
+        if worker is None:
+            worker = self._add_worker(_lost_entry(copy.worker))
+            worker.unlisted_s = now_s - _UNLISTED_GRACE_S
+        worker.copies.append(copy)
+
+    def cancel(self, job_id: ids.JobId, now_ms: int) -> bool:
+        """Ends a job at its caller's wish; False where none is known."""
+        job_run = self.jobs.get(job_id)
+        if job_run is None:
+            return False
+        if not job_run.ended:
+            self._end_job(job_run, model.JobState.CANCELLED, now_ms)
+        return True
+
+    def state(self, job_id: ids.JobId) -> model.JobState | None:
+        """Returns what may be told of a job, None where none is known."""
+        job_run = self.jobs.get(job_id)
+        if job_run is None:
+            return None
+        if job_run.ended and job_run.shown is not job_run.state:
+            return model.JobState.RUNNING
+        if job_run.ended:
+            return job_run.state
+        running = job_run.started
+        return model.JobState.RUNNING if running else model.JobState.PENDING
+
+    def pending_count(self, queue: model.QueueId) -> int:
+        """Returns how many jobs of a queue have had no run yet."""
+        return sum(
+            1
+            for job_run in self._active.values()
+            if not job_run.started
+            and not job_run.ended
+            and job_run.job.queue.id == queue
+        )
+
+    def forgettable(self, now_ms: int) -> list[ids.JobId]:
+        """Returns jobs whose state need not be told any longer."""
+        kept_ms = self._limits.state_kept_s * 1000
+        return [
+            job_id
+            for job_id, job_run in self.jobs.items()
+            if job_run.ended
+            and job_id not in self._active
+            and job_id not in self.dirty
+            and now_ms - job_run.ended_ms > kept_ms
+        ]
+
+    def forget(self, job_ids: t.Iterable[ids.JobId]) -> None:
+        """Drops jobs whose records are dropped."""
+        for job_id in job_ids:
+            self.jobs.pop(job_id, None)
+
+    def counts(self) -> Counts:
+        """Returns sizes."""
+        copies = sum(len(w.copies) for w in self.workers.values())
+        waiting = sum(
+            1
+            for job_run in self._active.values()
+            for step_run in job_run.ready_steps()
+            for task in step_run.tasks
+            if task.waiting
+        )
+        return Counts(len(self.jobs), waiting, copies, len(self.workers))
+
+    # workers
+
+    def entry_changed(self, entry: model.WorkerEntry, now_s: float) -> None:
+        """Takes what a worker says of itself."""
+        worker = self.workers.get(entry.id)
+        if worker is None:
+            worker = self._add_worker(entry)
+        before = worker.entry
+        worker.entry = entry
+        worker.unlisted_s = None
+        if before.state is not entry.state or before is entry:
+            logs.event(
+                'worker_entry',
+                worker=entry.id,
+                state=entry.state.value,
+                service=entry.service,
+                rack=entry.rack,
+                leaves_in_ms=entry.leaves_in_ms,
+            )
+
+    def entry_gone(self, worker_id: ids.WorkerId, now_s: float) -> None:
+        """Notes that a worker's entry went."""
+        worker = self.workers.get(worker_id)
+        if worker is not None and worker.unlisted_s is None:
+            worker.unlisted_s = now_s
+            logs.event(
+                'worker_unlisted',
+                worker=worker_id,
+                runs=len(worker.copies),
+                answered_ago_s=_ago(worker.answered_s, now_s),
+            )
+
+    def _add_worker(self, entry: model.WorkerEntry) -> workers.Worker:
+        worker = workers.Worker(entry=entry, lapsed_s=self._unknown_leases_s)
+        self.workers[entry.id] = worker
+        return worker
+
+    def usable(self, worker: workers.Worker, now_s: float) -> bool:
+        """Tells whether a worker may get a new run."""
+        entry = worker.entry
+        if entry.state is not model.WorkerState.READY:
+            return False
+        unlisted_s = worker.unlisted_s
+        if unlisted_s is not None and now_s - unlisted_s > _UNLISTED_GRACE_S:
+            return False
+        answered_s = worker.answered_s
+        if answered_s is None or now_s - answered_s > _CONTACT_S:
+            return False
+        return now_s >= worker.shunned_until_s
+
+    def drop_worker(self, worker_id: ids.WorkerId, now_s: float) -> bool:
+        """Forgets a worker that is gone; False while something may run."""
+        worker = self.workers[worker_id]
+        if worker.copies or worker.unlisted_s is None:
+            return False
+        if now_s - worker.unlisted_s <= _UNLISTED_GRACE_S:
+            return False
+        if _ago(worker.answered_s, now_s) < _CONTACT_S:
+            return False
+        del self.workers[worker_id]
+        return True
+
+    # reports
+
+    def on_report(
+        self,
+        worker: workers.Worker,
+        report: ports.Report,
+        sent_s: float,
+        now_s: float,
+        now_ms: int,
+    ) -> None:
+        """Takes a worker's report; ``sent_s`` is when it was asked for."""
+        if report.born_ms != worker.born_ms:
+            self._new_life(worker, report.born_ms)
+        worker.sync_clock(report.clock_ms, now_s)
+        worker.answered_s = now_s
+        listed = {(row.task, row.run) for row in report.running}
+        listed.update((end.task, end.run) for end in report.ended)
+        for end in sorted(report.ended, key=lambda end: end.number):
+            if end.number <= worker.processed:
+                continue
+            if not self._on_end(worker, end, now_s, now_ms):
+                break
+            worker.processed = end.number
+        for row in report.running:
+            self._on_running(worker, row, sent_s, now_s)
+        if len(report.ended) < _MOST_ENDS:
+            self._drop_unlisted(worker, listed, sent_s)
+        self._pace(worker, now_s)
+
+    def _new_life(self, worker: workers.Worker, born_ms: int) -> None:
+        if worker.born_ms:
+            logs.event(
+                'worker_reborn',
+                worker=worker.id,
+                before=worker.born_ms,
+                born_ms=born_ms,
+                runs=len(worker.copies),
+            )
+        worker.born_ms = born_ms
+        worker.processed = worker.observed = 0
+        worker.failed_jobs.clear()
+        worker.failures_in_row = 0
+        worker.shunned_until_s = 0.0
+        worker.pace_factor = 1.0
+
+    def _drop_unlisted(
+        self, worker: workers.Worker, listed: set, sent_s: float
+    ) -> None:
+        for copy in list(worker.copies):
+            settled_s = copy.settled_s
+            if settled_s is None or settled_s > sent_s:
+                continue
+            if (copy.task.key, copy.run) not in listed:
+                self._remove(copy, 'not-listed')
+
+    def _on_end(
+        self,
+        worker: workers.Worker,
+        end: ports.End,
+        now_s: float,
+        now_ms: int,
+    ) -> bool:
+        job_run = self.jobs.get(end.task.job)
+        if job_run is None:
+            return now_s - self._since_s > _SETTLING_S
+        task = job_run.find(end.task)
+        if task is None:
+            return True
+        copy = _find_copy(task, worker.id, end.run)
+        self.dirty.add(job_run.job.id)
+        logs.event(
+            'run_ended',
+            id=end.task.job,
+            task=_name(end.task),
+            run=end.run,
+            worker=worker.id,
+            ending=end.ending.value,
+            number=end.number,
+            known=copy is not None,
+        )
+        if copy is not None:
+            self._learn(copy, end, now_s)
+            self._detach(copy)
+        task.next_run = max(task.next_run, end.run + 1)
+        task.checkpoint = end.saved or task.checkpoint
+        if end.ending is model.Ending.DONE:
+            self._on_done(worker, task, now_ms)
+        elif end.ending is model.Ending.FAILED:
+            self._on_failed(worker, task, end.run, now_s, now_ms)
+        self._settle_job(job_run)
+        return True
+
+    def _learn(
+        self, copy: execution.Copy, end: ports.End, now_s: float
+    ) -> None:
+        lasted_s = now_s - copy.running_s
+        if end.ending is model.Ending.DONE and copy.running_s and lasted_s > 0:
+            percent = 100 - copy.first_percent
+            if copy.pace == 100 and percent > 0:
+                copy.task.step_run.speeds.append(percent / lasted_s)
+
+    def _on_done(
+        self, worker: workers.Worker, task: execution.TaskRun, now_ms: int
+    ) -> None:
+        worker.successes += 1
+        worker.failures_in_row = 0
+        worker.failed_jobs.clear()
+        step_run = task.step_run
+        if step_run.step.service:
+            return
+        members = step_run.tasks if step_run.step.gang else [task]
+        for member in members:
+            step_run.mark_done(member)
+            for copy in list(member.copies):
+                self._stop(copy, 'done-elsewhere')
+        job_run = step_run.job_run
+        if not job_run.ended and job_run.all_done():
+            self._end_job(job_run, model.JobState.COMPLETED, now_ms)
+
+    def _on_failed(
+        self,
+        worker: workers.Worker,
+        task: execution.TaskRun,
+        run: model.Run,
+        now_s: float,
+        now_ms: int,
+    ) -> None:
+        job_run = task.step_run.job_run
+        if run not in task.failed_runs:
+            task.failed_runs.append(run)
+            task.failed_on.append(worker.id)
+            self._suspect(worker, job_run.job.id, now_s)
+        if task.step_run.step.service or job_run.ended or task.done:
+            return
+        if task.step_run.step.gang:
+            self._stop_gang(task.step_run, run)
+        most = self.queue_of(job_run.job).max_attempts
+        if len(task.failed_runs) >= most:
+            for other in self.workers.values():
+                other.failed_jobs.discard(job_run.job.id)
+            self._end_job(job_run, model.JobState.FAILED, now_ms)
+
+    def _stop_gang(self, step_run: execution.StepRun, run: model.Run) -> None:
+        for copy in list(step_run.copies()):
+            if copy.run <= run:
+                self._stop(copy, 'gang-broken')
+
+    def _suspect(
+        self, worker: workers.Worker, job_id: ids.JobId, now_s: float
+    ) -> None:
+        worker.failures_in_row += 1
+        worker.failed_jobs.add(job_id)
+        if len(worker.failed_jobs) >= _GREY_JOBS:
+            self._shun(worker, _GREY_PAUSE_S, 'fails', now_s)
+
+    def _shun(
+        self, worker: workers.Worker, seconds: float, why: str, now_s: float
+    ) -> None:
+        worker.shunned_until_s = max(worker.shunned_until_s, now_s + seconds)
+        logs.event(
+            'worker_shunned',
+            worker=worker.id,
+            why=why,
+            seconds=seconds,
+            failed_jobs=len(worker.failed_jobs),
+        )
+
+    def _on_running(
+        self,
+        worker: workers.Worker,
+        row: ports.Progress,
+        sent_s: float,
+        now_s: float,
+    ) -> None:
+        job_run = self.jobs.get(row.task.job)
+        if job_run is None and now_s - self._since_s <= _SETTLING_S:
+            return
+        task = job_run.find(row.task) if job_run is not None else None
+        if task is None:
+            stray = orders.StopStray(worker.id, row.task, row.run)
+            self._orders.append(stray)
+            return
+        copy = _find_copy(task, worker.id, row.run)
+        if copy is None:
+            copy = self._adopt(worker, task, row, sent_s, now_s)
+        self._update(copy, row, now_s)
+
+    def _adopt(
+        self,
+        worker: workers.Worker,
+        task: execution.TaskRun,
+        row: ports.Progress,
+        sent_s: float,
+        now_s: float,
+    ) -> execution.Copy:
+        """Takes over a run that no record names."""
+        step = task.step_run.step
+        rivals = bool(task.copies) and not step.backups
+        unwanted = rivals or task.done or task.step_run.job_run.ended
+        copy = execution.Copy(
+            task=task,
+            worker=worker.id,
+            run=row.run,
+            state=execution.CopyState.RUNNING,
+            planned_s=now_s,
+            settled_s=sent_s,
+            pace=0,
+            resumed=True,
+        )
+        task.copies.append(copy)
+        worker.copies.append(copy)
+        task.next_run = max(task.next_run, row.run + 1)
+        self.dirty.add(row.task.job)
+        logs.event(
+            'run_adopted',
+            id=row.task.job,
+            task=_name(row.task),
+            run=row.run,
+            worker=worker.id,
+            unwanted=unwanted,
+        )
+        if unwanted:
+            self._stop(copy, 'not-wanted')
+        return copy
+
+    def _update(
+        self, copy: execution.Copy, row: ports.Progress, now_s: float
+    ) -> None:
+        if copy.state in (
+            execution.CopyState.SENT,
+            execution.CopyState.UNCERTAIN,
+        ):
+            copy.state = execution.CopyState.RUNNING
+            copy.settled_s = now_s
+        if not copy.reported:
+            copy.reported = True
+            if copy.resumed or not copy.running_s:
+                copy.running_s = copy.moved_s = now_s
+                copy.first_percent = copy.percent = row.percent
+        if row.percent > copy.percent:
+            copy.percent = row.percent
+            copy.moved_s = now_s
+        copy.gauge = row.gauge
+        if row.saved:
+            copy.saved = row.saved
+            copy.task.checkpoint = row.saved
+        copy.task.step_run.job_run.started = True
+
+    def _pace(self, worker: workers.Worker, now_s: float) -> None:
+        for change in pacing.plan(worker):
+            copy = change.copy
+            logs.event(
+                'run_paced',
+                id=copy.task.key.job,
+                task=_name(copy.task.key),
+                worker=worker.id,
+                before=copy.pace,
+                percent=change.percent,
+            )
+            copy.pace = change.percent
+            copy.paused_s = 0.0 if change.percent else now_s
+            self._orders.append(orders.Pace(copy, change.percent))
+        for copy in worker.opportunistic():
+            paused = copy.pace == 0 and copy.paused_s
+            if paused and now_s - copy.paused_s > _PAUSED_S:
+                self._stop(copy, 'paused-beside-service')
+
+    # answers to orders
+
+    def on_sent(self, copy: execution.Copy) -> None:
+        """Notes that a start order is on its way."""
+        copy.state = execution.CopyState.SENT
+
+    def on_started(self, copy: execution.Copy, now_s: float) -> None:
+        """Notes that a worker has started a run."""
+        copy.task.step_run.job_run.started = True
+        if copy.state is execution.CopyState.SENT:
+            copy.state = execution.CopyState.RUNNING
+        copy.settled_s = now_s
+        if not copy.running_s:
+            copy.running_s = copy.moved_s = now_s
+
+    def on_start_refused(
+        self, copy: execution.Copy, refusal: ports.Refusal, now_s: float
+    ) -> None:
+        """Notes that a worker has refused a run and done nothing."""
+        worker = self.workers.get(copy.worker)
+        logs.event(
+            'start_refused',
+            id=copy.task.key.job,
+            task=_name(copy.task.key),
+            run=copy.run,
+            worker=copy.worker,
+            refusal=refusal.value,
+        )
+        if refusal is ports.Refusal.ROOM and worker is not None:
+            worker.shunned_until_s = now_s + _ROOM_PAUSE_S
+        if refusal is ports.Refusal.UNHEALTHY and worker is not None:
+            self._shun(worker, _UNHEALTHY_PAUSE_S, refusal.value, now_s)
+        self._remove(copy, refusal.value)
+
+    def on_start_failed(self, copy: execution.Copy, now_s: float) -> None:
+        """Notes that a start order could not be sent."""
+        worker = self.workers.get(copy.worker)
+        if worker is not None:
+            worker.shunned_until_s = now_s + _ROOM_PAUSE_S
+        self._remove(copy, 'not-sent')
+
+    def on_start_uncertain(
+        self, copy: execution.Copy, void_s: float, now_s: float
+    ) -> None:
+        """Notes that a start order has no answer.
+
+        :param void_s: from here on the order can no longer be carried out.
+        """
+        if copy.state is not execution.CopyState.SENT:
+            return
+        worker = self.workers.get(copy.worker)
+        if worker is not None:
+            worker.shunned_until_s = now_s + _ROOM_PAUSE_S
+        copy.state = execution.CopyState.UNCERTAIN
+        copy.settled_s = void_s
+        copy.why = 'no-answer'
+        self._orders.append(orders.Stop(copy))
+
+    def on_stopped(self, copy: execution.Copy, now_s: float) -> None:
+        """Notes that a worker has taken a stop; the end will be listed."""
+        if copy.settled_s is None or copy.settled_s > now_s:
+            copy.settled_s = now_s
+
+    # stored progress
+
+    def seen_ends(self) -> dict[ids.WorkerId, tuple[int, int]]:
+        """Returns (life, number of the last end) that ``dirty`` covers."""
+        return {w.id: (w.born_ms, w.processed) for w in self.workers.values()}
+
+    def recorded(
+        self,
+        states: dict[ids.JobId, model.JobState],
+        ends: dict[ids.WorkerId, tuple[int, int]],
+    ) -> None:
+        """Takes what is stored by now as fit to be told and observed."""
+        for job_id, state in states.items():
+            job_run = self.jobs.get(job_id)
+            if job_run is not None:
+                job_run.shown = state
+        for worker_id, (born_ms, number) in ends.items():
+            worker = self.workers.get(worker_id)
+            if worker is not None and worker.born_ms == born_ms:
+                worker.observed = max(worker.observed, number)
+
+    # decisions
+
+    def take_orders(self) -> list[orders.Order]:
+        """Returns the orders since the last call."""
+        taken, self._orders = self._orders, []
+        return taken
+
+    def tick(self, now_s: float, now_ms: int) -> None:
+        """Finds lapsed runs and stragglers, opens what is due, plans."""
+        for worker in list(self.workers.values()):
+            if worker.copies and now_s > worker.lapsed_s:
+                for copy in list(worker.copies):
+                    if self._may_outlive(copy, now_s):
+                        continue
+                    self._remove(copy, 'lease-lapsed')
+            if worker.entry.state is model.WorkerState.DRAINING:
+                self._evacuate(worker, now_s)
+        self._judge_runs(now_s)
+        self.plan(now_s, now_ms)
+
+    def _may_outlive(self, copy: execution.Copy, now_s: float) -> bool:
+        """A start on its way may still begin until it is void."""
+        return copy.settled_s is None or copy.settled_s > now_s
+
+    def _evacuate(self, worker: workers.Worker, now_s: float) -> None:
+        for copy in worker.copies:
+            if copy.state is not execution.CopyState.RUNNING:
+                continue
+            step = copy.task.step_run.step
+            if step.service or step.checkpoints:
+                self._stop(copy, 'worker-drains')
+
+    def _judge_runs(self, now_s: float) -> None:
+        for worker in self.workers.values():
+            if _ago(worker.answered_s, now_s) > _CONTACT_S:
+                self._back_up_silent(worker, now_s)
+                continue
+            for copy in list(worker.copies):
+                step = copy.task.step_run.step
+                running = copy.state is execution.CopyState.RUNNING
+                if not running or step.service or step.gang:
+                    continue
+                verdict = stragglers.judge(copy, now_s)
+                if verdict is not stragglers.Verdict.FINE:
+                    self._relocate(worker, copy, verdict, now_s)
+
+    def _back_up_silent(self, worker: workers.Worker, now_s: float) -> None:
+        for copy in list(worker.copies):
+            if copy.task.step_run.step.backups:
+                self._back_up(copy, now_s, 'worker-silent')
+
+    def _relocate(
+        self,
+        worker: workers.Worker,
+        copy: execution.Copy,
+        verdict: stragglers.Verdict,
+        now_s: float,
+    ) -> None:
+        logs.event(
+            'run_straggles',
+            id=copy.task.key.job,
+            task=_name(copy.task.key),
+            worker=worker.id,
+            verdict=verdict.value,
+            percent=copy.percent,
+            running_s=round(now_s - copy.running_s, 2),
+            still_s=round(now_s - copy.moved_s, 2),
+        )
+        if verdict is stragglers.Verdict.HUNG:
+            self._shun(worker, _HUNG_PAUSE_S, 'hangs', now_s)
+        else:
+            usual = stragglers.usual_speed(copy, now_s)
+            own = stragglers.speed(copy, now_s)
+            if usual and own:
+                ratio = usual / own
+                worker.pace_factor += _PACE_WEIGHT * (
+                    ratio - worker.pace_factor
+                )
+        if copy.task.step_run.step.backups:
+            self._back_up(copy, now_s, verdict.value)
+        elif verdict is not stragglers.Verdict.BACK_UP:
+            self._stop(copy, verdict.value)
+
+    def _back_up(self, copy: execution.Copy, now_s: float, why: str) -> None:
+        task = copy.task
+        if task.done or len(task.copies) > 1 or task.step_run.job_run.ended:
+            return
+        worker = placement.choose(task, self._candidates(task, now_s))
+        if worker is not None:
+            self._place(task, worker, now_s, why)
+
+    def plan(self, now_s: float, now_ms: int) -> None:
+        """Places waiting tasks while there is room."""
+        wanting = []
+        for job_run in self._active.values():
+            if job_run.ended:
+                continue
+            job_run.open_due(now_ms)
+            if any(
+                task.waiting
+                for step_run in job_run.ready_steps()
+                for task in step_run.tasks
+            ):
+                wanting.append(job_run)
+        if not wanting:
+            return
+        wanting.sort(key=lambda job_run: order.rank(job_run, now_ms))
+        usable = [w for w in self.workers.values() if self.usable(w, now_s)]
+        by_service = collections.defaultdict(list)
+        for worker in usable:
+            by_service[worker.entry.service].append(worker)
+        full: set[tuple] = set()
+        for job_run in wanting:
+            service = self.queue_of(job_run.job).service
+            for step_run in job_run.ready_steps():
+                self._plan_step(step_run, by_service[service], full, now_s)
+
+    def _plan_step(
+        self,
+        step_run: execution.StepRun,
+        candidates: list[workers.Worker],
+        full: set[tuple],
+        now_s: float,
+    ) -> None:
+        step = step_run.step
+        if step.gang:
+            self._plan_gang(step_run, candidates, now_s)
+            return
+        shape = (step.resources, step.opportunistic, step.label)
+        for task in step_run.tasks:
+            if not task.waiting:
+                continue
+            if shape in full:
+                return
+            worker = placement.choose(task, candidates)
+            if worker is None:
+                if not step.max_per_worker:
+                    full.add(shape)
+                return
+            self._place(task, worker, now_s, 'waiting')
+
+    def _plan_gang(
+        self,
+        step_run: execution.StepRun,
+        candidates: list[workers.Worker],
+        now_s: float,
+    ) -> None:
+        """Places all members of a gang, or none."""
+        if any(True for _ in step_run.copies()):
+            return
+        run = max(task.next_run for task in step_run.tasks)
+        saved = max(
+            (task.checkpoint for task in step_run.tasks if task.checkpoint),
+            default='',
+        )
+        placed: list[execution.Copy] = []
+        for task in step_run.tasks:
+            task.next_run = run
+            task.checkpoint = saved
+            worker = placement.choose(task, candidates)
+            if worker is None:
+                for copy in placed:
+                    self._detach(copy)
+                    copy.task.next_run = run
+                return
+            placed.append(self._plan_copy(task, worker, now_s))
+        for copy in placed:
+            self._announce(copy, 'gang')
+
+    def _candidates(
+        self, task: execution.TaskRun, now_s: float
+    ) -> list[workers.Worker]:
+        service = self.queue_of(task.step_run.job_run.job).service
+        return [
+            worker
+            for worker in self.workers.values()
+            if worker.entry.service == service and self.usable(worker, now_s)
+        ]
+
+    def _place(
+        self,
+        task: execution.TaskRun,
+        worker: workers.Worker,
+        now_s: float,
+        why: str,
+    ) -> None:
+        self._announce(self._plan_copy(task, worker, now_s), why)
+
+    def _plan_copy(
+        self,
+        task: execution.TaskRun,
+        worker: workers.Worker,
+        now_s: float,
+    ) -> execution.Copy:
+        copy = execution.Copy(
+            task=task,
+            worker=worker.id,
+            run=model.Run(task.next_run),
+            state=execution.CopyState.PLANNED,
+            planned_s=now_s,
+            resumed=bool(task.checkpoint),
+        )
+        task.next_run += 1
+        task.copies.append(copy)
+        worker.copies.append(copy)
+        return copy
+
+    def _announce(self, copy: execution.Copy, why: str) -> None:
+        key = copy.task.key
+        self.dirty.add(key.job)
+        self._orders.append(orders.Start(copy))
+        worker = self.workers[copy.worker]
+        logs.event(
+            'run_planned',
+            id=key.job,
+            task=_name(key),
+            run=copy.run,
+            worker=copy.worker,
+            why=why,
+            free_cpu=worker.room().cpu,
+            failed=len(copy.task.failed_runs),
+        )
+
+    # bookkeeping
+
+    def _stop(self, copy: execution.Copy, why: str) -> None:
+        if copy.state is execution.CopyState.STOPPING:
+            return
+        if copy.state is execution.CopyState.PLANNED:
+            self._remove(copy, why)
+            return
+        uncertain = copy.state is execution.CopyState.UNCERTAIN
+        copy.state = execution.CopyState.STOPPING
+        copy.why = why
+        logs.event(
+            'run_stopped',
+            id=copy.task.key.job,
+            task=_name(copy.task.key),
+            run=copy.run,
+            worker=copy.worker,
+            why=why,
+        )
+        if not uncertain:
+            self._orders.append(orders.Stop(copy))
+
+    def _detach(self, copy: execution.Copy) -> None:
+        if copy in copy.task.copies:
+            copy.task.copies.remove(copy)
+        worker = self.workers.get(copy.worker)
+        if worker is not None and copy in worker.copies:
+            worker.copies.remove(copy)
+
+    def _remove(self, copy: execution.Copy, why: str) -> None:
+        self._detach(copy)
+        if copy.saved:
+            copy.task.checkpoint = copy.saved
+        self.dirty.add(copy.task.key.job)
+        logs.event(
+            'run_gone',
+            id=copy.task.key.job,
+            task=_name(copy.task.key),
+            run=copy.run,
+            worker=copy.worker,
+            why=why,
+        )
+        self._settle_job(copy.task.step_run.job_run)
+
+    def _end_job(
+        self, job_run: execution.JobRun, state: model.JobState, now_ms: int
+    ) -> None:
+        job_run.state = state
+        job_run.ended_ms = now_ms
+        self.dirty.add(job_run.job.id)
+        logs.event(
+            'job_ended',
+            id=job_run.job.id,
+            state=state.value,
+            after_ms=now_ms - job_run.job.accepted_ms,
+            objective_ms=round(order.objective_ms(job_run)),
+        )
+        for copy in list(job_run.copies()):
+            self._stop(copy, state.value)
+        self._settle_job(job_run)
+
+    def _settle_job(self, job_run: execution.JobRun) -> None:
+        """Keeps a job active while a run may be there or is needed."""
+        job_run.close_complete()
+        if job_run.ended and not any(True for _ in job_run.copies()):
+            self._active.pop(job_run.job.id, None)
+
+
+def _find_copy(
+    task: execution.TaskRun, worker: ids.WorkerId, run: int
+) -> execution.Copy | None:
+    for copy in task.copies:
+        if copy.worker == worker and copy.run == run:
+            return copy
+    return None
+
+
+def _ago(then_s: float | None, now_s: float) -> float:
+    return float('inf') if then_s is None else now_s - then_s
+
+
+def _name(key: model.TaskKey) -> str:
+    return f'{key.occurrence}.{key.step}.{key.index}'
+
+
+def _lost_entry(worker_id: ids.WorkerId) -> model.WorkerEntry:
+    return model.WorkerEntry(
+        id=worker_id,
+        service=ids.ServiceId(''),
+        address='',
+        zone=ids.ZoneId(''),
+        state=model.WorkerState.DRAINING,
+        capacity=model.Resources(),
+    )
--- /dev/null
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/submissions.py
@@ -0,0 +1,54 @@
+"""Records of accepted jobs, many to one append."""
+
+import asyncio
+
+from amaranthflow import exceptions
+
+from . import ports
+
+
+class Submissions:
+    """Appends records of jobs; each caller waits for its own."""
+
+    def __init__(self, *, store: ports.Store):
+        self._store = store
+        self._queue: list[tuple[bytes, bytes, asyncio.Future[None]]] = []
+        self._task: asyncio.Task | None = None
+
+    async def append(self, key: bytes, value: bytes) -> None:
+        """Returns once the record is stored.
+
+        Raises PlatformError where it is not stored and never will be,
+        PlatformUncertain where it may be.
+        """
+        loop = asyncio.get_running_loop()
+        fut = loop.create_future()
+        self._queue.append((key, value, fut))
+        if self._task is None:
+            self._task = loop.create_task(self._run())
+        await fut
+
+    async def _run(self) -> None:
+        try:
+            while self._queue:
+                batch, self._queue = self._queue, []
+                await self._write(batch)
+        finally:
+            self._task = None
+
+    async def _write(
+        self, batch: list[tuple[bytes, bytes, asyncio.Future[None]]]
+    ) -> None:
+        error: Exception | None = None
+        try:
+            items = [(key, value) for key, value, _ in batch]
+            await self._store.append(ports.Table.JOBS, items)
+        except exceptions.AmaranthflowError as exc:
+            error = exc
+        for _, _, fut in batch:
+            if fut.done():
+                continue
+            if error is None:
+                fut.set_result(None)
+            else:
+                fut.set_exception(error)
--- /dev/null
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
@@ -0,0 +1,102 @@
+"""What the leader believes of each worker, and how old that belief is."""
+
+import dataclasses
+
+from amaranthflow import ids
+
+from . import execution
+from . import model
+
+# A worker's steady clock may be this much slow (platform's pages).
+CLOCK_RATE = 0.98
+# Network delay and timers between a lease's end and the last run's end.
+LAPSE_SLACK_S = 0.15
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class Worker:
+    """One worker. Times are seconds of the leader's clock.
+
+    :ivar lapsed_s: by then all runs whose lease is not renewed have ended.
+    :ivar processed: number of the last end taken into account.
+    :ivar observed: number of the last end that is in the store.
+    :ivar unlisted_s: when the worker's entry went, None while it is there.
+    """
+
+    entry: model.WorkerEntry
+    lapsed_s: float
+    unlisted_s: float | None = None
+    answered_s: float | None = None
+    clock_ms: int = 0
+    clock_s: float = 0.0
+    born_ms: int = 0
+    processed: int = 0
+    observed: int = 0
+    copies: list[execution.Copy] = dataclasses.field(default_factory=list)
+    shunned_until_s: float = 0.0
+    failures_in_row: int = 0
+    failed_jobs: set[ids.JobId] = dataclasses.field(default_factory=set)
+    successes: int = 0
+    pace_factor: float = 1.0
+
+    @property
+    def id(self) -> ids.WorkerId:
+        """Id of the worker."""
+        return self.entry.id
+
+    def clock_now(self, now_s: float) -> int:
+        """Returns the least that the worker's clock can show now."""
+        return self.clock_ms + int((now_s - self.clock_s) * 1000 * CLOCK_RATE)
+
+    def sync_clock(self, clock_ms: int, now_s: float) -> None:
+        """Takes a reading of the worker's clock."""
+        self.clock_ms = clock_ms
+        self.clock_s = now_s
+
+    def passed_s(self, deadline_ms: int) -> float:
+        """Returns when a time on the worker's clock has surely passed."""
+        left_s = (deadline_ms - self.clock_ms) / 1000
+        return self.clock_s + left_s / CLOCK_RATE + LAPSE_SLACK_S
+
+    def extend_lease(self, deadline_ms: int) -> None:
+        """Notes that a call which sets this deadline is on its way."""
+        self.lapsed_s = max(self.lapsed_s, self.passed_s(deadline_ms))
+
+    def used(self) -> model.Resources:
+        """Returns what runs take; opportunistic ones take no processor."""
+        cpu = mem_mb = gpu = 0
+        for copy in self.copies:
+            step = copy.task.step_run.step
+            mem_mb += step.resources.mem_mb
+            gpu += step.resources.gpu
+            if not step.opportunistic:
+                cpu += step.resources.cpu
+        return model.Resources(cpu, mem_mb, gpu)
+
+    def room(self) -> model.Resources:
+        """Returns what is free."""
+        return self.entry.capacity.minus(self.used())
+
+    def opportunistic_cpu(self) -> int:
+        """Returns what opportunistic runs would use."""
+        return sum(
+            copy.task.step_run.step.resources.cpu
+            for copy in self.copies
+            if copy.task.step_run.step.opportunistic
+        )
+
+    def services(self) -> list[execution.Copy]:
+        """Returns the runs that have a target for their tail latency."""
+        return [
+            copy
+            for copy in self.copies
+            if copy.task.step_run.step.tail_target_ms
+        ]
+
+    def opportunistic(self) -> list[execution.Copy]:
+        """Returns the runs that use what others leave."""
+        return [
+            copy
+            for copy in self.copies
+            if copy.task.step_run.step.opportunistic
+        ]
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/process_rules.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/process_rules.py
@@ -3,7 +3,9 @@
 import os
 import typing as t
 
-_FORBIDDEN_FILES = ('anon_inode:[io_uring]', '/dev/shm/', '/SYSV')
+from amaranthflow_daemon import guards
+
+_IO_URING = 'anon_inode:[io_uring]'
 
 
 def broken_rules(pid: int) -> t.Iterator[str]:
@@ -12,8 +14,9 @@
         children = _read(f'/proc/{pid}/task/{thread}/children').split()
         if children:
             yield f'has child processes {children}'
+    forbidden = (_IO_URING, *guards.shared_memory_places())
     for target in (*_open_files(pid), *_mapped_files(pid)):
-        if target.startswith(_FORBIDDEN_FILES):
+        if target.startswith(forbidden):
             yield f'holds {target}'
     written = _written_bytes(pid)
     if written:
--- a/tests/amaranthflow_daemon/guards.feature
+++ b/tests/amaranthflow_daemon/guards.feature
@@ -17,6 +17,7 @@
       | a ring mapping       | mapping of an io_uring                   |
       | a memfd              | descriptor 9 is shared memory /memfd:x   |
       | a shm mapping        | mapping of shared memory /dev/shm/x      |
+      | a read-only shm mapping | mapping of shared memory /dev/shm/x |
       | a shared mapping     | shared writable mapping of /dev/zero     |
       | a file for writing   | descriptor 9 writes to file              |
       | a child              | child process 78 some (odd) name         |
--- a/tests/steps/guards_steps.py
+++ b/tests/steps/guards_steps.py
@@ -22,6 +22,8 @@
     (proc / str(_PID) / 'stat').write_text(f'{_PID} (self) S 1 0')
     maps = _MAP.format('rw-p', '[heap]') + _MAP.format('rw-p', '')
     (proc / str(_PID) / 'maps').write_text(maps)
+    mounts = 'proc /proc proc rw 0 0\ntmpfs /dev/shm tmpfs rw,nosuid 0 0\n'
+    (proc / 'mounts').write_text(mounts)
     return proc
 
 
@@ -54,6 +56,7 @@
     'a ring mapping': lambda p: _map(p, 'rw-s', 'anon_inode:[io_uring]'),
     'a memfd': lambda p: _open(p, '9', '/memfd:x', os.O_RDWR),
     'a shm mapping': lambda p: _map(p, 'rw-s', '/dev/shm/x'),
+    'a read-only shm mapping': lambda p: _map(p, 'r--s', '/dev/shm/x'),
     'a shared mapping': lambda p: _map(p, 'rw-s', '/dev/zero (deleted)'),
     'a file for writing': lambda p: _open_file(p, '9', os.O_WRONLY),
     'a child': lambda p: _process(p, 78, _PID),
--- a/tests/steps/logs_steps.py
+++ b/tests/steps/logs_steps.py
@@ -6,6 +6,7 @@
 
 import behave
 
+from amaranthflow import linewriter
 from amaranthflow_daemon import logs
 from amaranthflow_daemon import settings
 
@@ -124,7 +125,7 @@
 @behave.given('a logs writer for {limit:d} lines whose reader stalls')
 def step_stalled(context, limit):
     context.stream = _StalledStream()
-    context.writer = logs.LineWriter(stream=context.stream, limit=limit)
+    context.writer = linewriter.LineWriter(stream=context.stream, limit=limit)
 
 
 @behave.given('a logs writer whose reader is gone')
@@ -134,7 +135,7 @@
     hook = threading.excepthook
     context.add_cleanup(setattr, threading, 'excepthook', hook)
     threading.excepthook = context.failures.append
-    context.writer = logs.LineWriter(stream=context.stream)
+    context.writer = linewriter.LineWriter(stream=context.stream)
 
 
 @behave.when('logs queue {count:d} lines and the reader goes on')
