Allowance of opportunistic work for each worker

Change: an allowance for each worker, cut by a factor when a tail nears its target, grown by steps while tails are low; it bounds starts and paces. What a worker's runs take is counted as they come and go.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/order.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/order.py
@@ -30,6 +30,7 @@
     return (
         hopeless,
         job.queue.priority,
+        is_service,
         job_run.work_left(),
         job.accepted_ms,
         job.id,
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
@@ -1,7 +1,9 @@
 """Choice of the worker for a run.
 
-Services keep away from opportunistic runs and from one another, since each
-slows the other's answers; opportunistic runs go where most is left unused.
+Services hold most processors and use half of them. Opportunistic runs are
+spread by what is left unused, since a few on each worker hardly slow the
+services there. All other runs go where they leave the largest rooms whole
+elsewhere, so that large tasks find one.
 """
 
 import typing as t
@@ -10,9 +12,6 @@
 from . import model
 from . import workers
 
-# Cost of one neighbour that disturbs, as a share of a worker's processor.
-_DISTURBED = 4.0
-_SAME_KIND = 0.5
 # An opportunistic run starts where this share of its demand is unused.
 _LEAST_LEFT = 0.7
 # Cost of a rack without the step's data, or with none of its other tasks.
@@ -74,16 +73,9 @@
     worker: workers.Worker,
     racks: set[str],
 ) -> float | None:
-    cpu = max(1, worker.entry.capacity.cpu)
-    unused = worker.room().cpu - worker.opportunistic_cpu()
-    if step.opportunistic and unused < _LEAST_LEFT * step.resources.cpu:
+    cost = _crowd_cost(step, worker)
+    if cost is None:
         return None
-    cost = 1.0 - unused / cpu
-    if step.opportunistic:
-        cost += _DISTURBED * len(worker.services())
-    elif step.tail_target_ms:
-        cost += _DISTURBED * len(worker.opportunistic())
-        cost += _SAME_KIND * len(worker.services())
     if step.data_rack and worker.entry.rack != step.data_rack:
         cost += _FAR
     if racks and worker.entry.rack not in racks:
@@ -95,3 +87,17 @@
     cost += _UNPROVEN * worker.failures_in_row
     cost += _SLOW * max(0.0, worker.pace_factor - 1.0)
     return cost
+
+
+def _crowd_cost(step: model.Step, worker: workers.Worker) -> float | None:
+    """Returns the cost of the neighbours, None where they leave too little."""
+    capacity = max(1, worker.entry.capacity.cpu)
+    if step.opportunistic:
+        unused = worker.unused_cpu()
+        if unused < _LEAST_LEFT * step.resources.cpu:
+            return None
+        return 1.0 - unused / capacity
+    share = worker.room().cpu / capacity
+    if step.service:
+        return share
+    return share if worker.service_count else 1.0 + share
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -41,7 +41,7 @@
 # Weight of the newest observation in a worker's relative speed.
 _PACE_WEIGHT = 0.4
 # An opportunistic run that is paused this long beside a service moves.
-_PAUSED_S = 1.0
+_PAUSED_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -120,7 +120,7 @@
         if worker is None:
             worker = self._add_worker(_lost_entry(copy.worker))
             worker.unlisted_s = now_s - _UNLISTED_GRACE_S
-        worker.copies.append(copy)
+        worker.attach(copy)
 
     def cancel(self, job_id: ids.JobId, now_ms: int) -> bool:
         """Ends a job at its caller's wish; False where none is known."""
@@ -454,7 +454,7 @@
             resumed=True,
         )
         task.copies.append(copy)
-        worker.copies.append(copy)
+        worker.attach(copy)
         task.next_run = max(task.next_run, row.run + 1)
         self.dirty.add(row.task.job)
         logs.event(
@@ -493,6 +493,7 @@
         copy.task.step_run.job_run.started = True
 
     def _pace(self, worker: workers.Worker, now_s: float) -> None:
+        pacing.adjust(worker, now_s)
         for change in pacing.plan(worker):
             copy = change.copy
             logs.event(
@@ -502,13 +503,16 @@
                 worker=worker.id,
                 before=copy.pace,
                 percent=change.percent,
+                pressure=round(pacing.pressure(worker), 2),
             )
             copy.pace = change.percent
             copy.paused_s = 0.0 if change.percent else now_s
             self._orders.append(orders.Pace(copy, change.percent))
         for copy in worker.opportunistic():
-            paused = copy.pace == 0 and copy.paused_s
-            if paused and now_s - copy.paused_s > _PAUSED_S:
+            if copy.pace or not copy.paused_s:
+                continue
+            resumable = copy.task.step_run.step.checkpoints
+            if resumable and now_s - copy.paused_s > _PAUSED_S:
                 self._stop(copy, 'paused-beside-service')
 
     # answers to orders
@@ -637,6 +641,8 @@
                 running = copy.state is execution.CopyState.RUNNING
                 if not running or step.service or step.gang:
                     continue
+                if step.opportunistic:
+                    continue
                 verdict = stragglers.judge(copy, now_s)
                 if verdict is not stragglers.Verdict.FINE:
                     self._relocate(worker, copy, verdict, now_s)
@@ -799,7 +805,7 @@
         )
         task.next_run += 1
         task.copies.append(copy)
-        worker.copies.append(copy)
+        worker.attach(copy)
         return copy
 
     def _announce(self, copy: execution.Copy, why: str) -> None:
@@ -844,8 +850,8 @@
         if copy in copy.task.copies:
             copy.task.copies.remove(copy)
         worker = self.workers.get(copy.worker)
-        if worker is not None and copy in worker.copies:
-            worker.copies.remove(copy)
+        if worker is not None:
+            worker.detach(copy)
 
     def _remove(self, copy: execution.Copy, why: str) -> None:
         self._detach(copy)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
@@ -20,6 +20,8 @@
     :ivar lapsed_s: by then all runs whose lease is not renewed have ended.
     :ivar processed: number of the last end taken into account.
     :ivar observed: number of the last end that is in the store.
+    :ivar allowance: processor for opportunistic runs beside services.
+    :ivar used: what runs take; opportunistic ones take no processor.
     :ivar unlisted_s: when the worker's entry went, None while it is there.
     """
 
@@ -33,6 +35,13 @@
     processed: int = 0
     observed: int = 0
     copies: list[execution.Copy] = dataclasses.field(default_factory=list)
+    used: model.Resources = model.Resources()
+    opportunistic_cpu: int = 0
+    opportunistic_count: int = 0
+    service_count: int = 0
+    service_cpu: int = 0
+    allowance: float | None = None
+    adjusted_s: float = 0.0
     shunned_until_s: float = 0.0
     failures_in_row: int = 0
     failed_jobs: set[ids.JobId] = dataclasses.field(default_factory=set)
@@ -62,28 +71,44 @@
         """Notes that a call which sets this deadline is on its way."""
         self.lapsed_s = max(self.lapsed_s, self.passed_s(deadline_ms))
 
-    def used(self) -> model.Resources:
-        """Returns what runs take; opportunistic ones take no processor."""
-        cpu = mem_mb = gpu = 0
-        for copy in self.copies:
-            step = copy.task.step_run.step
-            mem_mb += step.resources.mem_mb
-            gpu += step.resources.gpu
-            if not step.opportunistic:
-                cpu += step.resources.cpu
-        return model.Resources(cpu, mem_mb, gpu)
+    def attach(self, copy: execution.Copy) -> None:
+        """Adds a run and what it takes."""
+        self.copies.append(copy)
+        self._count(copy, 1)
+
+    def detach(self, copy: execution.Copy) -> None:
+        """Removes a run; again is harmless."""
+        if copy in self.copies:
+            self.copies.remove(copy)
+            self._count(copy, -1)
+
+    def _count(self, copy: execution.Copy, sign: int) -> None:
+        step = copy.task.step_run.step
+        cpu, mem_mb, gpu = self.used
+        need = step.resources
+        if step.opportunistic:
+            self.opportunistic_cpu += sign * need.cpu
+        else:
+            cpu += sign * need.cpu
+        self.used = model.Resources(
+            cpu, mem_mb + sign * need.mem_mb, gpu + sign * need.gpu
+        )
+        if step.opportunistic:
+            self.opportunistic_count += sign
+        elif step.tail_target_ms:
+            self.service_count += sign
+            self.service_cpu += sign * need.cpu
 
     def room(self) -> model.Resources:
         """Returns what is free."""
-        return self.entry.capacity.minus(self.used())
-
-    def opportunistic_cpu(self) -> int:
-        """Returns what opportunistic runs would use."""
-        return sum(
-            copy.task.step_run.step.resources.cpu
-            for copy in self.copies
-            if copy.task.step_run.step.opportunistic
-        )
+        return self.entry.capacity.minus(self.used)
+
+    def unused_cpu(self) -> float:
+        """Returns what another opportunistic run may use."""
+        allowance = self.room().cpu
+        if self.allowance is not None and self.service_count:
+            allowance = self.allowance
+        return allowance - self.opportunistic_cpu
 
     def services(self) -> list[execution.Copy]:
         """Returns the runs that have a target for their tail latency."""
