Interference of image pairs: learned, used for placing and pacing

An allowance a worker treats all alike. Change: the library's InterferenceModel learns each pair from successive reports (observe_change, in which a service's own load cancels); placing takes the worker with the lowest expected tail, pacing slows the causes only.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/pacing.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/pacing.py
@@ -1,34 +1,27 @@
-"""How much opportunistic work a worker bears beside its services.
+"""Pace of opportunistic runs beside services.
 
-Answers services whose load and tail latency swing within seconds: each
-worker has an allowance of processor for opportunistic runs. It shrinks by a
-factor as soon as a tail nears its target, grows by small steps while tails
-are low, and sets how many runs may start and how fast they work.
+Answers services whose load swings within seconds: the runs that disturb the
+worst-off service most are slowed before its tail passes the target, and sped
+up again when the tail that is then expected leaves room.
 """
 
+import math
 import typing as t
 
 from . import execution
+from . import tails
 from . import workers
 
-# Tails as shares of their targets: over OVER callers of the service already
-# notice, over HIGH they soon will, below CALM and LOW there is room.
+# Tails as shares of their targets: over HIGH callers of the service will
+# soon notice; paces are set so that AIM is expected.
 _OVER = 1.0
 _HIGH = 0.8
-_CALM = 0.62
-_LOW = 0.45
-_CUT_OVER = 0.4
-_CUT_HIGH = 0.75
-# Growth as shares of a worker's processor for each report.
-_GROW_CALM = 0.02
-_GROW_LOW = 0.05
-_FIRST = 0.15
-# Tails are figures of the last half second; reports that follow more quickly
-# say nothing new.
-_EVERY_S = 0.4
-# Allowance that is not used does not grow beyond this multiple of the use.
-_UNUSED = 1.5
+_AIM = 0.65
+# Runs that add less than this to a tail, as a logarithm, are no cause of it.
+_NO_CAUSE = 0.02
 _PACES = (0, 15, 30, 45, 60, 80, 100)
+# Tails are figures of the last half second; a change shows after that.
+_EVERY_S = 0.45
 
 
 class PaceChange(t.NamedTuple):
@@ -49,52 +42,99 @@
     )
 
 
-def adjust(worker: workers.Worker, now_s: float) -> None:
-    """Sets a worker's allowance by its newest report."""
-    capacity = worker.entry.capacity.cpu
-    room = worker.room().cpu
-    if not worker.service_count:
-        worker.allowance = room
-        return
-    if worker.allowance is None:
-        worker.allowance = room + _FIRST * capacity
-    if now_s - worker.adjusted_s < _EVERY_S:
-        return
-    worker.adjusted_s = now_s
-    load = _load(worker)
-    tail = pressure(worker)
-    allowance = worker.allowance
-    if tail >= _OVER:
-        allowance = _CUT_OVER * min(allowance, load)
-    elif tail >= _HIGH:
-        allowance = _CUT_HIGH * min(allowance, max(load, _FIRST * capacity))
-    elif tail < _CALM and allowance < _UNUSED * load + _FIRST * capacity:
-        step = _GROW_LOW if tail < _LOW else _GROW_CALM
-        allowance += step * capacity
-    most = room + worker.service_cpu
-    worker.allowance = max(0.0, min(allowance, most))
-
-
-def _load(worker: workers.Worker) -> float:
-    return sum(
-        copy.task.step_run.step.resources.cpu * max(0, copy.pace) / 100
-        for copy in worker.opportunistic()
-    )
-
-
-def plan(worker: workers.Worker) -> list[PaceChange]:
-    """Returns the changes that a worker's allowance calls for."""
+def plan(
+    worker: workers.Worker, model: tails.Tails, now_s: float
+) -> list[PaceChange]:
+    """Returns the changes that a worker's last report calls for."""
     if not worker.opportunistic_count:
         return []
-    runs = [
-        copy
-        for copy in worker.opportunistic()
-        if copy.state is execution.CopyState.RUNNING
+    runs = list(tails.running_beside(worker))
+    if not worker.service_count:
+        return [PaceChange(copy, 100) for copy in runs if copy.pace != 100]
+    if now_s - worker.paced_s < _EVERY_S:
+        return []
+    paces = {copy: max(0, copy.pace) for copy in runs}
+    worst = pressure(worker)
+    if worst >= _HIGH:
+        _slow(worker, model, paces, worst)
+    else:
+        _hasten(worker, model, paces)
+    changes = [
+        PaceChange(copy, pace)
+        for copy, pace in paces.items()
+        if pace != copy.pace
     ]
-    wanted = sum(copy.task.step_run.step.resources.cpu for copy in runs)
-    allowance = worker.allowance
-    share = 1.0
-    if worker.service_count and allowance is not None and wanted:
-        share = allowance / wanted
-    percent = max(pace for pace in _PACES if pace <= 100 * min(1.0, share))
-    return [PaceChange(copy, percent) for copy in runs if copy.pace != percent]
+    if changes:
+        worker.paced_s = now_s
+    return changes
+
+
+def _slow(
+    worker: workers.Worker,
+    model: tails.Tails,
+    paces: dict[execution.Copy, int],
+    worst: float,
+) -> None:
+    capacity = worker.entry.capacity.cpu
+    for image, tail in _by_image(worker).items():
+        excess = tail - math.log(_AIM)
+        if tail < math.log(_HIGH):
+            continue
+        causes = sorted(
+            (
+                (model.effect(image, _step(copy), capacity), copy)
+                for copy in paces
+            ),
+            key=lambda cause: -cause[0],
+        )
+        for effect, copy in causes:
+            if excess <= 0 or effect < _NO_CAUSE:
+                break
+            before = paces[copy]
+            wanted = before - 100 * excess / effect
+            paces[copy] = _below(wanted)
+            excess -= effect * (before - paces[copy]) / 100
+    if worst >= _OVER and all(paces[copy] == copy.pace for copy in paces):
+        for copy in paces:
+            paces[copy] = _below(paces[copy] / 2)
+
+
+def _hasten(
+    worker: workers.Worker,
+    model: tails.Tails,
+    paces: dict[execution.Copy, int],
+) -> None:
+    capacity = worker.entry.capacity.cpu
+    expected = _by_image(worker)
+    for copy in sorted(paces, key=lambda copy: -copy.percent):
+        for pace in reversed(_PACES):
+            if pace <= paces[copy]:
+                break
+            more = (pace - paces[copy]) / 100
+            after = {
+                image: tail + more * model.effect(image, _step(copy), capacity)
+                for image, tail in expected.items()
+            }
+            if all(tail <= math.log(_AIM) for tail in after.values()):
+                paces[copy] = pace
+                expected = after
+                break
+
+
+def _by_image(worker: workers.Worker) -> dict:
+    """Returns the logarithm of the highest tail of each image."""
+    found: dict = {}
+    for copy in worker.services():
+        step = _step(copy)
+        if copy.gauge > 0:
+            tail = math.log(copy.gauge / step.tail_target_ms)
+            found[step.image] = max(tail, found.get(step.image, tail))
+    return found
+
+
+def _step(copy: execution.Copy) -> t.Any:
+    return copy.task.step_run.step
+
+
+def _below(percent: float) -> int:
+    return max((pace for pace in _PACES if pace <= percent), default=0)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
@@ -10,10 +10,14 @@
 
 from . import execution
 from . import model
+from . import tails
 from . import workers
 
 # An opportunistic run starts where this share of its demand is unused.
 _LEAST_LEFT = 0.7
+# No run starts where it is expected to raise a tail beyond this share of its
+# target.
+_MOST_TAIL = 0.7
 # Cost of a rack without the step's data, or with none of its other tasks.
 _FAR = 3.0
 # Cost of a worker on which this task has failed, or that fails often.
@@ -33,7 +37,9 @@
 
 
 def choose(
-    task: execution.TaskRun, candidates: t.Iterable[workers.Worker]
+    task: execution.TaskRun,
+    candidates: t.Iterable[workers.Worker],
+    disturbance: tails.Tails,
 ) -> workers.Worker | None:
     """Returns the best worker with room for a run of a task, or None."""
     step_run = task.step_run
@@ -54,7 +60,7 @@
             continue
         if any(copy.worker == worker.id for copy in task.copies):
             continue
-        cost = _cost(task, step, worker, racks)
+        cost = _cost(task, step, worker, racks, disturbance)
         if cost is not None and (best is None or cost < best_cost):
             best, best_cost = worker, cost
     return best
@@ -72,8 +78,9 @@
     step: model.Step,
     worker: workers.Worker,
     racks: set[str],
+    disturbance: tails.Tails,
 ) -> float | None:
-    cost = _crowd_cost(step, worker)
+    cost = _crowd_cost(step, worker, disturbance)
     if cost is None:
         return None
     if step.data_rack and worker.entry.rack != step.data_rack:
@@ -89,14 +96,19 @@
     return cost
 
 
-def _crowd_cost(step: model.Step, worker: workers.Worker) -> float | None:
+def _crowd_cost(
+    step: model.Step, worker: workers.Worker, disturbance: tails.Tails
+) -> float | None:
     """Returns the cost of the neighbours, None where they leave too little."""
     capacity = max(1, worker.entry.capacity.cpu)
     if step.opportunistic:
         unused = worker.unused_cpu()
         if unused < _LEAST_LEFT * step.resources.cpu:
             return None
-        return 1.0 - unused / capacity
+        tail = disturbance.expected(worker, step)
+        if tail > _MOST_TAIL:
+            return None
+        return tail + 1.0 - unused / capacity
     share = worker.room().cpu / capacity
     if step.service:
         return share
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -20,6 +20,7 @@
 from . import placement
 from . import ports
 from . import stragglers
+from . import tails
 from . import workers
 
 # A worker whose last answer is older gets no new run; holds are answered
@@ -77,6 +78,7 @@
         self._active: dict[ids.JobId, execution.JobRun] = {}
         self._queues: dict[model.QueueId, model.Queue] = {}
         self._orders: list[orders.Order] = []
+        self._tails = tails.Tails()
         self._unknown_leases_s = now_s + self._longest_lease_s()
 
     def _longest_lease_s(self) -> float:
@@ -271,6 +273,7 @@
             self._on_running(worker, row, sent_s, now_s)
         if len(report.ended) < _MOST_ENDS:
             self._drop_unlisted(worker, listed, sent_s)
+        self._tails.observe(worker, now_s, now_ms)
         self._pace(worker, now_s)
 
     def _new_life(self, worker: workers.Worker, born_ms: int) -> None:
@@ -493,8 +496,7 @@
         copy.task.step_run.job_run.started = True
 
     def _pace(self, worker: workers.Worker, now_s: float) -> None:
-        pacing.adjust(worker, now_s)
-        for change in pacing.plan(worker):
+        for change in pacing.plan(worker, self._tails, now_s):
             copy = change.copy
             logs.event(
                 'run_paced',
@@ -688,7 +690,9 @@
         task = copy.task
         if task.done or len(task.copies) > 1 or task.step_run.job_run.ended:
             return
-        worker = placement.choose(task, self._candidates(task, now_s))
+        worker = placement.choose(
+            task, self._candidates(task, now_s), self._tails
+        )
         if worker is not None:
             self._place(task, worker, now_s, why)
 
@@ -735,7 +739,7 @@
                 continue
             if shape in full:
                 return
-            worker = placement.choose(task, candidates)
+            worker = placement.choose(task, candidates, self._tails)
             if worker is None:
                 if not step.max_per_worker:
                     full.add(shape)
@@ -760,7 +764,7 @@
         for task in step_run.tasks:
             task.next_run = run
             task.checkpoint = saved
-            worker = placement.choose(task, candidates)
+            worker = placement.choose(task, candidates, self._tails)
             if worker is None:
                 for copy in placed:
                     self._detach(copy)
@@ -806,6 +810,8 @@
         task.next_run += 1
         task.copies.append(copy)
         worker.attach(copy)
+        if task.step_run.step.opportunistic:
+            self._tails.add(worker, task.step_run.step)
         return copy
 
     def _announce(self, copy: execution.Copy, why: str) -> None:
--- /dev/null
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/tails.py
@@ -0,0 +1,135 @@
+"""What opportunistic runs do to the tail latency of services beside them.
+
+Each pair of a service's image and another image has a strength, learned from
+how tails change when neighbours come, go or change pace. Tails are handled
+as logarithms of their share of the target: disturbances multiply.
+"""
+
+import math
+import typing as t
+
+from amaranthflow import ids
+from amaranthflow import interference
+
+from . import execution
+from . import model
+from . import workers
+
+# Unknown pairs count as somewhat harmful: a neighbour that takes a fifth of
+# the worker then raises the tail by a fifth.
+_PRIOR = 1.0
+_PRIOR_DEVIATION = 2.5
+# Spread of a tail between two reports when nothing changes beside it.
+_NOISE = 0.22
+# Reports this far apart tell of one change; closer ones overlap.
+_LEAST_S = 0.4
+_MOST_S = 0.8
+_LEAST_CHANGE = 0.01
+# Own load may raise a low tail while a run lasts.
+_FLOOR = math.log(0.4)
+
+
+class Tails:
+    """Learns strengths and predicts tails."""
+
+    def __init__(self):
+        self._model = interference.InterferenceModel(
+            prior_excess=_PRIOR,
+            prior_deviation=_PRIOR_DEVIATION,
+            noise_deviation=_NOISE,
+        )
+
+    def observe(
+        self, worker: workers.Worker, now_s: float, now_ms: int
+    ) -> None:
+        """Takes a worker's newest report."""
+        if not worker.service_count:
+            worker.tails = {}
+            worker.sample = None
+            return
+        before = worker.sample
+        if before is not None and now_s - before.at_s < _LEAST_S:
+            return
+        sample = _sample(worker, now_s)
+        if before is not None and now_s - before.at_s < _MOST_S:
+            self._learn(before, sample, now_ms)
+        worker.sample = sample
+        self._refresh(worker)
+
+    def _learn(
+        self, before: workers.Sample, sample: workers.Sample, now_ms: int
+    ) -> None:
+        changes = {
+            image: change
+            for image in before.loads.keys() | sample.loads.keys()
+            if abs(
+                change := sample.loads.get(image, 0.0)
+                - before.loads.get(image, 0.0)
+            )
+            > _LEAST_CHANGE
+        }
+        if not changes:
+            return
+        for key, (image, tail) in sample.tails.items():
+            if key in before.tails:
+                change = tail - before.tails[key][1]
+                self._model.observe_change(image, changes, change, now_ms)
+
+    def _refresh(self, worker: workers.Worker) -> None:
+        """Sets the tails that are expected of a worker's services."""
+        assert worker.sample is not None
+        tails: dict[ids.TaskClass, float] = {}
+        for image, tail in worker.sample.tails.values():
+            tails[image] = max(tail, tails.get(image, _FLOOR))
+        worker.tails = tails
+        for copy in worker.opportunistic():
+            if not copy.reported:
+                self.add(worker, copy.task.step_run.step)
+
+    def effect(
+        self, service: ids.TaskClass, step: model.Step, capacity: int
+    ) -> float:
+        """Returns what a whole run of a step adds to a service's tail."""
+        image = ids.TaskClass(step.image)
+        share = step.resources.cpu / max(1, capacity)
+        return self._model.excess(service, image) * share
+
+    def add(self, worker: workers.Worker, step: model.Step) -> None:
+        """Counts a run that no report shows yet."""
+        capacity = worker.entry.capacity.cpu
+        for image in worker.tails:
+            worker.tails[image] += self.effect(image, step, capacity)
+
+    def expected(self, worker: workers.Worker, step: model.Step) -> float:
+        """Returns the worst tail beside another run, as share of target."""
+        capacity = worker.entry.capacity.cpu
+        worst = max(
+            (
+                tail + self.effect(image, step, capacity)
+                for image, tail in worker.tails.items()
+            ),
+            default=_FLOOR,
+        )
+        return math.exp(worst)
+
+
+def _sample(worker: workers.Worker, now_s: float) -> workers.Sample:
+    capacity = max(1, worker.entry.capacity.cpu)
+    tails = {}
+    for copy in worker.services():
+        step = copy.task.step_run.step
+        if copy.gauge > 0:
+            tail = math.log(copy.gauge / step.tail_target_ms)
+            tails[copy.task.key] = (ids.TaskClass(step.image), tail)
+    loads: dict[ids.TaskClass, float] = {}
+    for copy in worker.opportunistic():
+        image = ids.TaskClass(copy.task.step_run.step.image)
+        loads[image] = loads.get(image, 0.0) + copy.gauge / capacity
+    return workers.Sample(now_s, tails, loads)
+
+
+def running_beside(worker: workers.Worker) -> t.Iterator[execution.Copy]:
+    """Yields the opportunistic runs of a worker that work."""
+    for copy in worker.opportunistic():
+        if copy.state is execution.CopyState.RUNNING:
+            yield copy
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
@@ -1,6 +1,7 @@
 """What the leader believes of each worker, and how old that belief is."""
 
 import dataclasses
+import typing as t
 
 from amaranthflow import ids
 
@@ -9,10 +10,25 @@
 
 # A worker's steady clock may be this much slow (platform's pages).
 CLOCK_RATE = 0.98
+# Share of a service's processor that is idle on the average: services are
+# sized for their peaks.
+SERVICE_IDLE = 0.5
 # Network delay and timers between a lease's end and the last run's end.
 LAPSE_SLACK_S = 0.15
 
 
+class Sample(t.NamedTuple):
+    """Tails and loads of one report.
+
+    :ivar tails: image and logarithm of the tail of each service's task.
+    :ivar loads: share of the worker's processor in use by each image.
+    """
+
+    at_s: float
+    tails: dict[model.TaskKey, tuple[ids.TaskClass, float]]
+    loads: dict[ids.TaskClass, float]
+
+
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class Worker:
     """One worker. Times are seconds of the leader's clock.
@@ -20,7 +36,9 @@
     :ivar lapsed_s: by then all runs whose lease is not renewed have ended.
     :ivar processed: number of the last end taken into account.
     :ivar observed: number of the last end that is in the store.
-    :ivar allowance: processor for opportunistic runs beside services.
+    :ivar tails: expected logarithm of the highest tail of each service
+        image, as a share of its target.
+    :ivar paced_s: when paces were last changed.
     :ivar used: what runs take; opportunistic ones take no processor.
     :ivar unlisted_s: when the worker's entry went, None while it is there.
     """
@@ -40,8 +58,9 @@
     opportunistic_count: int = 0
     service_count: int = 0
     service_cpu: int = 0
-    allowance: float | None = None
-    adjusted_s: float = 0.0
+    tails: dict[ids.TaskClass, float] = dataclasses.field(default_factory=dict)
+    sample: Sample | None = None
+    paced_s: float = 0.0
     shunned_until_s: float = 0.0
     failures_in_row: int = 0
     failed_jobs: set[ids.JobId] = dataclasses.field(default_factory=set)
@@ -104,11 +123,9 @@
         return self.entry.capacity.minus(self.used)
 
     def unused_cpu(self) -> float:
-        """Returns what another opportunistic run may use."""
-        allowance = self.room().cpu
-        if self.allowance is not None and self.service_count:
-            allowance = self.allowance
-        return allowance - self.opportunistic_cpu
+        """Returns what another opportunistic run may expect to use."""
+        idle = SERVICE_IDLE * self.service_cpu
+        return self.room().cpu + idle - self.opportunistic_cpu
 
     def services(self) -> list[execution.Copy]:
         """Returns the runs that have a target for their tail latency."""
--- a/packages/amaranthflow/src/amaranthflow/interference.py
+++ b/packages/amaranthflow/src/amaranthflow/interference.py
@@ -96,6 +96,30 @@
         _correct(touched, slowdown - 1.0, noise)
         self._bound()
 
+    def observe_change(
+        self,
+        victim: ids.TaskClass,
+        changes: Neighbours,
+        change: float,
+        now_ms: int,
+    ) -> None:
+        """Learns from two successive measurements of one victim.
+
+        What is the same in both, the victim's own load above all, cancels.
+
+        :param changes: by how much each neighbour grew, negative if it shrank.
+        :param change: by how much the victim's slowdown grew.
+        """
+        if not math.isfinite(change):
+            return
+        touched = [
+            (self._touch(victim, neighbour, now_ms), weight)
+            for neighbour, weight in changes.items()
+            if weight
+        ]
+        _correct(touched, change, self._noise_variance)
+        self._bound()
+
     def advance(self, now_ms: int) -> None:
         """Ages every pair; drops those that have come back to the prior."""
         for key, pair in list(self._pairs.items()):
