Stand-ins and scenarios of the scheduler in virtual time

Change: record store, workers and a fleet of whole instances in virtual time with faults (silent, busy, lost and late answers, cuts, rebirth, kills) and checks of the promises; 16 scenarios. The one on late orders failed at first: a worker that answers no order was chosen again for ever. A worker is now passed over for a time that doubles with each unanswered start.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
@@ -104,6 +104,12 @@
         for task in self._tasks:
             task.cancel()
 
+    def abandon(self) -> None:
+        """Ends all work at once, as a killed process does."""
+        self.stop()
+        if self._term_task is not None:
+            self._term_task.cancel()
+
     def reseed(self, seeds: tuple[str, ...]) -> None:
         """Takes new addresses of other instances."""
         self._identity = dataclasses.replace(self._identity, seeds=seeds)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -35,6 +35,9 @@
 _MOST_ENDS = 500
 _ROOM_PAUSE_S = 0.3
 _UNHEALTHY_PAUSE_S = 1.0
+# Pause after a start without an answer; doubles with each further one.
+_UNANSWERED_PAUSE_S = 0.3
+_MOST_PAUSE_S = 8.0
 # A worker on which runs of two jobs failed, and none ended well since.
 _GREY_JOBS = 2
 _GREY_PAUSE_S = 5.0
@@ -531,6 +534,9 @@
         copy.settled_s = now_s
         if not copy.running_s:
             copy.running_s = copy.moved_s = now_s
+        worker = self.workers.get(copy.worker)
+        if worker is not None:
+            worker.unanswered = 0
 
     def on_start_refused(
         self, copy: execution.Copy, refusal: ports.Refusal, now_s: float
@@ -569,7 +575,10 @@
             return
         worker = self.workers.get(copy.worker)
         if worker is not None:
-            worker.shunned_until_s = now_s + _ROOM_PAUSE_S
+            pause_s = _UNANSWERED_PAUSE_S * 2**worker.unanswered
+            worker.unanswered += 1
+            pause_s = min(_MOST_PAUSE_S, pause_s)
+            worker.shunned_until_s = now_s + pause_s
         copy.state = execution.CopyState.UNCERTAIN
         copy.settled_s = void_s
         copy.why = 'no-answer'
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
@@ -20,6 +20,7 @@
 class Sample(t.NamedTuple):
     """Tails and loads of one report.
 
+    :ivar unanswered: starts without an answer since the last answered one.
     :ivar tails: image and logarithm of the tail of each service's task.
     :ivar loads: share of the worker's processor in use by each image.
     """
@@ -36,6 +37,7 @@
     :ivar lapsed_s: by then all runs whose lease is not renewed have ended.
     :ivar processed: number of the last end taken into account.
     :ivar observed: number of the last end that is in the store.
+    :ivar unanswered: starts without an answer since the last answered one.
     :ivar tails: expected logarithm of the highest tail of each service
         image, as a share of its target.
     :ivar paced_s: when paces were last changed.
@@ -62,6 +64,7 @@
     sample: Sample | None = None
     paced_s: float = 0.0
     shunned_until_s: float = 0.0
+    unanswered: int = 0
     failures_in_row: int = 0
     failed_jobs: set[ids.JobId] = dataclasses.field(default_factory=set)
     successes: int = 0
--- /dev/null
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
@@ -0,0 +1,387 @@
+"""Instances, workers and a store in one virtual time, with promises checked.
+
+Only the network and the platform are stand-ins; the instances are whole.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import random
+import typing as t
+
+from amaranthflow_scheduler import metrics
+from amaranthflow_scheduler import model
+from amaranthflow_scheduler import node as node_lib
+from amaranthflow_scheduler import ports
+from amaranthflow_scheduler import scheduler
+import msgspec
+
+from amaranthflow import exceptions
+from amaranthflow import ids
+
+from . import record_store
+from . import task_worker
+from . import virtual_time
+
+_BEAT_S = 1.1
+_MISSED_BEATS = 3
+_PEER_S = 0.002
+_NOTED_S = 1.0
+_QUEUE = model.Queue(
+    id=model.QueueId('jobs'),
+    host='jobs.example',
+    prefix='/jobs/',
+    service=ids.ServiceId('workers'),
+    max_attempts=2,
+    stretch=2.0,
+    target_ms=500,
+)
+LIMITS = scheduler.Limits(hold_max_s=6.0, state_kept_s=120.0)
+
+
+class _Decoder:
+    """Reads the records that this fleet writes."""
+
+    def worker(self, key: bytes, value: bytes) -> model.WorkerEntry | None:
+        fields = msgspec.json.decode(value)
+        fields['state'] = model.WorkerState(fields['state'])
+        fields['capacity'] = model.Resources(*fields['capacity'])
+        fields['labels'] = frozenset(fields['labels'])
+        return model.WorkerEntry(**fields)
+
+    def configuration(
+        self, key: bytes, value: bytes
+    ) -> model.Configuration | None:
+        return model.Configuration(
+            version=int(value),
+            queues=(_QUEUE,),
+            checked_services=frozenset((_QUEUE.service,)),
+            max_body_bytes=262_144,
+            idle_timeout_ms=15_000,
+        )
+
+
+class _Fleet:
+    def __init__(self, fleet: 'TaskFleet', instance: str):
+        self._fleet = fleet
+        self._instance = instance
+
+    def link(self, worker: ids.WorkerId, address: str) -> ports.WorkerLink:
+        return task_worker.TaskWorkerLink(
+            worker=self._fleet.workers[worker],
+            instance=self._instance,
+            rng=self._fleet.rng,
+        )
+
+
+class _Caller:
+    def __init__(self, fleet: 'TaskFleet', instance: str):
+        self._fleet = fleet
+        self._instance = instance
+
+    async def call(
+        self, address: str, name: str, message: dict, timeout_s: float
+    ) -> dict:
+        node = self._fleet.nodes.get(address)
+        frozen = self._fleet.frozen
+        if node is None or self._instance in frozen or address in frozen:
+            await asyncio.sleep(timeout_s)
+            raise exceptions.PlatformUncertain('no answer')
+        await asyncio.sleep(_PEER_S)
+        return await node.answer(name, message)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Accepted:
+    """A job as its caller knows it."""
+
+    job: model.Job
+    accepted_s: float
+    cancelled_s: float | None = None
+
+
+class TaskFleet:
+    """Central object of a run; ``plan`` says what tasks do.
+
+    :ivar runs: each run with the worker it was on, in order of start.
+    """
+
+    def __init__(
+        self,
+        *,
+        loop: virtual_time.VirtualLoop,
+        plan: task_worker.Plan,
+        seed: int = 1,
+    ):
+        self.loop = loop
+        self.rng = random.Random(seed)
+        self.store = record_store.RecordStore(rng=self.rng)
+        self.workers: dict[ids.WorkerId, task_worker.TaskWorker] = {}
+        self.nodes: dict[str, node_lib.Node] = {}
+        self.frozen: set[str] = set()
+        self.runs: list[
+            tuple[task_worker.TaskWorker, task_worker.StandinRun]
+        ] = []
+        self.jobs: dict[ids.JobId, Accepted] = {}
+        self.shown: dict[ids.JobId, tuple[float, model.JobState]] = {}
+        self._plan = plan
+        self._beats: list[asyncio.Task] = []
+        self._version = 0
+        self._started = 0
+
+    # set-up
+
+    def configure(self) -> None:
+        """Puts a new configuration in force."""
+        self._version += 1
+        value = str(self._version).encode()
+        self.store.put(ports.Table.CONFIGURATION, b'config', value)
+
+    def add_worker(
+        self, name: str, *, cpu: int = 8_000, rack: str = 'r1'
+    ) -> task_worker.TaskWorker:
+        """Adds a worker that keeps its entry alive."""
+        entry = model.WorkerEntry(
+            id=ids.WorkerId(name),
+            service=_QUEUE.service,
+            address=name,
+            zone=ids.ZoneId('z1'),
+            state=model.WorkerState.READY,
+            capacity=model.Resources(cpu, 64_000, 0),
+            rack=rack,
+        )
+        worker = task_worker.TaskWorker(
+            entry=entry, plan=self._plan, rng=self.rng, history=self.runs
+        )
+        self.workers[entry.id] = worker
+        self._beats.append(self.loop.create_task(self._beat(worker)))
+        return worker
+
+    async def _beat(self, worker: task_worker.TaskWorker) -> None:
+        missed = 0
+        while True:
+            key = worker.id.encode()
+            if worker.up and '*' not in worker.faults.cut_from:
+                missed = 0
+                fields = dataclasses.asdict(worker.entry)
+                value = msgspec.json.encode(fields)
+                self.store.put(ports.Table.WORKERS, key, value)
+            else:
+                missed += 1
+                if missed == _MISSED_BEATS:
+                    self.store.put(ports.Table.WORKERS, key, b'')
+            await asyncio.sleep(_BEAT_S)
+
+    def start_node(self, name: str = '') -> str:
+        """Starts an instance; returns its name, which is its address."""
+        self._started += 1
+        name = name or f'n{self._started}'
+        node = node_lib.Node(
+            identity=node_lib.Identity(
+                instance=ids.InstanceId(name),
+                address=name,
+                seeds=tuple(self.nodes)[:3],
+            ),
+            store=self.store.link(name),
+            fleet=_Fleet(self, name),
+            decoder=_Decoder(),
+            caller=_Caller(self, name),
+            clock=self.loop,
+            limits=LIMITS,
+            meters=metrics.Metrics(),
+        )
+        self.nodes[name] = node
+        node.start()
+        return name
+
+    async def kill(self, name: str) -> None:
+        """Ends an instance without a word."""
+        node = self.nodes.pop(name)
+        node.abandon()
+        await asyncio.sleep(0)
+
+    def leader(self) -> str | None:
+        """Returns the name of an instance that leads and is ready."""
+        for name, node in self.nodes.items():
+            if node.leader is not None and node.leader.ready:
+                return name
+        return None
+
+    async def wait_leader(self, within_s: float = 10.0) -> str:
+        """Waits for a leader; returns its name."""
+        end_s = self.loop.time() + within_s
+        while self.loop.time() < end_s:
+            name = self.leader()
+            if name is not None:
+                return name
+            await asyncio.sleep(0.05)
+        raise AssertionError(f'no leader within {within_s} s')
+
+    # callers
+
+    async def submit(
+        self, job_id: str, steps: t.Sequence[model.Step], **fields: t.Any
+    ) -> model.Job:
+        """Hands a job in at any instance until it is accepted."""
+        job = model.Job(
+            id=ids.JobId(job_id),
+            queue=_QUEUE,
+            payload='payload',
+            steps=tuple(steps),
+            accepted_ms=self.loop.wall_ms(),
+            **fields,
+        )
+        while True:
+            node = self.rng.choice(list(self.nodes.values()) or [None])
+            try:
+                if node is None:
+                    raise exceptions.NotReady('no instance')
+                await node.entry.submit(job)
+                break
+            except exceptions.AmaranthflowError:
+                await asyncio.sleep(0.2)
+        self.jobs[job.id] = Accepted(job=job, accepted_s=self.loop.time())
+        return job
+
+    async def ask(self, job_id: str) -> model.JobState | None:
+        """Asks any instance for a job's state until there is an answer."""
+        while True:
+            node = self.rng.choice(list(self.nodes.values()) or [None])
+            try:
+                if node is None:
+                    raise exceptions.NotReady('no instance')
+                state = await node.entry.state(ids.JobId(job_id))
+            except exceptions.AmaranthflowError:
+                await asyncio.sleep(0.2)
+                continue
+            if state is not None:
+                self.shown.setdefault(
+                    ids.JobId(job_id), (self.loop.time(), state)
+                )
+                if self.shown[ids.JobId(job_id)][1] is not state:
+                    self.shown[ids.JobId(job_id)] = (self.loop.time(), state)
+            return state
+
+    async def cancel(self, job_id: str) -> None:
+        """Cancels a job at any instance until it is acknowledged."""
+        while True:
+            node = self.rng.choice(list(self.nodes.values()) or [None])
+            try:
+                if node is not None:
+                    await node.entry.cancel(ids.JobId(job_id))
+                    break
+            except exceptions.AmaranthflowError:
+                # Not acknowledged: asked again.
+                pass
+            await asyncio.sleep(0.2)
+        self.jobs[ids.JobId(job_id)].cancelled_s = self.loop.time()
+
+    async def wait_state(
+        self, job_id: str, state: model.JobState, within_s: float
+    ) -> float:
+        """Waits until a job is shown in a state; returns the seconds."""
+        begun_s = self.loop.time()
+        while self.loop.time() - begun_s < within_s:
+            if await self.ask(job_id) is state:
+                return self.loop.time() - begun_s
+            await asyncio.sleep(0.1)
+        seen = await self.ask(job_id)
+        raise AssertionError(
+            f'{job_id} is {seen} after {within_s} s, not {state}'
+        )
+
+    # promises
+
+    def broken(self) -> list[str]:
+        """Names each promise that the history breaks."""
+        findings = [*self._doubled(), *self._disordered()]
+        findings.extend(self._over_capacity())
+        findings.extend(self._started_after_cancel())
+        return findings
+
+    def _by_task(
+        self,
+    ) -> dict[
+        model.TaskKey,
+        list[tuple[task_worker.TaskWorker, task_worker.StandinRun]],
+    ]:
+        found = collections.defaultdict(list)
+        for worker, run in self.runs:
+            found[run.task].append((worker, run))
+        return found
+
+    def _step(self, task: model.TaskKey) -> model.Step:
+        return self.jobs[task.job].job.steps[task.step]
+
+    def _doubled(self) -> t.Iterator[str]:
+        for task, found in self._by_task().items():
+            if task.job not in self.jobs or self._step(task).backups:
+                continue
+            numbers = [run.run for _, run in found]
+            if len(set(numbers)) != len(numbers):
+                yield f'{task}: run numbers {numbers}'
+            found.sort(key=lambda pair: pair[1].begun_s)
+            for (_, first), (_, second) in zip(found, found[1:], strict=False):
+                if first.ended_s is None or first.ended_s > second.begun_s:
+                    yield (
+                        f'{task}: run {second.run} began at '
+                        f'{second.begun_s:.2f} beside run {first.run}'
+                    )
+            for _, run in found:
+                if run.ending is model.Ending.DONE:
+                    later = [r for _, r in found if r.begun_s > run.ended_s]
+                    yield from self._after_done(task, run, later)
+
+    def _after_done(
+        self,
+        task: model.TaskKey,
+        done: task_worker.StandinRun,
+        later: list[task_worker.StandinRun],
+    ) -> t.Iterator[str]:
+        shown = self.shown.get(task.job)
+        if shown is None or shown[1] is not model.JobState.COMPLETED:
+            return
+        for run in later:
+            if run.begun_s > shown[0] + _NOTED_S:
+                yield f'{task}: run {run.run} began after it was done'
+
+    def _disordered(self) -> t.Iterator[str]:
+        done: dict[tuple, float] = {}
+        for _, run in self.runs:
+            if run.ending is model.Ending.DONE:
+                known = done.get(run.task, float('inf'))
+                done[run.task] = min(known, run.ended_s)
+        for _, run in self.runs:
+            if run.task.job not in self.jobs:
+                continue
+            job = self.jobs[run.task.job].job
+            for number in self._step(run.task).after:
+                for index in range(job.steps[number].count):
+                    key = run.task._replace(step=number, index=index)
+                    if done.get(key, float('inf')) > run.begun_s:
+                        yield f'{run.task} began before {key} was done'
+
+    def _over_capacity(self) -> t.Iterator[str]:
+        by_worker = collections.defaultdict(list)
+        for worker, run in self.runs:
+            by_worker[worker].append(run)
+        for worker, found in by_worker.items():
+            for run in found:
+                used = sum(
+                    self._step(other.task).resources.cpu
+                    for other in found
+                    if other.task.job in self.jobs
+                    and other.begun_s <= run.begun_s
+                    and (other.ended_s is None or other.ended_s > run.begun_s)
+                    and not self._step(other.task).opportunistic
+                )
+                if used > worker.entry.capacity.cpu:
+                    yield f'{worker.id}: {used} used at {run.begun_s:.2f}'
+
+    def _started_after_cancel(self) -> t.Iterator[str]:
+        for _, run in self.runs:
+            accepted = self.jobs.get(run.task.job)
+            if accepted is None or accepted.cancelled_s is None:
+                continue
+            if run.begun_s > accepted.cancelled_s + 3.0:
+                yield f'{run.task} began after its job was cancelled'
--- /dev/null
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -0,0 +1,117 @@
+Feature: Instances that schedule task graphs on a platform's store
+
+  Background:
+    Given a task fleet of 3 instances and 4 workers with seed 5
+
+  Scenario: Steps run in order and the job completes
+    When task job "a1" with steps "4x1.0 2x0.5" is accepted
+    Then task job "a1" is completed within 4 s
+    And the task fleet broke no promise
+
+  Scenario: A job that was handed in twice is one job
+    When task job "a1" with steps "2x1.0" is accepted
+    And task job "a1" with steps "2x1.0" is accepted
+    Then task job "a1" is completed within 4 s
+    And 2 task runs were started
+
+  Scenario: Another instance adopts what runs when the leader is killed
+    Given task job "a1" with steps "4x6.0" is accepted
+    And 1 s pass in the task fleet
+    When the task fleet's leader is killed
+    Then task job "a1" is completed within 9 s
+    And 4 task runs were started
+    And the task fleet broke no promise
+
+  Scenario: A leader that loses the store is followed, its orders are refused
+    Given task job "a1" with steps "8x3.0" is accepted
+    And 1 s pass in the task fleet
+    When the store is silent to the task fleet's leader
+    And task job "b1" with steps "4x1.0" is accepted
+    Then task job "b1" is completed within 8 s
+    And task job "a1" is completed within 8 s
+    And 12 task runs were started
+    And the task fleet broke no promise
+
+  Scenario: The store's outage hands nothing over and ends no run
+    Given task job "a1" with steps "4x8.0" is accepted
+    And 1 s pass in the task fleet
+    When the store is silent for 6 s
+    Then the task fleet has had 1 term
+    And task job "a1" is completed within 6 s
+    And 4 task runs were started
+
+  Scenario: Orders that are carried out late double no run
+    Given orders to task worker "w1" are carried out late
+    When task job "a1" with steps "12x1.0" is accepted
+    Then task job "a1" is completed within 20 s
+    And 15 s pass in the task fleet
+    And the task fleet broke no promise
+
+  Scenario: Tasks of a worker that is cut off run elsewhere once it lapsed
+    Given task job "a1" with steps "8x3.0" is accepted
+    And 1 s pass in the task fleet
+    When task worker "w1" is cut off
+    Then task job "a1" is completed within 12 s
+    And the task fleet broke no promise
+
+  Scenario: A worker that is born again has lost its runs
+    Given task job "a1" with steps "8x4.0" is accepted
+    And 1 s pass in the task fleet
+    When task worker "w1" crashes and is back after 0.5 s
+    Then task job "a1" is completed within 8 s
+    And the task fleet broke no promise
+
+  Scenario: Lost answers of the store double nothing
+    Given the store loses 0.4 of its answers
+    When task job "a1" with steps "4x1.0 4x1.0" is accepted
+    Then task job "a1" is completed within 20 s
+    And the task fleet broke no promise
+
+  Scenario: Appends that land late double nothing
+    Given the store carries 0.3 of its appends out late
+    When task job "a1" with steps "4x1.0 4x1.0" is accepted
+    Then task job "a1" is completed within 30 s
+    And the task fleet broke no promise
+
+  Scenario: All instances are killed at once
+    Given task job "a1" with steps "4x3.0 4x3.0" is accepted
+    And 1 s pass in the task fleet
+    When all task instances are killed and started anew after 1 s
+    Then task job "a1" is completed within 14 s
+    And the task fleet broke no promise
+
+  Scenario: A cancelled job's runs stop
+    Given task job "a1" with steps "4x30.0" is accepted
+    And 1 s pass in the task fleet
+    When task job "a1" is cancelled
+    And 1 s pass in the task fleet
+    Then no task runs
+    And the task fleet broke no promise
+
+  Scenario: A task of a service is restarted however it ends
+    Given a task service "s1" of 3 tasks is accepted
+    And 1 s pass in the task fleet
+    When task worker "w1" crashes and is back after 0.5 s
+    And 2 s pass in the task fleet
+    Then 3 tasks run
+
+  Scenario: A task that fails too often fails its job, no run comes after it
+    When a task job "f1" whose tasks always fail is accepted
+    Then task job "f1" is failed within 6 s
+    And 2 task runs were started
+
+  Scenario: The history of the store is dropped while nobody leads
+    Given task job "a1" with steps "4x2.0 4x2.0" is accepted
+    And 1 s pass in the task fleet
+    When the store drops its history
+    And all task instances are killed and started anew after 1 s
+    Then task job "a1" is completed within 14 s
+    And the task fleet broke no promise
+
+  Scenario: A leader that is told to stop hands over at once
+    Given task job "a1" with steps "4x3.0" is accepted
+    And 1 s pass in the task fleet
+    When the task fleet's leader steps down
+    Then another task instance leads within 1.0 s
+    And task job "a1" is completed within 4 s
+    And 4 task runs were started
--- /dev/null
+++ b/tests/steps/task_fleet_steps.py
@@ -0,0 +1,238 @@
+"""Steps for the scheduler's fleet.feature."""
+
+import asyncio
+
+from amaranthflow_scheduler import model
+import behave
+
+from amaranthflow_standins import task_fleet
+from amaranthflow_standins import virtual_time
+
+_CPU = 1_000
+_SETTLE_S = 3.0
+_FAILING = 'f'
+
+
+class _Plan:
+    """Lasts as long as the step's estimate; jobs named f... fail."""
+
+    def __init__(self):
+        self.fleet = None
+
+    def lasts_s(self, task):
+        step = self.fleet.jobs_steps[task.job][task.step]
+        return float('inf') if step.service else step.estimate_ms / 1000
+
+    def fails(self, task, run):
+        return task.job.startswith(_FAILING)
+
+
+def _run(context, work):
+    return context.loop.run_until_complete(work)
+
+
+def _stop(context):
+    for task in asyncio.all_tasks(context.loop):
+        task.cancel()
+    _run(context, asyncio.sleep(0))
+    context.loop.close()
+
+
+@behave.given(
+    'a task fleet of {instances:d} instances and {workers:d} workers with '
+    'seed {seed:d}'
+)
+def step_fleet(context, instances, workers, seed):
+    context.loop = virtual_time.VirtualLoop()
+    context.add_cleanup(_stop, context)
+    _run(context, _make(context, instances, workers, seed))
+
+
+async def _make(context, instances, workers, seed):
+    plan = _Plan()
+    fleet = task_fleet.TaskFleet(loop=context.loop, plan=plan, seed=seed)
+    fleet.jobs_steps = {}
+    plan.fleet = fleet
+    context.fleet = fleet
+    fleet.configure()
+    for number in range(workers):
+        fleet.add_worker(f'w{number + 1}')
+    for _ in range(instances):
+        fleet.start_node()
+    await fleet.wait_leader()
+    await asyncio.sleep(_SETTLE_S)
+
+
+def _steps(text):
+    steps = []
+    for number, part in enumerate(text.split()):
+        count, _, seconds = part.partition('x')
+        steps.append(
+            model.Step(
+                count=int(count),
+                resources=model.Resources(_CPU, 100, 0),
+                estimate_ms=round(float(seconds) * 1000),
+                after=(number - 1,) if number else (),
+            )
+        )
+    return steps
+
+
+def _submit(context, job_id, steps):
+    context.fleet.jobs_steps[job_id] = steps
+    _run(context, context.fleet.submit(job_id, steps))
+
+
+@behave.given('task job "{job_id}" with steps "{text}" is accepted')
+@behave.when('task job "{job_id}" with steps "{text}" is accepted')
+def step_submit(context, job_id, text):
+    _submit(context, job_id, _steps(text))
+
+
+@behave.given('a task service "{job_id}" of {count:d} tasks is accepted')
+def step_service(context, job_id, count):
+    step = model.Step(
+        count=count,
+        resources=model.Resources(_CPU, 100, 0),
+        service=True,
+        max_per_worker=1,
+    )
+    _submit(context, job_id, [step])
+
+
+@behave.when('a task job "{job_id}" whose tasks always fail is accepted')
+def step_failing(context, job_id):
+    _submit(context, job_id, _steps('1x0.5'))
+
+
+@behave.given('{seconds:g} s pass in the task fleet')
+@behave.when('{seconds:g} s pass in the task fleet')
+@behave.then('{seconds:g} s pass in the task fleet')
+def step_pass(context, seconds):
+    _run(context, asyncio.sleep(seconds))
+
+
+@behave.when("the task fleet's leader is killed")
+def step_kill(context):
+    _run(context, context.fleet.kill(context.fleet.leader()))
+
+
+@behave.when("the task fleet's leader steps down")
+def step_down(context):
+    context.before = context.fleet.leader()
+    node = context.fleet.nodes[context.before]
+    _run(context, node.step_down())
+
+
+@behave.then('another task instance leads within {seconds:g} s')
+def step_other(context, seconds):
+    name = _run(context, context.fleet.wait_leader(seconds))
+    assert name != context.before
+
+
+@behave.when("the store is silent to the task fleet's leader")
+def step_silent_leader(context):
+    context.fleet.store.faults.silent.add(context.fleet.leader())
+
+
+@behave.when('the store is silent for {seconds:g} s')
+def step_silent(context, seconds):
+    context.before = context.fleet.leader()
+    silent = context.fleet.store.faults.silent
+    silent.update(context.fleet.nodes)
+    _run(context, asyncio.sleep(seconds))
+    silent.clear()
+
+
+@behave.then('the task fleet has had 1 term')
+def step_term(context):
+    _run(context, asyncio.sleep(_SETTLE_S))
+    node = context.fleet.nodes[context.before]
+    assert context.fleet.leader() == context.before
+    assert node.leader.term.token == 1, node.leader.term
+
+
+@behave.given('orders to task worker "{name}" are carried out late')
+def step_late(context, name):
+    context.fleet.workers[name].faults.late_share = 1.0
+
+
+@behave.when('task worker "{name}" is cut off')
+def step_cut(context, name):
+    context.fleet.workers[name].faults.cut_from.add('*')
+
+
+@behave.when('task worker "{name}" crashes and is back after {seconds:g} s')
+def step_crash(context, name, seconds):
+    worker = context.fleet.workers[name]
+    worker.crash()
+    _run(context, asyncio.sleep(seconds))
+    worker.restart()
+
+
+@behave.given('the store loses {share:g} of its answers')
+def step_lost(context, share):
+    context.fleet.store.faults.lost_share = share
+
+
+@behave.given('the store carries {share:g} of its appends out late')
+def step_late_appends(context, share):
+    context.fleet.store.faults.late_share = share
+
+
+@behave.when('the store drops its history')
+def step_compact(context):
+    context.fleet.store.compact()
+
+
+@behave.when(
+    'all task instances are killed and started anew after {seconds:g} s'
+)
+def step_kill_all(context, seconds):
+    _run(context, _restart_all(context.fleet, seconds))
+
+
+async def _restart_all(fleet, seconds):
+    names = list(fleet.nodes)
+    for name in names:
+        await fleet.kill(name)
+    await asyncio.sleep(seconds)
+    for name in names:
+        fleet.start_node(name)
+
+
+@behave.when('task job "{job_id}" is cancelled')
+def step_cancel(context, job_id):
+    _run(context, context.fleet.cancel(job_id))
+
+
+@behave.then('task job "{job_id}" is {state} within {seconds:g} s')
+def step_state(context, job_id, state, seconds):
+    wanted = model.JobState(state)
+    _run(context, context.fleet.wait_state(job_id, wanted, seconds))
+
+
+@behave.then('{count:d} task runs were started')
+def step_runs(context, count):
+    assert len(context.fleet.runs) == count, len(context.fleet.runs)
+
+
+@behave.then('no task runs')
+def step_none(context):
+    step_running(context, 0)
+
+
+@behave.then('{count:d} tasks run')
+def step_running(context, count):
+    running = [
+        run.task
+        for worker in context.fleet.workers.values()
+        for run in worker.running.values()
+    ]
+    assert len(running) == count, running
+
+
+@behave.then('the task fleet broke no promise')
+def step_promises(context):
+    broken = context.fleet.broken()
+    assert not broken, broken
