--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
@@ -41,7 +41,7 @@
     :ivar settled_s: from here on a report of the worker that does not list
         the run proves that it is not there; None while it may still arrive.
     :ivar moved_s: when ``percent`` last rose.
-    :ivar paused_s: when the pace was set to 0.
+    :ivar slowed_s: since when the pace is low.
     :ivar resumed: the run did not begin at 0 percent under this leader.
     :ivar reported: a report has listed the run.
     """
@@ -59,7 +59,7 @@
     gauge: float = 0.0
     saved: str = ''
     pace: int = 100
-    paused_s: float = 0.0
+    slowed_s: float = 0.0
     resumed: bool = False
     reported: bool = False
     why: str = ''
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -44,8 +44,11 @@
 _HUNG_PAUSE_S = 4.0
 # Weight of the newest observation in a worker's relative speed.
 _PACE_WEIGHT = 0.4
-# An opportunistic run that is paused this long beside a service moves.
-_PAUSED_S = 3.0
+# A resumable run whose pace stays below this percentage for so long moves,
+# unless it is nearly done.
+_SLOWED = 60
+_SLOWED_S = 0.4
+_NEARLY = 85
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -510,15 +513,29 @@
                 percent=change.percent,
                 pressure=round(pacing.pressure(worker), 2),
             )
+            if copy.pace >= _SLOWED > change.percent:
+                copy.slowed_s = now_s
             copy.pace = change.percent
-            copy.paused_s = 0.0 if change.percent else now_s
             self._orders.append(orders.Pace(copy, change.percent))
+        if worker.service_count:
+            self._move_slowed(worker, now_s)
+
+    def _move_slowed(self, worker: workers.Worker, now_s: float) -> None:
+        """Moves resumable runs that are slowed here and would not be there."""
         for copy in worker.opportunistic():
-            if copy.pace or not copy.paused_s:
+            step = copy.task.step_run.step
+            if copy.pace >= _SLOWED or not step.checkpoints:
+                continue
+            if copy.state is not execution.CopyState.RUNNING:
+                continue
+            if now_s - copy.slowed_s < _SLOWED_S or copy.percent > _NEARLY:
                 continue
-            resumable = copy.task.step_run.step.checkpoints
-            if resumable and now_s - copy.paused_s > _PAUSED_S:
-                self._stop(copy, 'paused-beside-service')
+            candidates = self._candidates(copy.task, now_s)
+            other = placement.choose(copy.task, candidates, self._tails)
+            if other is not None:
+                # Counted as placed, so that not all choose the same worker.
+                self._tails.add(other, step)
+                self._stop(copy, 'slowed-beside-service')
 
     # answers to orders
 
