A recovering leader takes no job before its progress

Change: jobs are taken only once the recovery is over; before that the record is read together with its progress.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -289,8 +289,11 @@
                     self.take_job(job)
 
     def take_job(self, job: model.Job) -> None:
-        """Takes a job whose record is stored."""
-        if not self.core.add_job(job):
+        """Takes a job whose record is stored.
+
+        While recovering, the record is read together with its progress.
+        """
+        if not self.ready or not self.core.add_job(job):
             return
         self._tools.meters.count('jobs')
         logs.event(
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/order.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/order.py
@@ -6,6 +6,7 @@
 """
 
 from . import execution
+from . import model
 
 _HOPELESS = 3.0  # beyond this multiple of its objective a job earns nothing
 
@@ -31,7 +32,11 @@
         hopeless,
         job.queue.priority,
         is_service,
-        job_run.work_left(),
+        -_largest(job) if is_service else job_run.work_left(),
         job.accepted_ms,
         job.id,
     )
+
+
+def _largest(job: model.Job) -> int:
+    return max(step.resources.cpu for step in job.steps)
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -115,3 +115,12 @@
     Then another task instance leads within 1.0 s
     And task job "a1" is completed within 4 s
     And 4 task runs were started
+
+  Scenario: A job handed in again while a new leader recovers keeps its progress
+    Given task job "a1" with steps "4x1.0 4x6.0" is accepted
+    And 2 s pass in the task fleet
+    When the store's answers take 0.1 s more
+    And the task fleet's leader is killed
+    And task job "a1" is handed in again at the instance that recovers
+    Then task job "a1" is completed within 16 s
+    And 8 task runs were started
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -236,3 +236,26 @@
 def step_promises(context):
     broken = context.fleet.broken()
     assert not broken, broken
+
+
+@behave.when("the store's answers take {seconds:g} s more")
+def step_slow(context, seconds):
+    context.fleet.store.faults.slow_s = seconds
+
+
+@behave.when(
+    'task job "{job_id}" is handed in again at the instance that recovers'
+)
+def step_again(context, job_id):
+    _run(context, _hand_in_again(context.fleet, job_id))
+
+
+async def _hand_in_again(fleet, job_id):
+    job = fleet.jobs[job_id].job
+    while True:
+        for node in fleet.nodes.values():
+            if node.leader is not None and not node.leader.ready:
+                await node.entry.submit(job)
+                assert not node.leader.ready, 'recovered too early'
+                return
+        await asyncio.sleep(0.01)
