A slow way to the store is hedged by the leader's, a lost one refused at once

Change: the leader's way starts after 0.12 s, the caller has an answer after 0.7 s; while the last read of the store failed nothing is sent there and the job is refused at once, with Retry-After, unless the leader stores it.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/entry.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/entry.py
@@ -22,11 +22,13 @@
 # A new leader is there about this long after the old one is lost.
 RETRY_AFTER_MS = 2_000
 _ASK_S = 0.6
+# A store append takes a few ms; what takes longer is tried by the leader too.
+_HEDGE_S = 0.12
+# A caller learns after this time that its job's fate is unknown.
+_ACCEPT_S = 0.7
 _ASK_RETRY_S = 0.1
 # How long a question waits for a leader before the caller is told to return.
 _PATIENCE_S = 1.2
-# After a failed append the leader's way to the store is tried first.
-_DETOUR_S = 2.0
 
 
 class Peers(t.Protocol):
@@ -35,10 +37,49 @@
     def local(self) -> leader_lib.Leader | None:
         """Returns the leader if this instance leads."""
 
+    def store_lost(self) -> bool:
+        """Tells whether the store did not answer the last read."""
+
     async def ask(self, name: str, message: dict, limit_s: float) -> dict:
         """Calls the leader. Raises NotReady and platform errors."""
 
 
+class _Outcome:
+    """What came of the ways to store a job.
+
+    :ivar way: the way on which it is stored, empty if none.
+    :ivar certain: it is not stored and never will be.
+    """
+
+    def __init__(self):
+        self.way = ''
+        self.certain = True
+        self.reasons: list[str] = []
+
+    def take(self, way: str, task: asyncio.Task) -> None:
+        """Takes the end of one way."""
+        exc = task.exception()
+        if exc is None:
+            self.way = way
+            return
+        self.reasons.append(f'{way}: {exc}')
+        if not isinstance(exc, exceptions.AmaranthflowError):
+            raise exc
+        if isinstance(exc, exceptions.PlatformUncertain):
+            self.certain = False
+
+    def overdue(self, ways: list[str]) -> None:
+        """Takes ways that have no answer yet."""
+        self.certain = False
+        self.reasons.extend(f'{way}: no answer yet' for way in ways)
+
+
+def _forget(task: asyncio.Task) -> None:
+    """Notes the end of a way that nobody waits for any longer."""
+    if not task.cancelled() and task.exception() is not None:
+        logs.event('way_failed_late', error=str(task.exception()))
+
+
 class Entry:
     """Hands jobs in and answers for them."""
 
@@ -54,7 +95,6 @@
         self._peers = peers
         self._clock = clock
         self._meters = meters
-        self._detour_until_s = 0.0
 
     async def submit(self, job: model.Job) -> None:
         """Returns once the job is stored.
@@ -64,44 +104,68 @@
         """
         value = jobrecord.encode(job)
         begun_s = self._clock.monotonic()
-        ways = [self._store_here, self._store_by_leader]
-        if begun_s < self._detour_until_s:
-            ways.reverse()
-        certain = True
-        reasons = []
-        for way in ways:
-            try:
-                await way(job, value)
-            except exceptions.AmaranthflowError as exc:
-                reasons.append(str(exc))
-                if isinstance(exc, exceptions.PlatformUncertain):
-                    certain = False
-                continue
-            took_s = self._clock.monotonic() - begun_s
+        outcome = await self._try_ways(job, value)
+        took_s = self._clock.monotonic() - begun_s
+        if outcome.way:
             self._meters.observe('accept', took_s)
             logs.event(
                 'job_accepted',
                 id=job.id,
                 queue=job.queue.id,
-                way=way.__name__.strip('_'),
+                way=outcome.way,
                 ms=round(took_s * 1000),
             )
             return
+        certain = outcome.certain
         self._meters.count('jobs_refused' if certain else 'jobs_uncertain')
         logs.event(
-            'job_not_accepted', id=job.id, certain=certain, reasons=reasons
+            'job_not_accepted',
+            id=job.id,
+            certain=certain,
+            reasons=outcome.reasons,
+            ms=round(took_s * 1000),
         )
-        reason = '; '.join(reasons)
+        reason = '; '.join(outcome.reasons)
         if certain:
             raise exceptions.NotReady(reason, retry_after_ms=RETRY_AFTER_MS)
         raise exceptions.RequestUncertain(reason)
 
+    async def _try_ways(self, job: model.Job, value: bytes) -> '_Outcome':
+        """Tries the own way and, if it is slow or fails, the leader's.
+
+        Storing a job twice is harmless, so both may be under way.
+        """
+        outcome = _Outcome()
+        ways = [self._store_here, self._store_by_leader]
+        if self._peers.store_lost():
+            ways.reverse()
+        pending: dict[asyncio.Task, str] = {}
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + _ACCEPT_S
+        while ways or pending:
+            if ways:
+                way = ways.pop(0)
+                name = way.__name__.strip('_')
+                pending[loop.create_task(way(job, value))] = name
+            limit_s = _HEDGE_S if ways else max(0.0, end_s - loop.time())
+            done, _ = await asyncio.wait(
+                pending, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                outcome.take(pending.pop(task), task)
+            if outcome.way:
+                break
+            if not done and not ways:
+                outcome.overdue(list(pending.values()))
+                break
+        for task in pending:
+            task.add_done_callback(_forget)
+        return outcome
+
     async def _store_here(self, job: model.Job, value: bytes) -> None:
-        try:
-            await self._submissions.append(job.id.encode(), value)
-        except exceptions.AmaranthflowError:
-            self._detour_until_s = self._clock.monotonic() + _DETOUR_S
-            raise
+        if self._peers.store_lost():
+            raise exceptions.PlatformError('the store is away')
+        await self._submissions.append(job.id.encode(), value)
         local = self._peers.local()
         if local is not None:
             local.take_job(job)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
@@ -134,7 +134,7 @@
                     batch = await self._store.read(
                         ports.Table.LEADERS,
                         self._observer.end,
-                        wait_ms=_WAIT_MS,
+                        wait_ms=0 if self._store_lost else _WAIT_MS,
                     )
             except exceptions.OffsetExpired:
                 started = False
@@ -312,6 +312,10 @@
         """Returns the leader if this instance leads."""
         return self.leader
 
+    def store_lost(self) -> bool:
+        """Tells whether the store did not answer the last read."""
+        return self._store_lost
+
     async def ask(self, name: str, message: dict, limit_s: float) -> dict:
         """Calls the leader. Raises NotReady and platform errors."""
         term = self._observer.term
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
@@ -91,6 +91,23 @@
         return await node.answer(name, message)
 
 
+def make_job(
+    job_id: str,
+    steps: t.Sequence[model.Step],
+    loop: virtual_time.VirtualLoop,
+    **fields: t.Any,
+) -> model.Job:
+    """Returns a job of the fleet's only queue."""
+    return model.Job(
+        id=ids.JobId(job_id),
+        queue=_QUEUE,
+        payload='payload',
+        steps=tuple(steps),
+        accepted_ms=loop.wall_ms(),
+        **fields,
+    )
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Accepted:
     """A job as its caller knows it."""
@@ -223,14 +240,7 @@
         self, job_id: str, steps: t.Sequence[model.Step], **fields: t.Any
     ) -> model.Job:
         """Hands a job in at any instance until it is accepted."""
-        job = model.Job(
-            id=ids.JobId(job_id),
-            queue=_QUEUE,
-            payload='payload',
-            steps=tuple(steps),
-            accepted_ms=self.loop.wall_ms(),
-            **fields,
-        )
+        job = make_job(job_id, steps, self.loop, **fields)
         while True:
             node = self.rng.choice(list(self.nodes.values()) or [None])
             try:
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -124,3 +124,22 @@
     And task job "a1" is handed in again at the instance that recovers
     Then task job "a1" is completed within 16 s
     And 8 task runs were started
+
+  Scenario: A job at an instance that lost the store is stored by the leader
+    Given the store is silent to a task instance that does not lead
+    And 3 s pass in the task fleet
+    When task job "a1" with steps "2x1.0" is handed in there
+    Then it is accepted within 0.1 s
+    And task job "a1" is completed within 4 s
+
+  Scenario: A job is refused at once while the whole store is away
+    Given the store is silent to all task instances
+    And 3 s pass in the task fleet
+    When task job "a1" with steps "2x1.0" is handed in there
+    Then it is refused within 0.1 s
+    And the task store holds no job
+
+  Scenario: A job whose record may be stored is not refused
+    Given the store loses 1.0 of its answers
+    When task job "a1" with steps "2x1.0" is handed in there
+    Then its fate is said to be unknown within 0.8 s
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -3,8 +3,10 @@
 import asyncio
 
 from amaranthflow_scheduler import model
+from amaranthflow_scheduler import ports
 import behave
 
+from amaranthflow import exceptions
 from amaranthflow_standins import task_fleet
 from amaranthflow_standins import virtual_time
 
@@ -259,3 +261,53 @@
                 assert not node.leader.ready, 'recovered too early'
                 return
         await asyncio.sleep(0.01)
+
+
+@behave.given('the store is silent to a task instance that does not lead')
+def step_silent_follower(context):
+    fleet = context.fleet
+    context.place = next(n for n in fleet.nodes if n != fleet.leader())
+    fleet.store.faults.silent.add(context.place)
+
+
+@behave.given('the store is silent to all task instances')
+def step_silent_all(context):
+    context.fleet.store.faults.silent.update(context.fleet.nodes)
+
+
+@behave.when('task job "{job_id}" with steps "{text}" is handed in there')
+def step_hand_in(context, job_id, text):
+    fleet = context.fleet
+    fleet.jobs_steps[job_id] = _steps(text)
+    place = getattr(context, 'place', next(iter(fleet.nodes)))
+    work = _hand_in(fleet, place, job_id)
+    context.outcome, context.took_s = _run(context, work)
+
+
+async def _hand_in(fleet, place, job_id):
+    job = task_fleet.make_job(job_id, fleet.jobs_steps[job_id], fleet.loop)
+    begun_s = fleet.loop.time()
+    outcome = 'accepted'
+    try:
+        await fleet.nodes[place].entry.submit(job)
+    except exceptions.NotReady:
+        outcome = 'refused'
+    except exceptions.RequestUncertain:
+        outcome = 'unknown'
+    return outcome, fleet.loop.time() - begun_s
+
+
+@behave.then('it is {outcome} within {seconds:g} s')
+def step_outcome(context, outcome, seconds):
+    assert context.outcome == outcome, context.outcome
+    assert context.took_s <= seconds, context.took_s
+
+
+@behave.then('its fate is said to be unknown within {seconds:g} s')
+def step_unknown(context, seconds):
+    step_outcome(context, 'unknown', seconds)
+
+
+@behave.then('the task store holds no job')
+def step_no_job(context):
+    assert not context.fleet.store.newest(ports.Table.JOBS).records
