Services of one image share workers

Cause: with the images of services mixed on each worker, nearly every worker has one that an opportunistic image disturbs (5 images, 5 services a worker). Change: a worker with services of other images only costs more.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
@@ -100,6 +100,7 @@
         'tasks',
         'left',
         'speeds',
+        'waits',
     )
 
     def __init__(self, *, job_run: 'JobRun', occurrence: int, number: int):
@@ -109,6 +110,7 @@
         self.step = job_run.job.steps[number]
         self.left = self.step.count
         self.speeds: list[float] = []
+        self.waits = False
         self.tasks = [
             TaskRun(
                 key=model.TaskKey(job_run.job.id, occurrence, number, index),
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
@@ -2,8 +2,10 @@
 
 Services hold most processors and use half of them. Opportunistic runs are
 spread by what is left unused, since a few on each worker hardly slow the
-services there. All other runs go where they leave the largest rooms whole
-elsewhere, so that large tasks find one.
+services there. Each image of opportunistic work disturbs some images of
+services and not others; services of one image share workers, so that most
+workers bear most opportunistic work. All other runs go where they leave the
+largest rooms whole elsewhere, so that large tasks find one.
 """
 
 import typing as t
@@ -18,6 +20,8 @@
 # No run starts where it is expected to raise a tail beyond this share of its
 # target.
 _MOST_TAIL = 0.7
+# Cost of a worker that has services of other images only.
+_MIXED = 1.0
 # Cost of a rack without the step's data, or with none of its other tasks.
 _FAR = 3.0
 # Cost of a worker on which this task has failed, or that fails often.
@@ -111,5 +115,7 @@
         return tail + 1.0 - unused / capacity
     share = worker.room().cpu / capacity
     if step.service:
-        return share
+        images = worker.service_images
+        mixed = images and step.image not in images
+        return share + (_MIXED if mixed else 0.0)
     return share if worker.service_count else 1.0 + share
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -769,9 +769,30 @@
             if worker is None:
                 if not step.max_per_worker:
                     full.add(shape)
+                self._note_waiting(task, candidates)
                 return
             self._place(task, worker, now_s, 'waiting')
 
+    def _note_waiting(
+        self, task: execution.TaskRun, candidates: list[workers.Worker]
+    ) -> None:
+        """Logs once for each step why a task has no worker."""
+        step_run = task.step_run
+        if step_run.waits:
+            return
+        step_run.waits = True
+        rooms = [worker.room().cpu for worker in candidates]
+        logs.event(
+            'step_waits',
+            id=task.key.job,
+            task=_name(task.key),
+            cpu=step_run.step.resources.cpu,
+            opportunistic=step_run.step.opportunistic,
+            workers=len(candidates),
+            largest_room=max(rooms, default=0),
+            free_cpu=sum(rooms),
+        )
+
     def _plan_gang(
         self,
         step_run: execution.StepRun,
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
@@ -60,6 +60,7 @@
     opportunistic_count: int = 0
     service_count: int = 0
     service_cpu: int = 0
+    service_images: dict[str, int] = dataclasses.field(default_factory=dict)
     tails: dict[ids.TaskClass, float] = dataclasses.field(default_factory=dict)
     sample: Sample | None = None
     paced_s: float = 0.0
@@ -120,6 +121,10 @@
         elif step.tail_target_ms:
             self.service_count += sign
             self.service_cpu += sign * need.cpu
+            images = self.service_images
+            images[step.image] = images.get(step.image, 0) + sign
+            if not images[step.image]:
+                del images[step.image]
 
     def room(self) -> model.Resources:
         """Returns what is free."""
