Dead leaders are found out by asking, own former terms at once

Change: an instance claims at once where the newest term is its own former process's, or where the silent leader's process refuses connections or says that it does not lead. Leases last 4.5 s.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/elections.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/elections.py
@@ -19,7 +19,9 @@
 # How often the leader repeats its record. Three missing ones are a third of
 # a lease, so that a new leader reaches the workers before leases lapse.
 RENEW_S = 0.5
-TAKEOVER_S = 1.6
+TAKEOVER_S = 1.5
+# Silence after which the leader is asked whether it still leads.
+DOUBT_S = 0.65
 # Reads further apart than this prove nothing about the time between them.
 _GAP_S = 1.6
 
@@ -71,12 +73,18 @@
 class Observer:
     """What an instance has read of the leaders' table.
 
+    :param instance: this instance. A term of its own that it does not serve
+        is one of its former process.
     :param patience_s: silence after which this instance claims.
     """
 
-    def __init__(self, *, patience_s: float = TAKEOVER_S):
+    def __init__(
+        self, *, instance: ids.InstanceId, patience_s: float = TAKEOVER_S
+    ):
         self.term: Term | None = None
         self.end = 0
+        self._instance = instance
+        self._over: Term | None = None
         self._patience_s = patience_s
         self._silent_since_s: float | None = None
         self._read_s: float | None = None
@@ -103,10 +111,23 @@
         """Notes that a read has failed; silence counts anew."""
         self._silent_since_s = None
 
+    def mark_over(self, term: Term) -> None:
+        """Notes that a term's process no longer serves it."""
+        self._over = term
+
+    def silent_s(self, now_s: float) -> float:
+        """Returns for how long there surely was no record, in seconds."""
+        if self._silent_since_s is None:
+            return 0.0
+        return now_s - self._silent_since_s
+
     def may_claim(self, now_s: float) -> bool:
-        """Tells whether there is no leader that repeats its record."""
+        """Tells whether there is no leader, for one that does not lead."""
         if self._silent_since_s is None:
             return False
-        if self.term is None or self.term.released:
+        term = self.term
+        if term is None or term.released or term == self._over:
+            return True
+        if term.instance == self._instance:
             return True
-        return now_s - self._silent_since_s >= self._patience_s
+        return self.silent_s(now_s) >= self._patience_s
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/httpclient.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/httpclient.py
@@ -11,6 +11,8 @@
 
 from amaranthflow import exceptions
 
+from . import ports
+
 # A host that does not answer the opening packet within this time is taken as
 # unreachable; twice the longest round trip plus a slow accept.
 _CONNECT_S = 0.5
@@ -134,6 +136,9 @@
                 _, conn = await loop.create_connection(
                     Connection, self._host, self._port
                 )
+        except ConnectionRefusedError as exc:
+            reason = f'{self.address} refuses connections'
+            raise ports.NobodyListens(reason) from exc
         except (OSError, TimeoutError) as exc:
             reason = f'no connection to {self.address}: {exc!r}'
             raise exceptions.PlatformError(reason) from exc
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -22,7 +22,7 @@
 
 # Lease that each hold renews. It outlasts a takeover and two lost holds, and
 # bounds how long the work of a silent worker cannot start elsewhere.
-_LEASE_MS = 4_000
+_LEASE_MS = 4_500
 # A start that is not carried out within this time is void.
 _START_VALID_MS = 1_500
 # A worker's report is at most this old; a lease is renewed several times.
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
@@ -18,6 +18,8 @@
 from . import scheduler
 
 _WAIT_MS = 1_000
+# A little longer than DOUBT_S, so that one read proves that much silence.
+_LEADERS_WAIT_MS = 700
 _RETRY_S = 0.25
 # Instances claim one after the other, so that few claims are refused.
 _CLAIM_SPREAD_S = 0.25
@@ -73,10 +75,13 @@
         )
         spread = hashlib.sha256(identity.instance.encode()).digest()[0] / 255
         patience_s = elections.TAKEOVER_S + spread * _CLAIM_SPREAD_S
-        self._observer = elections.Observer(patience_s=patience_s)
+        self._observer = elections.Observer(
+            instance=identity.instance, patience_s=patience_s
+        )
         self.entry = entry_lib.Entry(
             store=store, peers=self, clock=clock, meters=meters
         )
+        self._configured = asyncio.Event()
         self._useful_s = float('-inf')
         self._store_lost = False
         self._lost_s = float('-inf')
@@ -137,7 +142,7 @@
                     batch = await self._store.read(
                         ports.Table.LEADERS,
                         self._observer.end,
-                        wait_ms=0 if self._store_lost else _WAIT_MS,
+                        wait_ms=0 if self._store_lost else _LEADERS_WAIT_MS,
                     )
             except exceptions.OffsetExpired:
                 started = False
@@ -150,6 +155,7 @@
                 continue
             self._note_store(None)
             self._take_leaders(batch, asked_s)
+            await self._doubt_leader()
             await self._claim_if_due()
 
     async def _newest_leader(self) -> ports.Batch:
@@ -186,13 +192,38 @@
             name = 'store_lost' if exc is not None else 'store_back'
             logs.event(name, error=str(exc) if exc else None)
 
+    async def _doubt_leader(self) -> None:
+        """Asks a silent leader whether it still leads."""
+        term = self._observer.term
+        if term is None or term.released or self.leader is not None:
+            return
+        if self._observer.silent_s(self._clock.monotonic()) < (
+            elections.DOUBT_S
+        ):
+            return
+        try:
+            answer = await self._caller.call(
+                term.address, 'term', {}, _RETRY_S
+            )
+            gone = answer.get('token') != term.token
+        except ports.NobodyListens:
+            gone = True
+        except exceptions.AmaranthflowError:
+            # No answer proves nothing; silence for longer will.
+            gone = False
+        logs.event('leader_doubted', leader=term.instance, gone=gone)
+        if gone:
+            self._observer.mark_over(term)
+
     async def _claim_if_due(self) -> None:
         if self.stopping or self._term_task is not None:
             return
-        if self.cfg is None:
-            return
         if not self._observer.may_claim(self._clock.monotonic()):
             return
+        if not await clock_lib.wait_event(
+            self._clock, self._configured, _RETRY_S
+        ):
+            return
         identity = self._identity
         value = elections.encode(
             None, instance=identity.instance, address=identity.address
@@ -309,6 +340,7 @@
         if self.cfg is not None and cfg.version <= self.cfg.version:
             return
         self.cfg = cfg
+        self._configured.set()
         logs.event(
             'configuration', version=cfg.version, queues=len(cfg.queues)
         )
@@ -340,6 +372,9 @@
         """Answers another instance. Raises NotReady."""
         if name == 'leader':
             return self._tell_leader()
+        if name == 'term':
+            leader = self.leader
+            return {'token': leader.term.token if leader else None}
         if name == 'accept':
             return await self.entry.accept(message)
         if self.leader is None:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/ports.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/ports.py
@@ -4,6 +4,7 @@
 import enum
 import typing as t
 
+from amaranthflow import exceptions
 from amaranthflow import ids
 
 from . import model
@@ -45,6 +46,10 @@
         self.end = end
 
 
+class NobodyListens(exceptions.PlatformError):
+    """The address refuses connections: its process is gone."""
+
+
 class Writer(t.NamedTuple):
     """A writer that shuts out all those with a lower token.
 
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
@@ -84,6 +84,9 @@
     ) -> dict:
         node = self._fleet.nodes.get(address)
         frozen = self._fleet.frozen
+        if node is None and address not in frozen:
+            await asyncio.sleep(_PEER_S)
+            raise ports.NobodyListens(address)
         if node is None or self._instance in frozen or address in frozen:
             await asyncio.sleep(timeout_s)
             raise exceptions.PlatformUncertain('no answer')
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -158,3 +158,13 @@
     When the store is silent for 4 s
     Then task job "a1" is completed within 1.5 s
     And the task fleet broke no promise
+
+  Scenario: A killed leader is followed before it is silent for long
+    Given 1 s pass in the task fleet
+    When the task fleet's leader is killed
+    Then another task instance leads within 1.3 s
+
+  Scenario: An instance that led and starts anew claims at once
+    Given 1 s pass in the task fleet
+    When all task instances are killed and started anew after 0.1 s
+    Then a task instance leads within 0.2 s
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -116,7 +116,8 @@
 
 @behave.when("the task fleet's leader is killed")
 def step_kill(context):
-    _run(context, context.fleet.kill(context.fleet.leader()))
+    context.before = context.fleet.leader()
+    _run(context, context.fleet.kill(context.before))
 
 
 @behave.when("the task fleet's leader steps down")
@@ -126,6 +127,11 @@
     _run(context, node.step_down())
 
 
+@behave.then('a task instance leads within {seconds:g} s')
+def step_leads(context, seconds):
+    _run(context, context.fleet.wait_leader(seconds))
+
+
 @behave.then('another task instance leads within {seconds:g} s')
 def step_other(context, seconds):
     name = _run(context, context.fleet.wait_leader(seconds))
