--- /dev/null
+++ b/tests/platform/adapter.feature
@@ -0,0 +1,171 @@
+Feature: Adapter to the users' platform
+
+  Scenario: A folder named platform does not hide the standard library's
+    When a program is started by a script in the folder "platform"
+    Then it imports the standard library's platform module
+
+  Scenario: Settings rendered from the template are read
+    Given platform settings as the template renders them
+    When the platform settings are loaded
+    Then the instance is "edge-z-1" with callers at "10.1.0.13:8161"
+
+  Scenario Outline: Bad settings are refused by name
+    Given platform settings as the template renders them
+    And platform setting "<name>" is <value>
+    When the platform settings are loaded
+    Then they are refused, naming "<name>"
+
+    Examples:
+      | name            | value     |
+      | callers_address | "nowhere" |
+      | grace_s         | 0         |
+      | hold_max_ms     | "long"    |
+      | seeds           | null      |
+      | surprise        | 1         |
+
+  Scenario: A job is decoded into the product's terms
+    When job body '{"spec":"s","steps":[{"count":2,"cpu":500,"mem_mb":64,"perpetual":true,"fills":true,"speculative":true,"affinity":"r1","anti_affinity":3,"may_miss":1,"requirements":"a","new_field":1}],"times":0}' is decoded
+    Then step 0 has service, opportunistic and backups set
+    And step 0 has data on rack "r1", 3 on a worker, 1 unavailable, label "a"
+
+  Scenario Outline: A malformed job is refused with a reason
+    When job body '<body>' is decoded
+    Then it is refused as a bad request
+
+    Examples:
+      | body                                         |
+      | {                                            |
+      | []                                           |
+      | {"steps":[]}                                 |
+      | {"steps":[{"count":0}]}                      |
+      | {"steps":[{"count":"2"}]}                    |
+      | {"steps":[{"count":1,"cpu":-1}]}             |
+      | {"steps":[{"count":1,"after":[0]}]}          |
+      | {"steps":[{"count":99999}]}                  |
+      | {"spec":5,"steps":[{"count":1}]}             |
+
+  Scenario Outline: An entry that names no worker to use is set aside
+    When worker entry '<value>' is decoded
+    Then there is no worker entry
+
+    Examples:
+      | value                                                                             |
+      | nonsense                                                                          |
+      | {"service":"s","address":"a:1","zone":"z","state":"odd","capacity":{"cpu":1,"mem_mb":1}} |
+      | {"service":"s","zone":"z","state":"ready","capacity":{"cpu":1,"mem_mb":1}}         |
+      | {"service":"s","address":"a:1","zone":"z","state":"ready"}                         |
+      | {"service":7,"address":"a:1","zone":"z","state":"ready","capacity":{"cpu":1,"mem_mb":1}} |
+
+  Scenario: A worker's report is decoded
+    When report '{"clock_ms":5,"born":7,"running":[["5c0e7a21d94b36f8.0.1.17",2,"ab",41,12]],"finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"lapsed",""]]}' is decoded
+    Then the report has a run at 41 percent with gauge 12 and an end numbered 58
+
+  Scenario: A report that cannot be read proves nothing
+    When report '{"clock_ms":5,"born":7,"finished":[[1,"x","y"]]}' is decoded
+    Then the platform's answer is uncertain
+
+  Scenario: Configurations are decoded, others' records set aside
+    Then the wire's configuration has 2 queues and the longest prefix wins
+    And a configuration record "nonsense" is set aside
+
+  Scenario Outline: The store's statuses are told apart
+    Given a store that answers <status> with '<body>'
+    When a record is appended
+    Then the append ends as <outcome>
+
+    Examples:
+      | status | body                                  | outcome     |
+      | 200    | {"offset":840,"end":842}              | offset 840  |
+      | 412    | {"end":9}                             | a conflict  |
+      | 409    | {"reason":"fenced"}                   | a conflict  |
+      | 429    | {}                                    | not done    |
+      | 503    | {}                                    | not done    |
+      | 507    | {}                                    | not done    |
+      | 500    | {}                                    | uncertain   |
+      | 200    | garbage                               | uncertain   |
+
+  Scenario: A store that never answers is given up
+    Given a store that never answers
+    When a record is appended
+    Then the append ends as uncertain
+
+  Scenario: A store that does not listen has done nothing
+    Given no store
+    When a record is appended
+    Then the append ends as not done
+
+  Scenario: Records are framed as the store wants them and read back
+    Given a store that returns the records it was sent
+    When a record is appended
+    And the table is read from 5
+    Then record 5 has the key and value that were appended
+
+  Scenario Outline: A worker's refusals are told apart
+    Given a worker that answers <status> with '<body>'
+    When a run is started there
+    Then the start ends as <outcome>
+
+    Examples:
+      | status | body                                | outcome           |
+      | 200    | {"clock_ms":12}                     | clock 12          |
+      | 409    | {"clock_ms":1,"reason":"fence"}     | refused token     |
+      | 409    | {"clock_ms":1,"reason":"old"}       | refused old       |
+      | 409    | {"clock_ms":1,"reason":"late"}      | refused late      |
+      | 409    | {"clock_ms":1,"reason":"room"}      | refused room      |
+      | 409    | {"clock_ms":1,"reason":"ticket"}    | refused ticket    |
+      | 409    | {"clock_ms":1,"reason":"new word"}  | uncertain         |
+      | 421    | {}                                  | refused other-life |
+      | 400    | {}                                  | refused invalid   |
+      | 503    | {}                                  | refused unhealthy |
+      | 500    | {}                                  | uncertain         |
+
+  Scenario Outline: Callers' requests get the platform's statuses
+    Given a front with a queue at "jobs.example/jobs/"
+    And its node <state>
+    When a caller sends "<request>" with body '<body>'
+    Then the caller gets <status>
+
+    Examples:
+      | state                    | request                              | body                   | status |
+      | accepts                  | POST /jobs/5c0e7a21d94b36f8          | {"steps":[{"count":1}]} | 200    |
+      | accepts                  | POST /jobs/5c0e7a21d94b36f8          | {"steps":              | 400    |
+      | accepts                  | POST /jobs/nohexid                   | {"steps":[{"count":1}]} | 400    |
+      | accepts                  | POST /other/5c0e7a21d94b36f8         | {"steps":[{"count":1}]} | 404    |
+      | accepts                  | PUT /jobs/5c0e7a21d94b36f8           | {}                     | 405    |
+      | refuses                  | POST /jobs/5c0e7a21d94b36f8          | {"steps":[{"count":1}]} | 503    |
+      | does not know            | POST /jobs/5c0e7a21d94b36f8          | {"steps":[{"count":1}]} | 504    |
+      | has no configuration     | POST /jobs/5c0e7a21d94b36f8          | {"steps":[{"count":1}]} | 503    |
+      | knows the job            | GET /jobs/5c0e7a21d94b36f8           |                        | 200    |
+      | knows no job             | GET /jobs/5c0e7a21d94b36f8           |                        | 410    |
+      | knows no job             | DELETE /jobs/5c0e7a21d94b36f8        |                        | 410    |
+      | knows the job            | DELETE /jobs/5c0e7a21d94b36f8        |                        | 200    |
+      | knows the job            | GET /jobs/                           |                        | 200    |
+
+  Scenario: A refusal says when to come back
+    Given a front with a queue at "jobs.example/jobs/"
+    And its node refuses
+    When a caller sends "POST /jobs/5c0e7a21d94b36f8" with body '{"steps":[{"count":1}]}'
+    Then the caller is told to come back
+
+  Scenario Outline: Bytes that are no request end only their connection
+    Given an HTTP server with a limit of 100 bytes
+    When a client sends it the bytes "<bytes>"
+    Then the client gets status <status> and the connection ends
+    And a sound request is answered
+
+    Examples:
+      | bytes                                                            | status |
+      | \x00\x01\x02 nonsense\r\n\r\n                                    | 400    |
+      | POST / HTTP/1.1\r\nContent-Length: 200\r\n\r\n{200}              | 413    |
+      | GET / HTTP/1.1\r\nX: {20000}\r\n\r\n                             | 431    |
+
+  Scenario: Requests on one connection are answered in turn
+    Given an HTTP server with a limit of 100 bytes
+    When a client sends it two requests at once
+    Then it gets both answers in order
+
+  Scenario: A draining server answers and ends the connection
+    Given an HTTP server with a limit of 100 bytes
+    And it drains
+    When a client sends it a request
+    Then the answer says that the connection closes
--- /dev/null
+++ b/tests/steps/platform_adapter_steps.py
@@ -0,0 +1,501 @@
+"""Steps for the adapter's features. Connections are on the loopback only."""
+
+import asyncio
+import json
+import pathlib
+import struct
+import subprocess
+import sys
+import tempfile
+import types
+
+from amaranthflow_platform import fleet
+from amaranthflow_platform import front
+from amaranthflow_platform import settings
+from amaranthflow_platform import store
+from amaranthflow_platform import wire
+from amaranthflow_scheduler import httpserver
+from amaranthflow_scheduler import model
+from amaranthflow_scheduler import ports
+import behave
+
+from amaranthflow import exceptions
+from amaranthflow import ids
+from amaranthflow_standins import clock
+
+_ROOT = pathlib.Path(__file__).resolve().parents[2]
+_HOST = '127.0.0.1'
+_JOB = ids.JobId('5c0e7a21d94b36f8')
+_QUEUE = model.Queue(
+    id=model.QueueId('jobs'),
+    host='jobs.example',
+    prefix='/jobs/',
+    service=ids.ServiceId('s'),
+)
+_CFG = model.Configuration(
+    version=1,
+    queues=(_QUEUE,),
+    checked_services=frozenset(),
+    max_body_bytes=1_000,
+    idle_timeout_ms=1_000,
+)
+
+
+@behave.when('a program is started by a script in the folder "platform"')
+def step_script(context):
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / 'platform'
+        path.mkdir()
+        (path / 'run.py').write_text(
+            'import platform, uuid; print(platform.python_version())'
+        )
+        done = subprocess.run(
+            [sys.executable, 'platform/run.py'],
+            cwd=folder,
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+    context.done = done
+    assert not (_ROOT / 'platform' / '__init__.py').exists()
+
+
+@behave.then("it imports the standard library's platform module")
+def step_stdlib(context):
+    assert context.done.returncode == 0, context.done.stderr
+    assert context.done.stdout.startswith('3.'), context.done.stdout
+
+
+# settings
+
+
+@behave.given('platform settings as the template renders them')
+def step_settings(context):
+    text = (_ROOT / 'deploy' / 'settings.json').read_text()
+    values = {
+        'node_name': 'edge-z-1',
+        'listen.front': '10.1.0.13:8161',
+        'listen.ready': '10.1.0.13:8167',
+        'listen.control': '10.1.0.13:8166',
+        'seeds': ['10.1.0.13:8166'],
+        'platform.address': '10.200.1.7:8169',
+        'bounds.hold_max_ms': 6000,
+        'bounds.status_s': 120,
+        'bounds.grace_s': 6,
+    }
+    for name, value in values.items():
+        text = text.replace(f'{{{{{name}|json}}}}', json.dumps(value))
+    assert '{{' not in text, text
+    context.settings = json.loads(text)
+
+
+@behave.given('platform setting "{name}" is {value}')
+def step_setting(context, name, value):
+    context.settings[name] = json.loads(value)
+
+
+@behave.when('the platform settings are loaded')
+def step_load(context):
+    context.error = None
+    with tempfile.NamedTemporaryFile('w', suffix='.json') as file:
+        json.dump(context.settings, file)
+        file.flush()
+        try:
+            context.cfg = settings.load(file.name)
+        except exceptions.SettingsError as exc:
+            context.error = exc
+
+
+@behave.then('the instance is "{name}" with callers at "{address}"')
+def step_loaded(context, name, address):
+    assert context.error is None, context.error
+    assert context.cfg.instance == name
+    assert context.cfg.callers_address == address
+
+
+@behave.then('they are refused, naming "{name}"')
+def step_settings_refused(context, name):
+    assert name in str(context.error), context.error
+
+
+# wire
+
+
+@behave.when("job body '{body}' is decoded")
+def step_decode_job(context, body):
+    context.error = None
+    try:
+        context.job = wire.decode_job(_JOB, _QUEUE, body.encode(), 5)
+    except exceptions.RequestRefused as exc:
+        context.error = exc
+
+
+@behave.then('step 0 has service, opportunistic and backups set')
+def step_traits(context):
+    assert context.error is None, context.error
+    step = context.job.steps[0]
+    assert step.service and step.opportunistic and step.backups
+    assert step.resources == model.Resources(500, 64, 0)
+
+
+@behave.then(
+    'step 0 has data on rack "{rack}", {most:d} on a worker, {away:d} '
+    'unavailable, label "{label}"'
+)
+def step_amounts(context, rack, most, away, label):
+    step = context.job.steps[0]
+    found = (step.data_rack, step.max_per_worker, step.max_unavailable)
+    assert found == (rack, most, away), found
+    assert step.label == label
+
+
+@behave.then('it is refused as a bad request')
+def step_bad(context):
+    assert context.error is not None, context.job
+    assert context.error.reason
+
+
+@behave.when("worker entry '{value}' is decoded")
+def step_entry(context, value):
+    context.entry = wire.Decoder().worker(b'i-1', value.encode())
+
+
+@behave.then('there is no worker entry')
+def step_no_entry(context):
+    assert context.entry is None, context.entry
+
+
+@behave.when("report '{body}' is decoded")
+def step_report(context, body):
+    context.error = None
+    try:
+        context.report = wire.decode_report(body.encode())
+    except exceptions.PlatformUncertain as exc:
+        context.error = exc
+
+
+@behave.then(
+    'the report has a run at {percent:d} percent with gauge {gauge:d} and '
+    'an end numbered {number:d}'
+)
+def step_reported(context, percent, gauge, number):
+    (run,) = context.report.running
+    (end,) = context.report.ended
+    assert (run.percent, run.gauge, run.run) == (percent, gauge, 2)
+    assert run.task == model.TaskKey(_JOB, 0, 1, 17)
+    assert (end.number, end.ending) == (number, model.Ending.LAPSED)
+
+
+@behave.then("the platform's answer is uncertain")
+def step_uncertain(context):
+    assert context.error is not None
+
+
+@behave.then(
+    "the wire's configuration has {count:d} queues and the longest prefix wins"
+)
+def step_configuration(context, count):
+    routes = [
+        {
+            'name': name,
+            'hostname': 'H.example',
+            'path_prefix': prefix,
+            'service': 's',
+        }
+        for name, prefix in (('a', '/x/'), ('b', '/x/y/'))
+    ]
+    value = json.dumps({'version': 3, 'routes': routes, 'services': []})
+    cfg = wire.Decoder().configuration(b'config', value.encode())
+    assert len(cfg.queues) == count
+    assert cfg.find_queue('h.example', '/x/y/z').id == 'b'
+    assert cfg.find_queue('h.example', '/x/z').id == 'a'
+    assert cfg.find_queue('other', '/x/z') is None
+
+
+@behave.then('a configuration record "{value}" is set aside')
+def step_no_configuration(context, value):
+    decoder = wire.Decoder()
+    assert decoder.configuration(b'config', value.encode()) is None
+    assert decoder.configuration(b'wave/1', b'{}') is None
+
+
+# store and workers
+
+
+def _answering(status, body):
+    async def handler(req):
+        return httpserver.Response(status=status, body=body)
+
+    return handler
+
+
+async def _serve(handler, limit=1_000_000):
+    server = httpserver.Server(
+        name='test',
+        handler=handler,
+        max_body_bytes=lambda: limit,
+        idle_s=lambda: 60.0,
+    )
+    await server.start(_HOST, 0)
+    port = server._server.sockets[0].getsockname()[1]
+    return server, f'{_HOST}:{port}'
+
+
+def _with_server(context, work):
+    """Runs ``work(address)`` beside the context's server."""
+
+    async def main():
+        server, address = await _serve(context.handler)
+        try:
+            return await work(address)
+        finally:
+            server.stop()
+
+    return asyncio.run(main())
+
+
+@behave.given("a store that answers {status:d} with '{body}'")
+@behave.given("a worker that answers {status:d} with '{body}'")
+def step_answering(context, status, body):
+    context.handler = _answering(status, body.encode())
+
+
+@behave.given('a store that never answers')
+def step_silent(context):
+    async def handler(req):
+        await asyncio.sleep(60.0)
+
+    context.handler = handler
+
+
+@behave.given('no store')
+def step_no_store(context):
+    context.handler = None
+
+
+@behave.given('a store that returns the records it was sent')
+def step_echo(context):
+    kept = []
+
+    async def handler(req):
+        if 'log-append' in req.path:
+            kept.append(req.body)
+            return httpserver.Response(status=200, body=b'{"offset":5}')
+        head = struct.pack('>QQ', 6, 0)
+        return httpserver.Response(status=200, body=head + kept[0])
+
+    context.handler = handler
+
+
+async def _append(address):
+    link = store.Store(address=address)
+    try:
+        items = [(b'key', b'value')]
+        offset = await link.append(ports.Table.JOBS, items)
+        return f'offset {offset}'
+    except ports.Conflict:
+        return 'a conflict'
+    except exceptions.PlatformUncertain:
+        return 'uncertain'
+    except exceptions.PlatformError:
+        return 'not done'
+
+
+@behave.when('a record is appended')
+def step_append(context):
+    if context.handler is None:
+        context.outcome = asyncio.run(_append(f'{_HOST}:1'))
+    else:
+        context.outcome = _with_server(context, _append)
+
+
+@behave.then('the append ends as {outcome}')
+@behave.then('the start ends as {outcome}')
+def step_outcome(context, outcome):
+    assert context.outcome == outcome, context.outcome
+
+
+@behave.when('the table is read from {offset:d}')
+def step_read(context, offset):
+    async def work(address):
+        link = store.Store(address=address)
+        return await link.read(ports.Table.JOBS, offset)
+
+    context.batch = _with_server(context, work)
+
+
+@behave.then('record {offset:d} has the key and value that were appended')
+def step_record(context, offset):
+    (record,) = context.batch.records
+    assert record == ports.Record(offset, b'key', b'value'), record
+    assert context.batch.end == offset + 1
+
+
+@behave.when('a run is started there')
+def step_start(context):
+    async def work(address):
+        link = fleet.Fleet().link(ids.WorkerId('i-1'), address)
+        order = ports.StartOrder(
+            task=model.TaskKey(_JOB, 0, 0, 0),
+            run=model.Run(1),
+            payload='',
+            deadline_ms=9,
+        )
+        try:
+            return f'clock {await link.start(order, model.Token(3))}'
+        except ports.OrderRefused as exc:
+            return f'refused {exc.refusal.value}'
+        except exceptions.PlatformUncertain:
+            return 'uncertain'
+
+    context.outcome = _with_server(context, work)
+
+
+# front
+
+
+class _Entry:
+    """Answers as a state says."""
+
+    def __init__(self, state):
+        self._state = state
+
+    async def submit(self, job):
+        if self._state == 'refuses':
+            raise exceptions.NotReady('store', retry_after_ms=2_000)
+        if self._state == 'does not know':
+            raise exceptions.RequestUncertain('store')
+
+    async def state(self, job_id):
+        known = self._state == 'knows the job'
+        return model.JobState.RUNNING if known else None
+
+    async def cancel(self, job_id):
+        return self._state == 'knows the job'
+
+    async def pending_count(self, queue):
+        return 3
+
+
+@behave.given('a front with a queue at "{place}"')
+def step_front(context, place):
+    assert place == _QUEUE.host + _QUEUE.prefix
+
+
+@behave.given('its node {state}')
+def step_node(context, state):
+    cfg = None if state == 'has no configuration' else _CFG
+    context.node = types.SimpleNamespace(cfg=cfg, entry=_Entry(state))
+
+
+@behave.when('a caller sends "{line}" with body \'{body}\'')
+def step_send(context, line, body):
+    method, path = line.split()
+    req = httpserver.Request(
+        method=method,
+        path=path,
+        headers={'host': 'JOBS.example:80'},
+        body=body.encode(),
+    )
+    handler = front.Front(node=context.node, clock=clock.FakeClock())
+    context.answer = asyncio.run(handler(req))
+
+
+@behave.when('a caller sends "{line}" with body \'\'')
+def step_send_empty(context, line):
+    step_send(context, line, '')
+
+
+@behave.then('the caller gets {status:d}')
+def step_status(context, status):
+    assert context.answer.status == status, context.answer
+
+
+@behave.then('the caller is told to come back')
+def step_retry_after(context):
+    assert context.answer.retry_after_s == 2, context.answer
+
+
+# HTTP
+
+
+@behave.given('an HTTP server with a limit of {limit:d} bytes')
+def step_http(context, limit):
+    context.limit = limit
+    context.draining = False
+
+
+@behave.given('it drains')
+def step_drains(context):
+    context.draining = True
+
+
+def _talk(context, data, times=1):
+    """Sends bytes; returns all that comes back, and a sound answer."""
+
+    async def main():
+        async def handler(req):
+            return httpserver.Response(status=200, body=req.path.encode())
+
+        server, address = await _serve(handler, context.limit)
+        server.draining = context.draining
+        port = int(address.rpartition(':')[2])
+        try:
+            reader, writer = await asyncio.open_connection(_HOST, port)
+            writer.write(data)
+            found = b''
+            while found.count(b'HTTP/1.1') < times or b'\r\n\r\n' not in found:
+                piece = await reader.read(65_536)
+                if not piece:
+                    break
+                found += piece
+            writer.close()
+            reader, writer = await asyncio.open_connection(_HOST, port)
+            writer.write(b'GET /sound HTTP/1.1\r\nHost: x\r\n\r\n')
+            sound = await reader.readuntil(b'/sound')
+            writer.close()
+            return found, sound
+        finally:
+            server.stop()
+
+    return asyncio.run(main())
+
+
+@behave.when('a client sends it the bytes "{text}"')
+def step_bytes(context, text):
+    data = text.encode().decode('unicode_escape').encode('latin-1')
+    for size in (200, 20_000):
+        data = data.replace(b'{%d}' % size, b'x' * size)
+    context.found, context.sound = _talk(context, data)
+
+
+@behave.then('the client gets status {status:d} and the connection ends')
+def step_http_status(context, status):
+    assert context.found.startswith(b'HTTP/1.1 %d ' % status), context.found
+    assert b'Connection: close' in context.found
+
+
+@behave.then('a sound request is answered')
+def step_sound(context):
+    assert context.sound.startswith(b'HTTP/1.1 200'), context.sound
+
+
+@behave.when('a client sends it two requests at once')
+def step_two_requests(context):
+    data = b''.join(b'GET /%d HTTP/1.1\r\nHost: x\r\n\r\n' % n for n in (1, 2))
+    context.found, _ = _talk(context, data, times=2)
+
+
+@behave.then('it gets both answers in order')
+def step_in_order(context):
+    assert 0 < context.found.find(b'/1') < context.found.find(b'/2')
+
+
+@behave.when('a client sends it a request')
+def step_one_request(context):
+    context.found, _ = _talk(context, b'GET /1 HTTP/1.1\r\nHost: x\r\n\r\n')
+
+
+@behave.then('the answer says that the connection closes')
+def step_closes(context):
+    assert b'Connection: close' in context.found, context.found
