Instances wait longer for the leader's append while the store is slow

Change: the leader's record tells how long its appends take; the own way follows after three times that.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/entry.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/entry.py
@@ -23,7 +23,7 @@
 RETRY_AFTER_MS = 2_000
 _ASK_S = 0.6
 # The leader stores a job within a few ms. What takes longer, and longer than
-# usual, this instance stores as well.
+# the leader's appends take now, this instance stores as well.
 _HEDGE_S = 0.12
 _HEDGE_RATIO = 3.0
 # A caller learns after this time, or several times the usual, that its job's
@@ -31,7 +31,6 @@
 _ACCEPT_S = 0.7
 _ACCEPT_RATIO = 4.0
 _MOST_ACCEPT_S = 1.6
-_USUAL_WEIGHT = 0.3
 _ASK_RETRY_S = 0.1
 # How long a question waits for a leader before the caller is told to return.
 _PATIENCE_S = 1.2
@@ -46,6 +45,9 @@
     def store_lost(self) -> bool:
         """Tells whether the store did not answer the last read."""
 
+    def append_s(self) -> float:
+        """Returns how long an append of the leader's takes, in seconds."""
+
     async def ask(self, name: str, message: dict, limit_s: float) -> dict:
         """Calls the leader. Raises NotReady and platform errors."""
 
@@ -101,7 +103,6 @@
         self._peers = peers
         self._clock = clock
         self._meters = meters
-        self._usual_s = 0.0
 
     async def submit(self, job: model.Job) -> None:
         """Returns once the job is stored.
@@ -113,7 +114,6 @@
         begun_s = self._clock.monotonic()
         outcome = await self._try_ways(job, value)
         took_s = self._clock.monotonic() - begun_s
-        self._usual_s += _USUAL_WEIGHT * (took_s - self._usual_s)
         if outcome.way:
             self._meters.observe('accept', took_s)
             logs.event(
@@ -149,8 +149,9 @@
         ways = [self._store_by_leader, self._store_here]
         if self._peers.local() is not None:
             ways = [self._store_here]
-        hedge_s = max(_HEDGE_S, _HEDGE_RATIO * self._usual_s)
-        accept_s = max(_ACCEPT_S, _ACCEPT_RATIO * self._usual_s)
+        usual_s = self._peers.append_s()
+        hedge_s = max(_HEDGE_S, _HEDGE_RATIO * usual_s)
+        accept_s = max(_ACCEPT_S, _ACCEPT_RATIO * usual_s)
         pending: dict[asyncio.Task, str] = {}
         loop = asyncio.get_running_loop()
         end_s = loop.time() + min(accept_s, _MOST_ACCEPT_S)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
@@ -353,6 +353,11 @@
         """Returns the leader if this instance leads."""
         return self.leader
 
+    def append_s(self) -> float:
+        """Returns how long an append of the leader's takes, in seconds."""
+        term = self._observer.term
+        return term.append_s if term is not None else 0.0
+
     def store_lost(self) -> bool:
         """Tells whether the store did not answer the last read."""
         return self._store_lost
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -168,3 +168,9 @@
     Given 1 s pass in the task fleet
     When all task instances are killed and started anew after 0.1 s
     Then a task instance leads within 0.2 s
+
+  Scenario: A slow store is not burdened by appends of every instance
+    Given the store's answers take 0.3 s more
+    And 2 s pass in the task fleet
+    When 6 task jobs are handed in at different instances at once
+    Then all of them are accepted and 6 records were written for them
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -253,6 +253,7 @@
     assert not broken, broken
 
 
+@behave.given("the store's answers take {seconds:g} s more")
 @behave.when("the store's answers take {seconds:g} s more")
 def step_slow(context, seconds):
     context.fleet.store.faults.slow_s = seconds
@@ -330,3 +331,31 @@
 @behave.when('the store is back')
 def step_store_back(context):
     context.fleet.store.faults.silent.clear()
+
+
+@behave.when(
+    '{count:d} task jobs are handed in at different instances at once'
+)
+def step_hand_in_many(context, count):
+    fleet = context.fleet
+    names = list(fleet.nodes)
+    work = []
+    for number in range(count):
+        job_id = f'a{number}'
+        fleet.jobs_steps[job_id] = _steps('1x1.0')
+        place = names[number % len(names)]
+        work.append(_hand_in(fleet, place, job_id))
+
+    async def gather():
+        return await asyncio.gather(*work)
+
+    context.outcomes = [outcome for outcome, _ in _run(context, gather())]
+
+
+@behave.then(
+    'all of them are accepted and {count:d} records were written for them'
+)
+def step_all_accepted(context, count):
+    assert set(context.outcomes) == {'accepted'}, context.outcomes
+    written = context.fleet.store.newest(ports.Table.JOBS).end
+    assert written == count, written
