Overdue appends are repeated beside the first; a leader that is there is waited for

Change: the leader repeats an overdue append beside the first attempt (jobs are idempotent, progress carries a number); other instances take their own way only if the leader does not answer a question. The append time in leader records goes.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/elections.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/elections.py
@@ -31,14 +31,12 @@
     """A leader's time in office as its newest record tells.
 
     :ivar released: the leader has stepped down.
-    :ivar append_s: how long the leader's last append took, in seconds.
     """
 
     token: model.Token
     instance: ids.InstanceId
     address: str
     released: bool = False
-    append_s: float = dataclasses.field(default=0.0, compare=False)
 
 
 def encode(term: Term | None, *, instance: str, address: str) -> bytes:
@@ -47,7 +45,6 @@
     if term is not None:
         fields['token'] = term.token
         fields['released'] = term.released
-        fields['append_s'] = round(term.append_s, 3)
     return msgspec.json.encode(fields)
 
 
@@ -61,7 +58,6 @@
             instance=ids.InstanceId(fields['instance']),
             address=str(fields['address']),
             released=bool(fields.get('released')),
-            append_s=float(fields.get('append_s', 0.0)),
         )
     except (
         msgspec.MsgspecError,
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/entry.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/entry.py
@@ -22,15 +22,12 @@
 # A new leader is there about this long after the old one is lost.
 RETRY_AFTER_MS = 2_000
 _ASK_S = 0.6
-# The leader stores a job within a few ms. What takes longer, and longer than
-# the leader's appends take now, this instance stores as well.
+# The leader stores a job within a few ms. When it takes longer, the leader is
+# asked whether it is there.
 _HEDGE_S = 0.12
-_HEDGE_RATIO = 3.0
-# A caller learns after this time, or several times the usual, that its job's
-# fate is unknown.
-_ACCEPT_S = 0.7
-_ACCEPT_RATIO = 4.0
-_MOST_ACCEPT_S = 1.6
+# A caller learns after this time that its job's fate is unknown. An append
+# to a slow store takes a third of it.
+_ACCEPT_S = 0.75
 _ASK_RETRY_S = 0.1
 # How long a question waits for a leader before the caller is told to return.
 _PATIENCE_S = 1.2
@@ -45,8 +42,8 @@
     def store_lost(self) -> bool:
         """Tells whether the store did not answer the last read."""
 
-    def append_s(self) -> float:
-        """Returns how long an append of the leader's takes, in seconds."""
+    async def leads(self) -> bool:
+        """Asks the leader whether it is there and still leads."""
 
     async def ask(self, name: str, message: dict, limit_s: float) -> dict:
         """Calls the leader. Raises NotReady and platform errors."""
@@ -139,28 +136,27 @@
         raise exceptions.RequestUncertain(reason)
 
     async def _try_ways(self, job: model.Job, value: bytes) -> '_Outcome':
-        """Tries the leader's way and, if it is slow or fails, the own one.
+        """Tries the leader's way, and the own one where it fails.
 
         The leader stores the jobs of all instances by few appends, which
-        matters most while the store is slow. Storing a job twice is
-        harmless, so both ways may be under way.
+        matters most while the store is slow. A leader that is silent is
+        asked whether it still leads; while it does, it is waited for.
+        Storing a job twice is harmless, so both ways may be under way.
         """
         outcome = _Outcome()
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + _ACCEPT_S
+        pending: dict[asyncio.Task, str] = {}
         ways = [self._store_by_leader, self._store_here]
         if self._peers.local() is not None:
             ways = [self._store_here]
-        usual_s = self._peers.append_s()
-        hedge_s = max(_HEDGE_S, _HEDGE_RATIO * usual_s)
-        accept_s = max(_ACCEPT_S, _ACCEPT_RATIO * usual_s)
-        pending: dict[asyncio.Task, str] = {}
-        loop = asyncio.get_running_loop()
-        end_s = loop.time() + min(accept_s, _MOST_ACCEPT_S)
         while ways or pending:
-            if ways:
+            if ways and (not pending or not await self._peers.leads()):
                 way = ways.pop(0)
                 name = way.__name__.strip('_')
                 pending[loop.create_task(way(job, value))] = name
-            limit_s = hedge_s if ways else max(0.0, end_s - loop.time())
+            left_s = max(0.0, end_s - loop.time())
+            limit_s = min(left_s, _HEDGE_S) if ways else left_s
             done, _ = await asyncio.wait(
                 pending, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED
             )
@@ -168,7 +164,7 @@
                 outcome.take(pending.pop(task), task)
             if outcome.way:
                 break
-            if not done and not ways:
+            if not done and loop.time() >= end_s:
                 outcome.overdue(list(pending.values()))
                 break
         for task in pending:
@@ -186,7 +182,7 @@
     async def _store_by_leader(self, job: model.Job, value: bytes) -> None:
         message = {'id': job.id, 'record': value.decode()}
         try:
-            answer = await self._peers.ask('accept', message, _MOST_ACCEPT_S)
+            answer = await self._peers.ask('accept', message, _ACCEPT_S)
         except exceptions.NotReady as exc:
             raise exceptions.PlatformError(exc.reason) from exc
         if answer.get('stored'):
--- /dev/null
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/hedging.py
@@ -0,0 +1,93 @@
+"""Repeats of a call whose answer is overdue, beside the first one.
+
+Answers stores that lose answers: waiting for a time limit before a repeat
+would hold callers up, and ending the first attempt would lose its answer
+where the store is only slow. For calls that may take effect twice.
+"""
+
+import asyncio
+import typing as t
+
+from amaranthflow import exceptions
+
+# Weight of the newest duration in the usual one.
+_WEIGHT = 0.3
+_RATIO = 3.0
+
+Result = t.TypeVar('Result')
+
+
+class Pace:
+    """How long calls of a kind usually take.
+
+    :param least_s: a repeat is not sent sooner.
+    """
+
+    def __init__(self, *, least_s: float):
+        self._least_s = least_s
+        self._usual_s = 0.0
+
+    def note(self, seconds: float) -> None:
+        """Takes the duration of a call that was answered."""
+        self._usual_s += _WEIGHT * (seconds - self._usual_s)
+        if seconds > _RATIO * self._usual_s:
+            self._usual_s = seconds / _RATIO
+
+    @property
+    def patience_s(self) -> float:
+        """Seconds after which a further attempt is worth it."""
+        return max(self._least_s, _RATIO * self._usual_s)
+
+
+async def first_success(
+    call: t.Callable[[], t.Coroutine[t.Any, t.Any, Result]],
+    *,
+    pace: Pace,
+    most: int,
+) -> Result:
+    """Returns the first success of up to ``most`` attempts.
+
+    A further attempt starts when those before are silent for longer than
+    usual. Raises the last error, an uncertain one if there was any; other
+    errors than those of the platform are raised at once.
+    """
+    loop = asyncio.get_running_loop()
+    running: set[asyncio.Task[Result]] = set()
+    begun_s = loop.time()
+    error: exceptions.AmaranthflowError | None = None
+    started = 0
+    try:
+        while started < most or running:
+            if started < most and error is None:
+                running.add(loop.create_task(call()))
+                started += 1
+            if not running:
+                break
+            limit_s = pace.patience_s if started < most else None
+            done, running = await asyncio.wait(
+                running,
+                timeout=limit_s if error is None else None,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for task in done:
+                try:
+                    result = task.result()
+                except exceptions.AmaranthflowError as exc:
+                    error = _graver(error, exc)
+                    continue
+                pace.note(loop.time() - begun_s)
+                return result
+    finally:
+        for task in running:
+            task.cancel()
+    assert error is not None
+    raise error
+
+
+def _graver(
+    before: exceptions.AmaranthflowError | None,
+    exc: exceptions.AmaranthflowError,
+) -> exceptions.AmaranthflowError:
+    if isinstance(before, exceptions.PlatformUncertain):
+        return before
+    return exc
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/journal.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/journal.py
@@ -7,6 +7,7 @@
 from amaranthflow import exceptions
 
 from . import execution
+from . import hedging
 from . import logs
 from . import metrics
 from . import model
@@ -16,6 +17,9 @@
 # Changes gather this long, so that calls to the store stay few.
 _GATHER_S = 0.02
 _RETRY_S = 0.15
+# Attempts carry one number, so that the store takes only the first of them.
+_LEAST_S = 0.12
+_MOST_ATTEMPTS = 3
 _MOST_ITEMS = 400  # keeps an append well under a call's limit of bytes
 _MOST_BYTES = 500_000
 
@@ -36,6 +40,7 @@
         self._token = token
         self._meters = meters
         self._number = 0
+        self._pace = hedging.Pace(least_s=_LEAST_S)
         self._wake = asyncio.Event()
         self._waiting: list[asyncio.Future[None]] = []
         self.failing_since: float | None = None
@@ -90,8 +95,12 @@
         while True:
             begun = time.monotonic()
             try:
-                await self._store.append(
-                    ports.Table.PROGRESS, items, writer=writer
+                await hedging.first_success(
+                    lambda: self._store.append(
+                        ports.Table.PROGRESS, items, writer=writer
+                    ),
+                    pace=self._pace,
+                    most=_MOST_ATTEMPTS,
                 )
             except exceptions.AmaranthflowError as exc:
                 self._note_failure(exc, len(items))
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -97,7 +97,6 @@
         self._workers_end = 0
         self._jobs_read_s = float('-inf')
         self._group: asyncio.TaskGroup | None = None
-        self._append_s = 0.0
         self._over = asyncio.Event()
         self._why = ''
 
@@ -183,14 +182,11 @@
                 logs.event('renewal_failed', error=str(exc))
 
     async def _renew(self, *, released: bool) -> None:
-        term = dataclasses.replace(
-            self.term, released=released, append_s=self._append_s
-        )
+        term = dataclasses.replace(self.term, released=released)
         value = elections.encode(
             term, instance=term.instance, address=term.address
         )
         table = ports.Table.LEADERS
-        begun_s = self._clock.monotonic()
         try:
             offset = await self._tools.store.append(
                 table,
@@ -200,8 +196,6 @@
         except ports.Conflict:
             self._leaders_end = await self._own_end()
             return
-        finally:
-            self._append_s = self._clock.monotonic() - begun_s
         self._leaders_end = offset + 1
 
     async def _own_end(self) -> int:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
@@ -21,6 +21,8 @@
 # A little longer than DOUBT_S, so that one read proves that much silence.
 _LEADERS_WAIT_MS = 700
 _RETRY_S = 0.25
+# An instance that is there answers within a few ms.
+_ALIVE_S = 0.2
 # Instances claim one after the other, so that few claims are refused.
 _CLAIM_SPREAD_S = 0.25
 # An instance without the store and without a leader is no use to callers.
@@ -202,10 +204,7 @@
         ):
             return
         try:
-            answer = await self._caller.call(
-                term.address, 'term', {}, _RETRY_S
-            )
-            gone = answer.get('token') != term.token
+            gone = not await self._asks_as_leader(term)
         except ports.NobodyListens:
             gone = True
         except exceptions.AmaranthflowError:
@@ -353,10 +352,22 @@
         """Returns the leader if this instance leads."""
         return self.leader
 
-    def append_s(self) -> float:
-        """Returns how long an append of the leader's takes, in seconds."""
+    async def leads(self) -> bool:
+        """Asks the leader whether it is there and still leads."""
+        if self.leader is not None:
+            return True
         term = self._observer.term
-        return term.append_s if term is not None else 0.0
+        if term is None or term.released:
+            return False
+        try:
+            return await self._asks_as_leader(term)
+        except exceptions.AmaranthflowError:
+            # Silence: whoever asks goes another way.
+            return False
+
+    async def _asks_as_leader(self, term: elections.Term) -> bool:
+        answer = await self._caller.call(term.address, 'term', {}, _ALIVE_S)
+        return answer.get('token') == term.token
 
     def store_lost(self) -> bool:
         """Tells whether the store did not answer the last read."""
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/submissions.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/submissions.py
@@ -4,14 +4,21 @@
 
 from amaranthflow import exceptions
 
+from . import hedging
 from . import ports
 
+# An append takes a few ms. A few of them side by side are enough where a
+# third of the answers are lost.
+_LEAST_S = 0.12
+_MOST_ATTEMPTS = 3
+
 
 class Submissions:
     """Appends records of jobs; each caller waits for its own."""
 
     def __init__(self, *, store: ports.Store):
         self._store = store
+        self._pace = hedging.Pace(least_s=_LEAST_S)
         self._queue: list[tuple[bytes, bytes, asyncio.Future[None]]] = []
         self._task: asyncio.Task | None = None
 
@@ -42,7 +49,11 @@
         error: Exception | None = None
         try:
             items = [(key, value) for key, value, _ in batch]
-            await self._store.append(ports.Table.JOBS, items)
+            await hedging.first_success(
+                lambda: self._store.append(ports.Table.JOBS, items),
+                pace=self._pace,
+                most=_MOST_ATTEMPTS,
+            )
         except exceptions.AmaranthflowError as exc:
             error = exc
         for _, _, fut in batch:
