Appends that were given up set the pace of repeats

Change: a call that was given up counts with its duration, so that no repeat follows sooner; no way is tried that could not be answered in time.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/entry.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/entry.py
@@ -25,6 +25,9 @@
 # The leader stores a job within a few ms. When it takes longer, the leader is
 # asked whether it is there.
 _HEDGE_S = 0.12
+# A way that could not be answered in time is not tried: it would only add to
+# the load of a slow store.
+_LEAST_S = 0.3
 # A caller learns after this time that its job's fate is unknown. An append
 # to a slow store takes a third of it.
 _ACCEPT_S = 0.75
@@ -151,6 +154,9 @@
         if self._peers.local() is not None:
             ways = [self._store_here]
         while ways or pending:
+            left_s = end_s - loop.time()
+            if not pending and left_s < _LEAST_S:
+                break
             if ways and (not pending or not await self._peers.leads()):
                 way = ways.pop(0)
                 name = way.__name__.strip('_')
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/hedging.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/hedging.py
@@ -28,7 +28,7 @@
         self._usual_s = 0.0
 
     def note(self, seconds: float) -> None:
-        """Takes the duration of a call that was answered."""
+        """Takes the duration of a call, answered or given up."""
         self._usual_s += _WEIGHT * (seconds - self._usual_s)
         if seconds > _RATIO * self._usual_s:
             self._usual_s = seconds / _RATIO
@@ -81,6 +81,9 @@
         for task in running:
             task.cancel()
     assert error is not None
+    if isinstance(error, exceptions.PlatformUncertain):
+        # Overdue calls take at least this long; repeats would only add load.
+        pace.note(loop.time() - begun_s)
     raise error
 
 
