Callers wait for the leader's append while the store is slow

Change: the leader gives an append up after 0.7 s, or later while appends usually take long; instances wait for a leader that is there up to 1.8 s and start no way of their own after 0.45 s.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/entry.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/entry.py
@@ -25,12 +25,13 @@
 # The leader stores a job within a few ms. When it takes longer, the leader is
 # asked whether it is there.
 _HEDGE_S = 0.12
-# A way that could not be answered in time is not tried: it would only add to
-# the load of a slow store.
-_LEAST_S = 0.3
-# A caller learns after this time that its job's fate is unknown. An append
-# to a slow store takes a third of it.
-_ACCEPT_S = 0.75
+# No further way is tried later than this: it would only add to the load of a
+# slow store.
+_LAST_START_S = 0.45
+# A caller learns after this time that its job's fate is unknown. The leader
+# gives up sooner unless the store is slow; then an append and the one before
+# it take about a second.
+_ACCEPT_S = 1.8
 _ASK_RETRY_S = 0.1
 # How long a question waits for a leader before the caller is told to return.
 _PATIENCE_S = 1.2
@@ -148,28 +149,27 @@
         """
         outcome = _Outcome()
         loop = asyncio.get_running_loop()
-        end_s = loop.time() + _ACCEPT_S
-        pending: dict[asyncio.Task, str] = {}
+        begun_s = loop.time()
+        end_s = begun_s + _ACCEPT_S
         ways = [self._store_by_leader, self._store_here]
         if self._peers.local() is not None:
             ways = [self._store_here]
+        pending: dict[asyncio.Task, str] = {}
         while ways or pending:
-            left_s = end_s - loop.time()
-            if not pending and left_s < _LEAST_S:
-                break
             if ways and (not pending or not await self._peers.leads()):
                 way = ways.pop(0)
                 name = way.__name__.strip('_')
                 pending[loop.create_task(way(job, value))] = name
-            left_s = max(0.0, end_s - loop.time())
-            limit_s = min(left_s, _HEDGE_S) if ways else left_s
+            wait_s = _HEDGE_S if ways else max(0.0, end_s - loop.time())
             done, _ = await asyncio.wait(
-                pending, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED
+                pending, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED
             )
             for task in done:
                 outcome.take(pending.pop(task), task)
             if outcome.way:
                 break
+            if loop.time() - begun_s > _LAST_START_S:
+                ways.clear()
             if not done and loop.time() >= end_s:
                 outcome.overdue(list(pending.values()))
                 break
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/hedging.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/hedging.py
@@ -13,6 +13,7 @@
 # Weight of the newest duration in the usual one.
 _WEIGHT = 0.3
 _RATIO = 3.0
+_GIVE_UP_RATIO = 2.0
 
 Result = t.TypeVar('Result')
 
@@ -44,16 +45,21 @@
     *,
     pace: Pace,
     most: int,
+    limit_s: float,
 ) -> Result:
     """Returns the first success of up to ``most`` attempts.
 
     A further attempt starts when those before are silent for longer than
     usual. Raises the last error, an uncertain one if there was any; other
     errors than those of the platform are raised at once.
+
+    :param limit_s: seconds after which all are given up; longer while calls
+        usually take long.
     """
     loop = asyncio.get_running_loop()
     running: set[asyncio.Task[Result]] = set()
     begun_s = loop.time()
+    end_s = begun_s + max(limit_s, _GIVE_UP_RATIO * pace.patience_s)
     error: exceptions.AmaranthflowError | None = None
     started = 0
     try:
@@ -63,12 +69,17 @@
                 started += 1
             if not running:
                 break
-            limit_s = pace.patience_s if started < most else None
+            left_s = max(0.0, end_s - loop.time())
+            wait_s = left_s
+            if started < most and error is None:
+                wait_s = min(left_s, pace.patience_s)
             done, running = await asyncio.wait(
-                running,
-                timeout=limit_s if error is None else None,
-                return_when=asyncio.FIRST_COMPLETED,
+                running, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED
             )
+            if not done and loop.time() >= end_s:
+                reason = f'no answer within {end_s - begun_s:.2f} s'
+                error = exceptions.PlatformUncertain(reason)
+                break
             for task in done:
                 try:
                     result = task.result()
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/journal.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/journal.py
@@ -20,6 +20,7 @@
 # Attempts carry one number, so that the store takes only the first of them.
 _LEAST_S = 0.12
 _MOST_ATTEMPTS = 3
+_LIMIT_S = 0.9  # the store's own limit for one call
 _MOST_ITEMS = 400  # keeps an append well under a call's limit of bytes
 _MOST_BYTES = 500_000
 
@@ -101,6 +102,7 @@
                     ),
                     pace=self._pace,
                     most=_MOST_ATTEMPTS,
+                    limit_s=_LIMIT_S,
                 )
             except exceptions.AmaranthflowError as exc:
                 self._note_failure(exc, len(items))
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/submissions.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/submissions.py
@@ -11,6 +11,8 @@
 # third of the answers are lost.
 _LEAST_S = 0.12
 _MOST_ATTEMPTS = 3
+# Callers wait for it, longer only while the store is slow.
+_LIMIT_S = 0.7
 
 
 class Submissions:
@@ -53,6 +55,7 @@
                 lambda: self._store.append(ports.Table.JOBS, items),
                 pace=self._pace,
                 most=_MOST_ATTEMPTS,
+                limit_s=_LIMIT_S,
             )
         except exceptions.AmaranthflowError as exc:
             error = exc
