A job is unknown only after a read of the newest jobs; seeded exploration

Cause: exploration seed 27: a leader that the store turned away answered 410 to the cancelling of a job that another instance had stored 0.2 s before; the job ran on. Its last read of the jobs' table counted as fresh for 1.8 s.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 SEED ?= 1
 SECONDS ?= 20
 STEPS ?= 2000
+SEEDS ?= 20
 EMPTY :=
 SPACE := $(EMPTY) $(EMPTY)
 PACKAGES = $(wildcard packages/*)
@@ -11,7 +12,7 @@
 export PYTHONPATH := $(subst $(SPACE),:,$(foreach p,$(PACKAGES),$(CURDIR)/$(p)/src)):$(CURDIR)/platform
 export UV_USE_IO_URING = 0
 
-.PHONY: setup format lint schema test demo fuzz fuzz-fleet bench bench-recovery bench-capacity
+.PHONY: setup format lint schema test demo fuzz fuzz-fleet fuzz-scheduler bench bench-recovery bench-capacity
 
 setup: $(STAMP)
 
@@ -53,3 +54,6 @@
 
 bench-capacity: setup
 	$(PY) benchmarks/capacity.py
+
+fuzz-scheduler: setup
+	$(PY) tools/fuzz_scheduler.py --seed $(SEED) --seeds $(SEEDS)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/entry.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/entry.py
@@ -214,8 +214,8 @@
     async def state(self, job_id: ids.JobId) -> model.JobState | None:
         """Returns a job's state, None for an unknown one. Raises NotReady."""
 
-        def here(local: leader_lib.Leader) -> dict:
-            state = local.state(job_id)
+        async def here(local: leader_lib.Leader) -> dict:
+            state = await local.state(job_id)
             return {'state': state.value if state is not None else None}
 
         answer = await self._ask('state', {'id': job_id}, here)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/hedging.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/hedging.py
@@ -80,14 +80,18 @@
                 reason = f'no answer within {end_s - begun_s:.2f} s'
                 error = exceptions.PlatformUncertain(reason)
                 break
+            succeeded = None
             for task in done:
-                try:
-                    result = task.result()
-                except exceptions.AmaranthflowError as exc:
+                exc = task.exception()
+                if exc is None:
+                    succeeded = task
+                elif isinstance(exc, exceptions.AmaranthflowError):
                     error = _graver(error, exc)
-                    continue
+                else:
+                    raise exc
+            if succeeded is not None:
                 pace.note(loop.time() - begun_s)
-                return result
+                return succeeded.result()
     finally:
         for task in running:
             task.cancel()
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -37,9 +37,6 @@
 _PLAN_GATHER_S = 0.004
 _FORGET_EVERY_S = 5.0
 _RESIGN_S = 0.6
-# A job that was accepted longer ago is known to a leader that reads the
-# jobs' table this often, so that "unknown" may be told.
-_FRESH_S = 1.8
 
 
 class Deposed(Exception):
@@ -95,7 +92,6 @@
         self._replan = asyncio.Event()
         self._jobs_end = 0
         self._workers_end = 0
-        self._jobs_read_s = float('-inf')
         self._group: asyncio.TaskGroup | None = None
         self._over = asyncio.Event()
         self._why = ''
@@ -229,7 +225,6 @@
             now_s, self._clock.wall_ms(), store_was_lost=self._store_was_lost
         )
         self._jobs_end = jobs.end
-        self._jobs_read_s = begun_s
         for worker in list(self.core.workers.values()):
             self._attend(worker)
         counts = self.core.counts()
@@ -277,7 +272,6 @@
 
     async def _jobs_loop(self) -> None:
         while True:
-            asked_s = self._clock.monotonic()
             try:
                 batch = await self._tools.store.read(
                     ports.Table.JOBS, self._jobs_end, wait_ms=_JOBS_WAIT_MS
@@ -290,12 +284,14 @@
                 logs.event('jobs_unread', error=str(exc))
                 await asyncio.sleep(_STORE_RETRY_S)
                 continue
-            self._jobs_end = batch.end
-            self._jobs_read_s = max(self._jobs_read_s, asked_s)
-            for record in batch.records:
-                job = self._decode_job(record)
-                if job is not None:
-                    self.take_job(job)
+            self._take_jobs(batch)
+
+    def _take_jobs(self, batch: ports.Batch) -> None:
+        self._jobs_end = max(self._jobs_end, batch.end)
+        for record in batch.records:
+            job = self._decode_job(record)
+            if job is not None:
+                self.take_job(job)
 
     def take_job(self, job: model.Job) -> None:
         """Takes a job whose record is stored.
@@ -645,30 +641,41 @@
 
     # questions of callers
 
-    def state(self, job_id: ids.JobId) -> model.JobState | None:
+    async def state(self, job_id: ids.JobId) -> model.JobState | None:
         """Returns a job's state, None for an unknown job.
 
         Raises NotReady where a job might be stored that is not known here.
         """
         self._check_ready()
-        state = self.core.state(job_id)
-        if state is None:
-            self._check_fresh()
-        return state
+        if job_id not in self.core.jobs:
+            await self._read_latest_jobs()
+        return self.core.state(job_id)
 
     async def cancel(self, job_id: ids.JobId) -> bool:
         """Cancels a job; False for an unknown one.
 
-        Raises NotReady, also where the cancelling is not stored in time.
+        Raises NotReady where a job might be stored that is not known here.
         """
         self._check_ready()
+        if job_id not in self.core.jobs:
+            await self._read_latest_jobs()
         if not self.core.cancel(job_id, self._clock.wall_ms()):
-            self._check_fresh()
             return False
         self._dispatch()
         await self._journal.flush()
         return True
 
+    async def _read_latest_jobs(self) -> None:
+        """Reads jobs that other instances have stored up to now."""
+        try:
+            batch = await self._tools.store.read(
+                ports.Table.JOBS, self._jobs_end
+            )
+        except exceptions.AmaranthflowError as exc:
+            reason = f'the newest jobs cannot be read: {exc}'
+            raise exceptions.NotReady(reason) from exc
+        self._take_jobs(batch)
+
     def pending_count(self, queue: model.QueueId) -> int:
         """Returns the number of a queue's jobs that have had no run yet."""
         self._check_ready()
@@ -677,9 +684,3 @@
     def _check_ready(self) -> None:
         if not self.ready or self._over.is_set():
             raise exceptions.NotReady('the leader is not ready')
-
-    def _check_fresh(self) -> None:
-        age_s = self._clock.monotonic() - self._jobs_read_s
-        if age_s > _FRESH_S:
-            reason = f'jobs were last read {age_s:.1f} s ago'
-            raise exceptions.NotReady(reason)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
@@ -396,7 +396,7 @@
         if self.leader is None:
             raise exceptions.NotReady('this instance does not lead')
         if name == 'state':
-            state = self.leader.state(ids.JobId(str(message['id'])))
+            state = await self.leader.state(ids.JobId(str(message['id'])))
             return {'state': state.value if state is not None else None}
         if name == 'cancel':
             job_id = ids.JobId(str(message['id']))
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
@@ -90,8 +90,12 @@
         if node is None or self._instance in frozen or address in frozen:
             await asyncio.sleep(timeout_s)
             raise exceptions.PlatformUncertain('no answer')
-        await asyncio.sleep(_PEER_S)
-        return await node.answer(name, message)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await asyncio.sleep(_PEER_S)
+                return await node.answer(name, message)
+        except TimeoutError as exc:
+            raise exceptions.PlatformUncertain('no answer') from exc
 
 
 def make_job(
--- /dev/null
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_fuzz.py
@@ -0,0 +1,268 @@
+"""Seeded exploration of failures of the scheduler's fleet.
+
+Jobs of random shape arrive while instances are killed, the store is away,
+slow or loses answers, workers are cut off, born again or carry orders out
+late. The promises are checked from the callers' and workers' side; when all
+faults are over, every job has to reach its end.
+"""
+
+import asyncio
+import dataclasses
+import random
+import typing as t
+
+from amaranthflow_scheduler import model
+
+from . import task_fleet
+from . import virtual_time
+
+_INSTANCES = 4
+_WORKERS = 5
+_JOBS = 25
+_LENGTH_S = 40.0
+_FAULTS = 10
+_END_S = 60.0
+_CANCELLED = 0.1
+_POISONED = 0.05
+_RUN_FAILS = 0.03
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Outcome:
+    """What a seed came to.
+
+    :ivar broken: promises that were broken, one line each.
+    :ivar faults: what was done when, one line each.
+    """
+
+    seed: int
+    broken: list[str]
+    faults: list[str]
+    runs: int
+
+
+class _Plan:
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+        self.steps: dict[str, list[model.Step]] = {}
+        self.poisoned: set[str] = set()
+
+    def lasts_s(self, task: model.TaskKey) -> float:
+        step = self.steps[task.job][task.step]
+        if step.service:
+            return float('inf')
+        return step.estimate_ms / 1000 * self._rng.uniform(0.8, 1.3)
+
+    def fails(self, task: model.TaskKey, run: int) -> bool:
+        return task.job in self.poisoned or self._rng.random() < _RUN_FAILS
+
+
+class _Exploration:
+    def __init__(self, seed: int, loop: virtual_time.VirtualLoop):
+        self.rng = random.Random(seed)
+        self.plan = _Plan(self.rng)
+        self.fleet = task_fleet.TaskFleet(loop=loop, plan=self.plan, seed=seed)
+        self.faults: list[str] = []
+        self.seed = seed
+
+    async def run(self) -> Outcome:
+        fleet = self.fleet
+        fleet.configure()
+        for number in range(_WORKERS):
+            fleet.add_worker(f'w{number}', rack=f'r{number % 2}')
+        for _ in range(_INSTANCES):
+            fleet.start_node()
+        await fleet.wait_leader()
+        work = [self._job(number) for number in range(_JOBS)]
+        work.extend(self._fault() for _ in range(_FAULTS))
+        try:
+            async with asyncio.timeout(_LENGTH_S + _END_S):
+                async with asyncio.TaskGroup() as group:
+                    for one in work:
+                        group.create_task(one)
+                broken = await self._finish()
+        except TimeoutError:
+            broken = ['callers get no answer']
+        broken.extend(fleet.broken())
+        return Outcome(
+            seed=self.seed,
+            broken=broken,
+            faults=self.faults,
+            runs=len(fleet.runs),
+        )
+
+    async def _job(self, number: int) -> None:
+        await asyncio.sleep(self.rng.uniform(0.0, _LENGTH_S))
+        job_id = f'j{number:02}'
+        steps = self._steps()
+        self.plan.steps[job_id] = steps
+        if self.rng.random() < _POISONED:
+            self.plan.poisoned.add(job_id)
+        await self.fleet.submit(job_id, steps)
+        if steps[0].service or self.rng.random() < _CANCELLED:
+            await asyncio.sleep(self.rng.uniform(0.0, 6.0))
+            await self.fleet.cancel(job_id)
+
+    def _steps(self) -> list[model.Step]:
+        rng = self.rng
+        if rng.random() < 0.15:
+            return [self._step(service=True, max_per_worker=2)]
+        steps = [self._step(backups=rng.random() < 0.2)]
+        for number in range(rng.randrange(3)):
+            steps.append(self._step(after=(number,)))
+        return steps
+
+    def _step(self, **fields: t.Any) -> model.Step:
+        rng = self.rng
+        return model.Step(
+            count=rng.randint(1, 5),
+            resources=model.Resources(rng.choice((500, 1000, 2000)), 100, 0),
+            estimate_ms=rng.choice((300, 800, 2000, 5000)),
+            **fields,
+        )
+
+    async def _fault(self) -> None:
+        rng = self.rng
+        await asyncio.sleep(rng.uniform(0.0, _LENGTH_S))
+        fault = rng.choice(
+            (
+                self._kill,
+                self._kill_all,
+                self._silent,
+                self._busy_leader,
+                self._lossy,
+                self._slow,
+                self._compact,
+                self._cut,
+                self._crash,
+                self._late,
+                self._step_down,
+            )
+        )
+        span_s = rng.uniform(0.5, 6.0)
+        name = fault.__name__.strip('_')
+        self._note(f'{name} for {span_s:.1f} s')
+        await fault(span_s)
+        self._note(f'{name} is over')
+
+    def _note(self, text: str) -> None:
+        self.faults.append(f'{self.fleet.loop.time():.2f} {text}')
+
+    async def _kill(self, span_s: float) -> None:
+        leader = self.fleet.leader()
+        names = [leader] if leader else list(self.fleet.nodes)[:1]
+        await self._restart(names, span_s)
+
+    async def _kill_all(self, span_s: float) -> None:
+        await self._restart(list(self.fleet.nodes), span_s / 3)
+
+    async def _restart(self, names: list[str], span_s: float) -> None:
+        for name in names:
+            await self.fleet.kill(name)
+        await asyncio.sleep(span_s)
+        for name in names:
+            self.fleet.start_node(name)
+
+    async def _step_down(self, span_s: float) -> None:
+        leader = self.fleet.leader()
+        if leader is None:
+            return
+        await self.fleet.nodes[leader].step_down()
+        if leader in self.fleet.nodes:
+            await self._restart([leader], span_s / 3)
+
+    async def _silent(self, span_s: float) -> None:
+        names = set(self.fleet.nodes)
+        self.fleet.store.faults.silent |= names
+        await asyncio.sleep(span_s)
+        self.fleet.store.faults.silent -= names
+
+    async def _busy_leader(self, span_s: float) -> None:
+        name = self.fleet.leader()
+        if name is None:
+            return
+        self.fleet.store.faults.busy.add(name)
+        await asyncio.sleep(span_s)
+        self.fleet.store.faults.busy.discard(name)
+
+    async def _lossy(self, span_s: float) -> None:
+        faults = self.fleet.store.faults
+        faults.lost_share, faults.late_share = 0.3, 0.1
+        await asyncio.sleep(span_s)
+        faults.lost_share = faults.late_share = 0.0
+
+    async def _slow(self, span_s: float) -> None:
+        self.fleet.store.faults.slow_s = 0.25
+        await asyncio.sleep(span_s)
+        self.fleet.store.faults.slow_s = 0.0
+
+    async def _compact(self, span_s: float) -> None:
+        self.fleet.store.compact()
+
+    async def _cut(self, span_s: float) -> None:
+        worker = self.rng.choice(list(self.fleet.workers.values()))
+        whom = self.rng.choice(['*', *self.fleet.nodes])
+        worker.faults.cut_from.add(whom)
+        await asyncio.sleep(span_s)
+        worker.faults.cut_from.discard(whom)
+
+    async def _crash(self, span_s: float) -> None:
+        worker = self.rng.choice(list(self.fleet.workers.values()))
+        if not worker.up:
+            return
+        worker.crash()
+        await asyncio.sleep(span_s)
+        worker.restart()
+
+    async def _late(self, span_s: float) -> None:
+        worker = self.rng.choice(list(self.fleet.workers.values()))
+        worker.faults.late_share = 0.5
+        await asyncio.sleep(span_s)
+        worker.faults.late_share = 0.0
+
+    async def _finish(self) -> list[str]:
+        """Waits for all jobs; names those that do not end."""
+        findings = []
+        end_s = self.fleet.loop.time() + _END_S / 2
+        for job_id in self.fleet.jobs:
+            while True:
+                state = await self.fleet.ask(job_id)
+                if state in model.ENDED:
+                    break
+                if self.fleet.loop.time() > end_s:
+                    findings.append(f'{job_id} is {state} at the end')
+                    break
+                await asyncio.sleep(0.2)
+            findings.extend(self._wrong_end(job_id, state))
+        return findings
+
+    def _wrong_end(
+        self, job_id: str, state: model.JobState | None
+    ) -> t.Iterator[str]:
+        accepted = self.fleet.jobs[job_id]
+        if state is model.JobState.CANCELLED and accepted.cancelled_s is None:
+            yield f'{job_id} is cancelled and nobody asked for it'
+        if state is model.JobState.FAILED:
+            failed = [
+                run
+                for _, run in self.fleet.runs
+                if run.task.job == job_id and run.ending is model.Ending.FAILED
+            ]
+            if len(failed) < accepted.job.queue.max_attempts:
+                yield f'{job_id} failed after {len(failed)} failed runs'
+
+
+def explore(seed: int) -> Outcome:
+    """Plays one seed in virtual time."""
+
+    async def main(loop: virtual_time.VirtualLoop) -> Outcome:
+        exploration = _Exploration(seed, loop)
+        try:
+            return await exploration.run()
+        finally:
+            others = asyncio.all_tasks() - {asyncio.current_task()}
+            for task in others:
+                task.cancel()
+            await asyncio.gather(*others, return_exceptions=True)
+
+    return virtual_time.run(main)
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_worker.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_worker.py
@@ -295,7 +295,8 @@
         if self._rng.random() < self._worker.faults.late_share:
             loop = asyncio.get_running_loop()
             delay_s = self._rng.uniform(2.0, 12.0)
-            loop.call_later(delay_s, self._carry_out, order, *args)
+            life = self._worker.life
+            loop.call_later(delay_s, self._carry_out, life, order, *args)
             await asyncio.sleep(_ORDER_SILENCE_S)
             raise exceptions.PlatformUncertain('no answer')
         clock_ms = order(*args)
@@ -304,8 +305,11 @@
             raise exceptions.PlatformUncertain('no answer')
         return clock_ms
 
-    def _carry_out(self, order: t.Callable[..., int], *args: t.Any) -> None:
-        if not self._worker.up:
+    def _carry_out(
+        self, life: int, order: t.Callable[..., int], *args: t.Any
+    ) -> None:
+        # A worker that starts again knows nothing of before.
+        if not self._worker.up or self._worker.life != life:
             return
         try:
             order(*args)
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -179,3 +179,25 @@
     Given the store loses 0.35 of its answers
     When 20 task jobs are handed in one after the other
     Then 18 of them are accepted within 0.5 s
+
+  Scenario: A leader without the store says of no job that it is unknown
+    Given the store is busy for the task fleet's leader
+    And 0.3 s pass in the task fleet
+    And task job "a1" with steps "1x9.0" is accepted
+    When task job "a1" is cancelled
+    And 6 s pass in the task fleet
+    Then no task runs
+    And the task fleet broke no promise
+
+  Scenario Outline: Random failures break no promise
+    Given nothing but a seed
+    When the scheduler's fleet plays seed <seed>
+    Then no promise is broken
+
+    Examples: first seeds, and seeds that once failed
+      | seed | cause                                                     |
+      | 1    | first seed                                                |
+      | 2    | first seed                                                |
+      | 27   | a job stored elsewhere was unknown to the leader's cancel |
+      | 56   | stand-in: calls to a killed instance never ended          |
+      | 115  | stand-in: late orders reached a worker's next life        |
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -8,6 +8,7 @@
 
 from amaranthflow import exceptions
 from amaranthflow_standins import task_fleet
+from amaranthflow_standins import task_fuzz
 from amaranthflow_standins import virtual_time
 
 _CPU = 1_000
@@ -388,3 +389,24 @@
         if outcome == 'accepted' and took_s <= seconds
     ]
     assert len(soon) >= count, (context.outcomes, context.times)
+
+
+@behave.given("the store is busy for the task fleet's leader")
+def step_busy_leader(context):
+    context.fleet.store.faults.busy.add(context.fleet.leader())
+
+
+@behave.given('nothing but a seed')
+def step_nothing(context):
+    """The exploration makes its own fleet."""
+
+
+@behave.when("the scheduler's fleet plays seed {seed:d}")
+def step_explore(context, seed):
+    context.explored = task_fuzz.explore(seed)
+
+
+@behave.then('no promise is broken')
+def step_explored(context):
+    broken = context.explored.broken
+    assert not broken, (broken[:5], context.explored.faults)
--- /dev/null
+++ b/tools/fuzz_scheduler.py
@@ -0,0 +1,31 @@
+"""Explores failures of the scheduler's fleet, seed by seed."""
+
+import argparse
+import sys
+
+from amaranthflow_standins import task_fuzz
+
+
+def main() -> int:
+    """Plays the seeds; returns 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1, help='first seed')
+    parser.add_argument('--seeds', type=int, default=20, help='how many')
+    args = parser.parse_args()
+    failed = 0
+    runs = 0
+    for seed in range(args.seed, args.seed + args.seeds):
+        outcome = task_fuzz.explore(seed)
+        runs += outcome.runs
+        if not outcome.broken:
+            continue
+        failed += 1
+        print(f'seed {seed}:')
+        for line in (*outcome.broken[:5], *outcome.faults):
+            print(f'  {line}')
+    print(f'{args.seeds} seeds, {runs} runs of tasks, {failed} seeds broken')
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
