Opportunistic runs that are not squeezed show that more is unused

Change: where opportunistic runs get 93% of what they can use, 65% of the services' processor counts as idle. step_waits names unused processor and expected tails.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -820,15 +820,25 @@
             return
         step_run.waits = True
         rooms = [worker.room().cpu for worker in candidates]
+        step = step_run.step
+        beside = {}
+        if step.opportunistic:
+            beside = {
+                'unused_cpu': [round(w.unused_cpu()) for w in candidates],
+                'tails': [
+                    round(self._tails.expected(w, step), 2) for w in candidates
+                ],
+            }
         logs.event(
             'step_waits',
             id=task.key.job,
             task=_name(task.key),
-            cpu=step_run.step.resources.cpu,
-            opportunistic=step_run.step.opportunistic,
+            cpu=step.resources.cpu,
+            opportunistic=step.opportunistic,
             workers=len(candidates),
             largest_room=max(rooms, default=0),
             free_cpu=sum(rooms),
+            **beside,
         )
 
     def _plan_gang(
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
@@ -13,6 +13,9 @@
 # Share of a service's processor that is idle on the average: services are
 # sized for their peaks.
 SERVICE_IDLE = 0.5
+# The same while opportunistic runs get this share of what they can use.
+SERVICE_IDLE_SEEN = 0.65
+UNSQUEEZED = 0.93
 # Network delay and timers between a lease's end and the last run's end.
 LAPSE_SLACK_S = 0.15
 
@@ -132,8 +135,18 @@
 
     def unused_cpu(self) -> float:
         """Returns what another opportunistic run may expect to use."""
-        idle = SERVICE_IDLE * self.service_cpu
-        return self.room().cpu + idle - self.opportunistic_cpu
+        idle = SERVICE_IDLE if self._squeezed() else SERVICE_IDLE_SEEN
+        unused = self.room().cpu + idle * self.service_cpu
+        return unused - self.opportunistic_cpu
+
+    def _squeezed(self) -> bool:
+        """Tells whether opportunistic runs get less than they could use."""
+        used = wanted = 0.0
+        for copy in self.opportunistic():
+            if copy.reported and copy.pace == 100 and copy.gauge > 0:
+                used += copy.gauge
+                wanted += copy.task.step_run.step.resources.cpu
+        return used < UNSQUEEZED * wanted or not wanted
 
     def services(self) -> list[execution.Copy]:
         """Returns the runs that have a target for their tail latency."""
