Admission tickets, and gangs that stop when a member cannot run

Cause: deployments with an adviser or gangs were not served: starts without a ticket are refused for ever, members of a gang waited alone. Change: a step of an advised queue asks about its best workers, one question at a time, starts only with a ticket for the worker's life, and does not ask again about workers that were refused. A gang's members stop when one of them is refused, lost or ends otherwise than done.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -34,6 +34,8 @@
 _JOBS_WAIT_MS = 1_000
 _STORE_RETRY_S = 0.2
 _TICK_S = 0.1
+_ADVICE_POLL_S = 0.02
+_ADVICE_RETRY_S = 0.1
 _PLAN_GATHER_S = 0.004
 _FORGET_EVERY_S = 5.0
 _RESIGN_S = 0.6
@@ -50,6 +52,7 @@
     store: ports.Store
     fleet: ports.Fleet
     decoder: ports.Decoder
+    adviser: ports.Adviser
     clock: clock_lib.Clock
     meters: metrics.Metrics
     limits: scheduler.Limits
@@ -152,6 +155,7 @@
             self._workers_loop,
             self._tick_loop,
             self._plan_loop,
+            self._advice_loop,
             self._forget_loop,
         ]
         for loop in loops:
@@ -493,6 +497,12 @@
             payload=task.step_run.job_run.job.payload,
             deadline_ms=worker.clock_now(now_s) + _START_VALID_MS,
             checkpoint=task.checkpoint,
+            ticket=self.core.advice.ticket(
+                scheduler.step_key(task.step_run),
+                worker.id,
+                worker.born_ms,
+                now_s,
+            ),
         )
         worker.extend_lease(order.deadline_ms)
         void_s = worker.passed_s(order.deadline_ms)
@@ -621,6 +631,40 @@
             self.core.plan(self._clock.monotonic(), self._clock.wall_ms())
             self._dispatch()
 
+    async def _advice_loop(self) -> None:
+        """Asks the adviser, one question at a time."""
+        while True:
+            question = self.core.advice.next_question()
+            if question is None:
+                await asyncio.sleep(_ADVICE_POLL_S)
+                continue
+            lives = {
+                worker_id: self.core.workers[worker_id].born_ms
+                for worker_id in question.workers
+                if worker_id in self.core.workers
+            }
+            asked_s = self._clock.monotonic()
+            step = question.step
+            try:
+                tickets, valid_ms = await self._tools.adviser.advise(
+                    step.job, step.occurrence, step.step, question.workers
+                )
+            except exceptions.AmaranthflowError as exc:
+                logs.event('advice_unanswered', id=step.job, error=str(exc))
+                await asyncio.sleep(_ADVICE_RETRY_S)
+                continue
+            logs.event(
+                'advice',
+                id=step.job,
+                step=f'{step.occurrence}.{step.step}',
+                asked=len(question.workers),
+                good=len(tickets),
+                valid_ms=valid_ms,
+            )
+            until_s = asked_s + valid_ms / 1000
+            self.core.advice.on_answer(question, tickets, until_s, lives)
+            self._replan.set()
+
     async def _forget_loop(self) -> None:
         while True:
             await asyncio.sleep(_FORGET_EVERY_S)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/ports.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/ports.py
@@ -217,6 +217,18 @@
         """Closes all connections."""
 
 
+class Adviser(t.Protocol):
+    """Knows which workers may run a step."""
+
+    async def advise(
+        self, job: ids.JobId, occurrence: int, step: int, workers: t.Sequence
+    ) -> tuple[dict[ids.WorkerId, str], int]:
+        """Returns the tickets of the workers that may, and their ms left.
+
+        Raises PlatformError and PlatformUncertain; neither has an effect.
+        """
+
+
 class Fleet(t.Protocol):
     """Makes links to workers."""
 
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -11,6 +11,7 @@
 
 from amaranthflow import ids
 
+from . import advice
 from . import execution
 from . import logs
 from . import model
@@ -85,6 +86,7 @@
         self._queues: dict[model.QueueId, model.Queue] = {}
         self._orders: list[orders.Order] = []
         self._tails = tails.Tails()
+        self.advice = advice.Advice()
         self._held_back: set[ids.JobId] = set()
         self._listed_by_s = now_s
         self._unknown_leases_s = now_s + self._longest_lease_s()
@@ -370,6 +372,8 @@
         if copy is not None:
             self._learn(copy, end, now_s)
             self._detach(copy)
+        if task.step_run.step.gang and end.ending is not model.Ending.DONE:
+            self._stop_gang(task.step_run, end.run)
         task.next_run = max(task.next_run, end.run + 1)
         task.checkpoint = end.saved or task.checkpoint
         if end.ending is model.Ending.DONE:
@@ -421,8 +425,6 @@
             self._suspect(worker, job_run.job.id, now_s)
         if task.step_run.step.service or job_run.ended or task.done:
             return
-        if task.step_run.step.gang:
-            self._stop_gang(task.step_run, run)
         most = self.queue_of(job_run.job).max_attempts
         if len(task.failed_runs) >= most:
             for other in self.workers.values():
@@ -794,6 +796,8 @@
         now_s: float,
     ) -> None:
         step = step_run.step
+        if self.queue_of(step_run.job_run.job).advised:
+            candidates = self._advised(step_run, candidates, now_s)
         if step.gang:
             self._plan_gang(step_run, candidates, now_s)
             return
@@ -811,6 +815,26 @@
                 return
             self._place(task, worker, now_s, 'waiting')
 
+    def _advised(
+        self,
+        step_run: execution.StepRun,
+        candidates: list[workers.Worker],
+        now_s: float,
+    ) -> list[workers.Worker]:
+        """Returns the workers for which there is a ticket, asks for others."""
+        key = step_key(step_run)
+        ready, others = [], []
+        for worker in candidates:
+            if self.advice.ticket(key, worker.id, worker.born_ms, now_s):
+                ready.append(worker)
+            elif placement.may_run(worker, step_run.step):
+                others.append(worker)
+        waiting = sum(task.waiting for task in step_run.tasks)
+        if others and len(ready) < waiting:
+            others.sort(key=lambda worker: -worker.room().cpu)
+            self.advice.want(key, [worker.id for worker in others])
+        return ready
+
     def _note_waiting(
         self, task: execution.TaskRun, candidates: list[workers.Worker]
     ) -> None:
@@ -872,12 +896,16 @@
     def _candidates(
         self, task: execution.TaskRun, now_s: float
     ) -> list[workers.Worker]:
-        service = self.queue_of(task.step_run.job_run.job).service
-        return [
+        queue = self.queue_of(task.step_run.job_run.job)
+        found = [
             worker
             for worker in self.workers.values()
-            if worker.entry.service == service and self.usable(worker, now_s)
+            if worker.entry.service == queue.service
+            and self.usable(worker, now_s)
         ]
+        if queue.advised:
+            return self._advised(task.step_run, found, now_s)
+        return found
 
     def _place(
         self,
@@ -966,6 +994,8 @@
             worker=copy.worker,
             why=why,
         )
+        if copy.task.step_run.step.gang:
+            self._stop_gang(copy.task.step_run, copy.run)
         self._settle_job(copy.task.step_run.job_run)
 
     def _end_job(
@@ -990,6 +1020,13 @@
         job_run.close_complete()
         if job_run.ended and not any(True for _ in job_run.copies()):
             self._active.pop(job_run.job.id, None)
+            self.advice.forget(job_run.job.id)
+
+
+def step_key(step_run: execution.StepRun) -> advice.StepKey:
+    """Returns the name of a step's occurrence."""
+    job_id = step_run.job_run.job.id
+    return advice.StepKey(job_id, step_run.occurrence, step_run.number)
 
 
 def _find_copy(
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
@@ -74,6 +74,13 @@
         )
 
 
+class _NoAdviser:
+    async def advise(
+        self, job: ids.JobId, occurrence: int, step: int, workers: t.Sequence
+    ) -> tuple[dict[ids.WorkerId, str], int]:
+        raise exceptions.PlatformError('there is no adviser here')
+
+
 class _Caller:
     def __init__(self, fleet: 'TaskFleet', instance: str):
         self._fleet = fleet
@@ -209,6 +216,7 @@
             store=self.store.link(name),
             fleet=_Fleet(self, name),
             decoder=_Decoder(),
+            adviser=_NoAdviser(),
             caller=_Caller(self, name),
             clock=self.loop,
             limits=LIMITS,
--- a/tests/amaranthflow_scheduler/decisions.feature
+++ b/tests/amaranthflow_scheduler/decisions.feature
@@ -119,3 +119,32 @@
     Given a scheduler with 1 workers that answer
     When an end of an unknown job is listed in the first second
     Then it is not taken as processed
+
+  Scenario: An advised step starts only with tickets
+    Given a scheduler with 3 workers that answer and an advised queue
+    When a job of 2 tasks is planned there
+    Then no run is planned and the adviser is to be asked about 3 workers
+    When the adviser gives tickets for workers "w1 w2"
+    And the job is planned again
+    Then 2 runs are planned on workers "w1 w2"
+
+  Scenario: Workers that the adviser refused are not asked about again
+    Given a scheduler with 3 workers that answer and an advised queue
+    When a job of 2 tasks is planned there
+    And the adviser gives tickets for workers "w1"
+    And the tickets have ended
+    And the job is planned again
+    Then the adviser is to be asked about workers "w1"
+
+  Scenario: A gang is placed whole or not at all
+    Given a scheduler with 2 workers that answer
+    When a gang of 17 tasks of one core is planned
+    Then no run is planned
+    When a gang of 16 tasks of one core is planned
+    Then 16 runs are planned with one number
+
+  Scenario: A gang of which one member cannot start is stopped
+    Given a scheduler with 2 workers that answer
+    When a gang of 4 tasks of one core is planned
+    And its members are sent and one is refused
+    Then the other 3 members are stopped
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -169,3 +169,18 @@
     And it drains
     When a client sends it a request
     Then the answer says that the connection closes
+
+  Scenario: Tickets of the adviser are read
+    Given an adviser that answers 200 with '{"good":[["i-1","c81e"]],"valid_ms":3000}'
+    When it is asked about 2 workers
+    Then the ticket of "i-1" is "c81e" for 3000 ms
+
+  Scenario Outline: An adviser that cannot answer says nothing
+    Given an adviser that answers <status> with '<body>'
+    When it is asked about 2 workers
+    Then there is no advice
+
+    Examples:
+      | status | body         |
+      | 429    | {}           |
+      | 200    | {"good":[1]} |
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -9,6 +9,7 @@
 import tempfile
 import types
 
+from amaranthflow_platform import adviser
 from amaranthflow_platform import fleet
 from amaranthflow_platform import front
 from amaranthflow_platform import settings
@@ -69,9 +70,18 @@
 # settings
 
 
+def _render_section(text, name, value):
+    """Renders a section of the template, or drops it without a value."""
+    head, _, rest = text.partition(f'{{{{#{name}}}}}')
+    body, _, tail = rest.partition(f'{{{{/{name}}}}}')
+    rendered = body.replace('{{.|json}}', json.dumps(value)) if value else ''
+    return head + rendered + tail
+
+
 @behave.given('platform settings as the template renders them')
 def step_settings(context):
     text = (_ROOT / 'deploy' / 'settings.json').read_text()
+    text = _render_section(text, 'advice', '10.200.1.9:8169')
     values = {
         'node_name': 'edge-z-1',
         'listen.front': '10.1.0.13:8161',
@@ -499,3 +509,31 @@
 @behave.then('the answer says that the connection closes')
 def step_closes(context):
     assert b'Connection: close' in context.found, context.found
+
+
+@behave.given("an adviser that answers {status:d} with '{body}'")
+def step_adviser(context, status, body):
+    step_answering(context, status, body)
+
+
+@behave.when('it is asked about 2 workers')
+def step_ask(context):
+    async def work(address):
+        link = adviser.Adviser(address=address)
+        workers = [ids.WorkerId('i-1'), ids.WorkerId('i-2')]
+        try:
+            return await link.advise(_JOB, 0, 1, workers)
+        except exceptions.PlatformError:
+            return 'no answer'
+
+    context.outcome = _with_server(context, work)
+
+
+@behave.then('the ticket of "{worker}" is "{ticket}" for {valid_ms:d} ms')
+def step_ticket(context, worker, ticket, valid_ms):
+    assert context.outcome == ({worker: ticket}, valid_ms), context.outcome
+
+
+@behave.then('there is no advice')
+def step_no_advice(context):
+    assert context.outcome == 'no answer', context.outcome
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -1,5 +1,6 @@
 """Steps for the scheduler's decisions.feature."""
 
+import dataclasses
 import random
 
 from amaranthflow_scheduler import elections
@@ -7,6 +8,7 @@
 from amaranthflow_scheduler import jobrecord
 from amaranthflow_scheduler import model
 from amaranthflow_scheduler import order
+from amaranthflow_scheduler import orders
 from amaranthflow_scheduler import pacing
 from amaranthflow_scheduler import placement
 from amaranthflow_scheduler import ports
@@ -626,3 +628,113 @@
 @behave.then('it is not taken as processed')
 def step_not_processed(context):
     assert context.core.workers[ids.WorkerId('w1')].processed == 0
+
+
+# advice and gangs
+
+
+@behave.given(
+    'a scheduler with {count:d} workers that answer and an advised queue'
+)
+def step_advised_core(context, count):
+    step_core(context, count)
+    queue = dataclasses.replace(_QUEUE, advised=True)
+    cfg = model.Configuration(
+        version=1,
+        queues=(queue,),
+        checked_services=frozenset(),
+        max_body_bytes=1,
+        idle_timeout_ms=1,
+    )
+    context.core.configure(cfg)
+
+
+def _plan(context, now_s):
+    context.core.plan(now_s, 0)
+    context.copies = [
+        one.copy
+        for one in context.core.take_orders()
+        if isinstance(one, orders.Start)
+    ]
+
+
+@behave.when('a job of {count:d} tasks is planned there')
+def step_plan_job(context, count):
+    context.core.add_job(_job('j1', _step(count)))
+    _plan(context, 0.2)
+    context.question = context.core.advice.next_question()
+
+
+@behave.then(
+    'no run is planned and the adviser is to be asked about {count:d} workers'
+)
+def step_asked(context, count):
+    assert not context.copies
+    assert len(context.question.workers) == count, context.question
+
+
+@behave.when('the adviser gives tickets for workers "{names}"')
+def step_tickets(context, names):
+    tickets = {ids.WorkerId(name): f't-{name}' for name in names.split()}
+    lives = {worker.id: 1 for worker in context.core.workers.values()}
+    context.core.advice.on_answer(context.question, tickets, 5.0, lives)
+
+
+@behave.when('the job is planned again')
+def step_plan_again(context):
+    _plan(context, getattr(context, 'now_s', 0.3))
+
+
+@behave.when('the tickets have ended')
+def step_tickets_ended(context):
+    context.now_s = 6.0
+    for worker in context.core.workers.values():
+        _report(context.core, worker, [], context.now_s)
+
+
+@behave.then('{count:d} runs are planned on workers "{names}"')
+def step_planned_on(context, count, names):
+    assert len(context.copies) == count, context.copies
+    found = {copy.worker for copy in context.copies}
+    assert found <= set(names.split()), found
+
+
+@behave.then('the adviser is to be asked about workers "{names}"')
+def step_asked_about(context, names):
+    question = context.core.advice.next_question()
+    assert set(question.workers) == set(names.split()), question
+
+
+@behave.when('a gang of {count:d} tasks of one core is planned')
+def step_gang(context, count):
+    context.core.add_job(_job(f'g{count}', _step(count, gang=True)))
+    _plan(context, 0.2)
+
+
+@behave.then('no run is planned')
+def step_none_planned(context):
+    assert not context.copies, context.copies
+
+
+@behave.then('{count:d} runs are planned with one number')
+def step_one_number(context, count):
+    assert len(context.copies) == count, len(context.copies)
+    assert len({copy.run for copy in context.copies}) == 1
+
+
+@behave.when('its members are sent and one is refused')
+def step_member_refused(context):
+    for copy in context.copies:
+        context.core.on_sent(copy)
+    context.core.on_start_refused(context.copies[0], ports.Refusal.ROOM, 0.3)
+
+
+@behave.then('the other {count:d} members are stopped')
+def step_members_stopped(context, count):
+    stops = [
+        one.copy
+        for one in context.core.take_orders()
+        if isinstance(one, orders.Stop)
+    ]
+    assert stops == context.copies[1:], stops
+    assert len(stops) == count
