--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/entry.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/entry.py
@@ -32,6 +32,10 @@
 # gives up sooner unless the store is slow; then an append and the one before
 # it take about a second.
 _ACCEPT_S = 1.8
+# Share of the caller's patience that one try may take.
+_PATIENCE_SHARE = 0.45
+# Callers that do not say how long they wait.
+_USUAL_PATIENCE_S = 4.0
 _ASK_RETRY_S = 0.1
 # How long a question waits for a leader before the caller is told to return.
 _PATIENCE_S = 1.2
@@ -105,15 +109,21 @@
         self._clock = clock
         self._meters = meters
 
-    async def submit(self, job: model.Job) -> None:
+    async def submit(
+        self, job: model.Job, *, patience_s: float = _USUAL_PATIENCE_S
+    ) -> None:
         """Returns once the job is stored.
 
+        :param patience_s: how long the caller waits for an answer; it gets
+            one soon enough to ask again.
+
         Raises NotReady where it is not and never will be, RequestUncertain
         where it may be; the same job may then be handed in again.
         """
         value = jobrecord.encode(job)
         begun_s = self._clock.monotonic()
-        outcome = await self._try_ways(job, value)
+        limit_s = min(_ACCEPT_S, _PATIENCE_SHARE * patience_s)
+        outcome = await self._try_ways(job, value, limit_s)
         took_s = self._clock.monotonic() - begun_s
         if outcome.way:
             self._meters.observe('accept', took_s)
@@ -139,7 +149,9 @@
             raise exceptions.NotReady(reason, retry_after_ms=RETRY_AFTER_MS)
         raise exceptions.RequestUncertain(reason)
 
-    async def _try_ways(self, job: model.Job, value: bytes) -> '_Outcome':
+    async def _try_ways(
+        self, job: model.Job, value: bytes, limit_s: float
+    ) -> '_Outcome':
         """Tries the leader's way, and the own one where it fails.
 
         The leader stores the jobs of all instances by few appends, which
@@ -150,7 +162,7 @@
         outcome = _Outcome()
         loop = asyncio.get_running_loop()
         begun_s = loop.time()
-        end_s = begun_s + _ACCEPT_S
+        end_s = begun_s + limit_s
         ways = [self._store_by_leader, self._store_here]
         if self._peers.local() is not None:
             ways = [self._store_here]
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -180,6 +180,11 @@
     When 20 task jobs are handed in one after the other
     Then 18 of them are accepted within 0.5 s
 
+  Scenario: A caller hears of its job early enough to ask again
+    Given the task fleet's leader is frozen for others and the store is silent
+    When an impatient caller waits 1.0 s for a job to be accepted
+    Then it has an answer within 0.5 s
+
   Scenario: A leader without the store says of no job that it is unknown
     Given the store is busy for the task fleet's leader
     And 0.3 s pass in the task fleet
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -147,6 +147,18 @@
     When a caller sends "POST /jobs/5c0e7a21d94b36f8" with body '{"steps":[{"count":1}]}'
     Then the caller is told to come back
 
+  Scenario Outline: How long a caller waits is read from its request
+    Given a front with a queue at "jobs.example/jobs/"
+    And its node accepts
+    When a caller that waits for "<deadline>" ms hands a job in
+    Then its patience is taken as <seconds> s
+
+    Examples:
+      | deadline     | seconds |
+      | 1500         | 1.5     |
+      | soon         | 3.0     |
+      | 999999999999 | 3.0     |
+
   Scenario Outline: Bytes that are no request end only their connection
     Given an HTTP server with a limit of 100 bytes
     When a client sends it the bytes "<bytes>"
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -370,7 +370,8 @@
     def __init__(self, state):
         self._state = state
 
-    async def submit(self, job):
+    async def submit(self, job, *, patience_s):
+        self.patience_s = patience_s
         if self._state == 'refuses':
             raise exceptions.NotReady('store', retry_after_ms=2_000)
         if self._state == 'does not know':
@@ -416,6 +417,23 @@
     step_send(context, line, '')
 
 
+@behave.when('a caller that waits for "{deadline}" ms hands a job in')
+def step_patient(context, deadline):
+    req = httpserver.Request(
+        method='POST',
+        path=f'{_QUEUE.prefix}{_JOB}',
+        headers={'host': _QUEUE.host, 'x-deadline-ms': deadline},
+        body=b'{"steps":[{"count":1}]}',
+    )
+    handler = front.Front(node=context.node, clock=clock.FakeClock())
+    context.answer = asyncio.run(handler(req))
+
+
+@behave.then('its patience is taken as {seconds:g} s')
+def step_patience(context, seconds):
+    assert context.node.entry.patience_s == seconds
+
+
 @behave.then('the caller gets {status:d}')
 def step_status(context, status):
     assert context.answer.status == status, context.answer
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -300,12 +300,12 @@
     context.outcome, context.took_s = _run(context, work)
 
 
-async def _hand_in(fleet, place, job_id):
+async def _hand_in(fleet, place, job_id, **options):
     job = task_fleet.make_job(job_id, fleet.jobs_steps[job_id], fleet.loop)
     begun_s = fleet.loop.time()
     outcome = 'accepted'
     try:
-        await fleet.nodes[place].entry.submit(job)
+        await fleet.nodes[place].entry.submit(job, **options)
     except exceptions.NotReady:
         outcome = 'refused'
     except exceptions.RequestUncertain:
@@ -410,3 +410,30 @@
 def step_explored(context):
     broken = context.explored.broken
     assert not broken, (broken[:5], context.explored.faults)
+
+
+@behave.given(
+    "the task fleet's leader is frozen for others and the store is silent"
+)
+def step_frozen(context):
+    fleet = context.fleet
+    leader = fleet.leader()
+    fleet.frozen.add(leader)
+    context.place = next(name for name in fleet.nodes if name != leader)
+    fleet.store.faults.silent.update(fleet.nodes)
+
+
+@behave.when(
+    'an impatient caller waits {seconds:g} s for a job to be accepted'
+)
+def step_impatient(context, seconds):
+    fleet = context.fleet
+    fleet.jobs_steps['a1'] = _steps('1x1.0')
+    work = _hand_in(fleet, context.place, 'a1', patience_s=seconds)
+    context.outcome, context.took_s = _run(context, work)
+
+
+@behave.then('it has an answer within {seconds:g} s')
+def step_answer(context, seconds):
+    assert context.outcome != 'accepted'
+    assert context.took_s <= seconds, context.took_s
