--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
@@ -183,13 +183,6 @@
             opened = True
         return opened
 
-    def next_due_ms(self) -> int | None:
-        """Unix time of the next occurrence that is not open yet."""
-        count = len(self.opened) + len(self.closed)
-        if count >= self.job.runs_of_steps:
-            return None
-        return self.job.due_ms(count)
-
     def close_complete(self) -> None:
         """Forgets the tasks of occurrences that are complete."""
         for occurrence, step_runs in list(self.opened.items()):
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/httpclient.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/httpclient.py
@@ -199,13 +199,6 @@
         self._all.add(conn)
         return conn
 
-    def drop_idle(self) -> None:
-        """Closes connections that are not in use; new ones may work."""
-        for conn in self._idle:
-            conn.abort()
-            self._all.discard(conn)
-        self._idle.clear()
-
     def close(self) -> None:
         """Closes all connections; calls on them end as uncertain."""
         for conn in list(self._all):
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -540,11 +540,9 @@
     def _pace(self, worker: workers.Worker, now_s: float) -> None:
         for change in pacing.plan(worker, self._tails, now_s):
             copy = change.copy
-            logs.event(
+            _log(
                 'run_paced',
-                id=copy.task.key.job,
-                task=_name(copy.task.key),
-                worker=worker.id,
+                copy,
                 before=copy.pace,
                 percent=change.percent,
                 pressure=round(pacing.pressure(worker), 2),
@@ -596,12 +594,9 @@
     ) -> None:
         """Notes that a worker has refused a run and done nothing."""
         worker = self.workers.get(copy.worker)
-        logs.event(
+        _log(
             'start_refused',
-            id=copy.task.key.job,
-            task=_name(copy.task.key),
-            run=copy.run,
-            worker=copy.worker,
+            copy,
             refusal=refusal.value,
         )
         if refusal is ports.Refusal.ROOM and worker is not None:
@@ -723,11 +718,9 @@
         verdict: stragglers.Verdict,
         now_s: float,
     ) -> None:
-        logs.event(
+        _log(
             'run_straggles',
-            id=copy.task.key.job,
-            task=_name(copy.task.key),
-            worker=worker.id,
+            copy,
             verdict=verdict.value,
             percent=copy.percent,
             running_s=round(now_s - copy.running_s, 2),
@@ -941,12 +934,9 @@
         self.dirty.add(key.job)
         self._orders.append(orders.Start(copy))
         worker = self.workers[copy.worker]
-        logs.event(
+        _log(
             'run_planned',
-            id=key.job,
-            task=_name(key),
-            run=copy.run,
-            worker=copy.worker,
+            copy,
             why=why,
             free_cpu=worker.room().cpu,
             failed=len(copy.task.failed_runs),
@@ -963,12 +953,9 @@
         uncertain = copy.state is execution.CopyState.UNCERTAIN
         copy.state = execution.CopyState.STOPPING
         copy.why = why
-        logs.event(
+        _log(
             'run_stopped',
-            id=copy.task.key.job,
-            task=_name(copy.task.key),
-            run=copy.run,
-            worker=copy.worker,
+            copy,
             why=why,
         )
         if not uncertain:
@@ -986,12 +973,9 @@
         if copy.saved:
             copy.task.checkpoint = copy.saved
         self.dirty.add(copy.task.key.job)
-        logs.event(
+        _log(
             'run_gone',
-            id=copy.task.key.job,
-            task=_name(copy.task.key),
-            run=copy.run,
-            worker=copy.worker,
+            copy,
             why=why,
         )
         if copy.task.step_run.step.gang:
@@ -1023,6 +1007,18 @@
             self.advice.forget(job_run.job.id)
 
 
+def _log(event: str, copy: execution.Copy, **fields: t.Any) -> None:
+    """Writes a line about one run."""
+    logs.event(
+        event,
+        id=copy.task.key.job,
+        task=_name(copy.task.key),
+        run=copy.run,
+        worker=copy.worker,
+        **fields,
+    )
+
+
 def step_key(step_run: execution.StepRun) -> advice.StepKey:
     """Returns the name of a step's occurrence."""
     job_id = step_run.job_run.job.id
