Runs on a worker whose address another one took are gone at once

The refused holds counted as a connection to the worker, each extended the lease that the leader reckoned with, so its six runs were never given up (until the closing fault at 34 s), and the next leader held all restored jobs back for 6.3 s. Change: a link is connected only once the worker has reported on the connection; 421 to a hold proves that the worker's process is gone, and its runs with it. Found by reading run_gone and worker lines of one worker.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -381,6 +381,9 @@
                 if exc.refusal is ports.Refusal.TOKEN:
                     self.depose(f'worker {worker.id} has a higher token')
                     return
+                if exc.refusal is ports.Refusal.OTHER_LIFE:
+                    self.core.on_replaced(worker)
+                    self._replan.set()
                 await asyncio.sleep(_HOLD_PAUSE_S)
             except exceptions.AmaranthflowError as exc:
                 if not lost:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/ports.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/ports.py
@@ -180,7 +180,10 @@
     """
 
     def connected(self) -> bool:
-        """Tells whether the last hold's connection is still open."""
+        """Tells whether the worker has reported on a connection still open.
+
+        The next hold then reaches the same life of the worker.
+        """
 
     async def hold(
         self,
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -318,6 +318,16 @@
         self._tails.observe(worker, now_s, now_ms)
         self._pace(worker, now_s)
 
+    def on_replaced(self, worker: workers.Worker) -> None:
+        """Notes that another worker answers at a worker's address.
+
+        Its process is gone, and all that ran there.
+        """
+        worker.answered_s = None
+        worker.lapsed_s = float('-inf')
+        for copy in list(worker.copies):
+            self._remove(copy, 'worker-replaced')
+
     def _new_life(self, worker: workers.Worker, born_ms: int) -> None:
         if worker.born_ms:
             logs.event(
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_worker.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_worker.py
@@ -76,6 +76,7 @@
         self.entry = entry
         self.faults = WorkerFaults()
         self.up = True
+        self.replaced = False
         self.life = 1
         self._plan = plan
         self._rng = rng
@@ -118,6 +119,11 @@
         self.up = True
         self._reset()
 
+    def replace(self) -> None:
+        """Ends for good; another worker answers at the address."""
+        self.crash()
+        self.replaced = True
+
     # orders
 
     def start(self, order: ports.StartOrder, token: int) -> int:
@@ -238,7 +244,7 @@
         self._life: int | None = None
 
     def connected(self) -> bool:
-        """Tells whether the last hold's connection is still open."""
+        """Tells whether the worker has reported on a connection still open."""
         return self._life == self._worker.life and self._worker.up
 
     def _reachable(self) -> bool:
@@ -254,6 +260,9 @@
         wait_ms: int,
     ) -> ports.Report:
         """Renews leases and lists runs."""
+        if self._worker.replaced:
+            await asyncio.sleep(_ANSWER_S)
+            raise ports.OrderRefused(ports.Refusal.OTHER_LIFE)
         if not self._reachable():
             self._life = None
             await asyncio.sleep(_HOLD_SILENCE_S)
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -61,6 +61,13 @@
     Then task job "a1" is completed within 8 s
     And the task fleet broke no promise
 
+  Scenario: A worker whose address another one has taken has lost its runs
+    Given task job "a1" with steps "8x3.0" is accepted
+    And 1 s pass in the task fleet
+    When task worker "w1" is replaced at its address
+    Then task job "a1" is completed within 5 s
+    And the task fleet broke no promise
+
   Scenario: Lost answers of the store double nothing
     Given the store loses 0.4 of its answers
     When task job "a1" with steps "4x1.0 4x1.0" is accepted
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -196,3 +196,8 @@
       | status | body         |
       | 429    | {}           |
       | 200    | {"good":[1]} |
+
+  Scenario: A connection on which only refusals came is not the worker's
+    Given a worker that answers 421 with '{}'
+    When it is held twice
+    Then its link is not connected and used 1 connection
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -555,3 +555,28 @@
 @behave.then('there is no advice')
 def step_no_advice(context):
     assert context.outcome == 'no answer', context.outcome
+
+
+@behave.when('it is held twice')
+def step_held(context):
+    async def work(address):
+        link = fleet.Fleet().link(ids.WorkerId('i-1'), address)
+        conns = set()
+        for _ in range(2):
+            try:
+                await link.hold(
+                    token=model.Token(1),
+                    observed=0,
+                    deadline_ms=None,
+                    wait_ms=0,
+                )
+            except ports.OrderRefused:
+                conns.add(link._holds)
+        return link.connected(), len(conns)
+
+    context.outcome = _with_server(context, work)
+
+
+@behave.then('its link is not connected and used {count:d} connection')
+def step_not_connected(context, count):
+    assert context.outcome == (False, count), context.outcome
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -437,3 +437,8 @@
 def step_answer(context, seconds):
     assert context.outcome != 'accepted'
     assert context.took_s <= seconds, context.took_s
+
+
+@behave.when('task worker "{name}" is replaced at its address')
+def step_replaced(context, name):
+    context.fleet.workers[name].replace()
