--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import hashlib
+import typing as t
 
 from amaranthflow import clock as clock_lib
 from amaranthflow import exceptions
@@ -103,7 +104,16 @@
         """Starts reading; returns at once."""
         loop = asyncio.get_running_loop()
         for work in (self._follow_leaders, self._follow_configuration):
-            self._tasks.append(loop.create_task(work()))
+            self._tasks.append(loop.create_task(self._keep_up(work)))
+
+    async def _keep_up(self, work: t.Callable[[], t.Awaitable]) -> None:
+        """Begins a loop anew after a fault of the program, which is logged."""
+        while True:
+            try:
+                await work()
+            except Exception as exc:
+                logs.event('loop_failed', loop=work.__name__, error=repr(exc))
+                await asyncio.sleep(_RETRY_S)
 
     async def step_down(self) -> None:
         """Lets another instance lead; callers are still served."""
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -187,6 +187,13 @@
     When 20 task jobs are handed in one after the other
     Then 18 of them are accepted within 0.5 s
 
+  Scenario: A configuration that makes the program fail ends nothing
+    When a configuration is put that cannot be decoded
+    And 1 s pass in the task fleet
+    And a new configuration is put
+    And 2 s pass in the task fleet
+    Then every task instance has configuration 2
+
   Scenario: A caller hears of its job early enough to ask again
     Given the task fleet's leader is frozen for others and the store is silent
     When an impatient caller waits 1.0 s for a job to be accepted
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -442,3 +442,20 @@
 @behave.when('task worker "{name}" is replaced at its address')
 def step_replaced(context, name):
     context.fleet.workers[name].replace()
+
+
+@behave.when('a configuration is put that cannot be decoded')
+def step_bad_configuration(context):
+    store = context.fleet.store
+    store.put(ports.Table.CONFIGURATION, b'config', b'nonsense')
+
+
+@behave.when('a new configuration is put')
+def step_configuration(context):
+    context.fleet.configure()
+
+
+@behave.then('every task instance has configuration {version:d}')
+def step_configured(context, version):
+    found = {node.cfg.version for node in context.fleet.nodes.values()}
+    assert found == {version}, found
