--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/tails.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/tails.py
@@ -25,6 +25,9 @@
 _LEAST_S = 0.4
 _MOST_S = 0.8
 _LEAST_CHANGE = 0.01
+# Runs that add less than this to a tail, as a logarithm, leave it as it is:
+# the spread of what is learned of a pair without any effect.
+_HARMLESS = 0.04
 # Own load may raise a low tail while a run lasts.
 _FLOOR = math.log(0.4)
 
@@ -101,12 +104,17 @@
             worker.tails[image] += self.effect(image, step, capacity)
 
     def expected(self, worker: workers.Worker, step: model.Step) -> float:
-        """Returns the worst tail beside another run, as share of target."""
+        """Returns the worst tail that another run would raise.
+
+        As a share of its target; tails that the run leaves as they are do
+        not count, however high.
+        """
         capacity = worker.entry.capacity.cpu
         worst = max(
             (
-                tail + self.effect(image, step, capacity)
+                tail + effect
                 for image, tail in worker.tails.items()
+                if (effect := self.effect(image, step, capacity)) > _HARMLESS
             ),
             default=_FLOOR,
         )
--- a/tests/amaranthflow_scheduler/decisions.feature
+++ b/tests/amaranthflow_scheduler/decisions.feature
@@ -54,6 +54,13 @@
     And image "loud" runs at 0 percent beside a tail of 0.2 targets
     Then its pace rises
 
+  Scenario: A high tail keeps away only the runs that raise it
+    Given 1 decision workers with services of images "shy"
+    When tails rise with image "loud" beside "shy" only
+    And image "quiet" is known to leave "shy" as it is
+    And the tail of "shy" is 0.9 targets
+    Then a task of image "quiet" has a worker and one of image "loud" has none
+
   Scenario: A step's limit for each worker is kept
     Given 2 decision workers
     When 5 tasks with at most 2 on a worker are placed
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -344,6 +344,39 @@
     return copy
 
 
+def _learn_harmless(context, image):
+    """The image comes and goes without an effect on the service."""
+    for _ in range(40):
+        context.tails._model.observe_change(
+            ids.TaskClass('shy'), {ids.TaskClass(image): 0.2}, 0.0, 1
+        )
+
+
+@behave.when('image "{image}" is known to leave "shy" as it is')
+def step_harmless(context, image):
+    _learn_harmless(context, image)
+
+
+@behave.when('the tail of "shy" is {tail:g} targets')
+def step_tail(context, tail):
+    (worker,) = context.workers
+    (service,) = worker.services()
+    service.gauge = 50 * tail
+    now_s = context.now_s + 1.0
+    context.tails.observe(worker, now_s, round(now_s * 1000))
+
+
+@behave.then(
+    'a task of image "{quiet}" has a worker and one of image "{loud}" has none'
+)
+def step_one_placed(context, quiet, loud):
+    found = {}
+    for image in (loud, quiet):
+        step = _step(opportunistic=True, image=image)
+        found[image] = _place(context, _first_task(f'j-{image}', step))
+    assert found[quiet] is not None and found[loud] is None, found
+
+
 def _paces(context, tail):
     (worker,) = context.workers
     (service,) = worker.services()
@@ -363,13 +396,7 @@
 def step_beside_tail(context, loud, quiet, tail):
     for image in (loud, quiet):
         _filler(context, image)
-    # What is known of the quiet image: it comes and goes without effect.
-    (worker,) = context.workers
-    image = ids.TaskClass(quiet)
-    for _ in range(40):
-        context.tails._model.observe_change(
-            ids.TaskClass('shy'), {image: 0.2}, 0.0, 1
-        )
+    _learn_harmless(context, quiet)
     _paces(context, tail)
 
 
