--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/entry.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/entry.py
@@ -1,7 +1,7 @@
 """Callers' requests at any instance.
 
-An instance stores a job itself and asks the leader about states. Where its
-own way to the store fails, the leader stores the job for it.
+The leader stores jobs and tells their states. Where the leader does not
+answer, an instance stores a job itself.
 """
 
 import asyncio
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
@@ -53,7 +53,6 @@
     worker: ids.WorkerId
     run: model.Run
     state: CopyState
-    planned_s: float
     settled_s: float | None = None
     running_s: float = 0.0
     moved_s: float = 0.0
@@ -65,7 +64,11 @@
     slowed_s: float = 0.0
     resumed: bool = False
     reported: bool = False
-    why: str = ''
+
+    @property
+    def tail_share(self) -> float:
+        """Tail of a service's run as a share of its target."""
+        return self.gauge / self.task.step_run.step.tail_target_ms
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
@@ -350,7 +353,6 @@
             worker=ids.WorkerId(worker),
             run=model.Run(run),
             state=CopyState.RUNNING,
-            planned_s=now_s,
             settled_s=now_s,
             pace=0,
             resumed=True,
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
@@ -316,9 +316,6 @@
                 instance=ids.InstanceId(str(answer.get('instance'))),
                 address=str(answer.get('address')),
             )
-        record = answer.get('configuration')
-        if record:
-            self._take_configuration(b'', str(record).encode())
 
     # configuration
 
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/pacing.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/pacing.py
@@ -33,13 +33,7 @@
 
 def pressure(worker: workers.Worker) -> float:
     """Returns the highest tail of a worker as a share of its target."""
-    return max(
-        (
-            copy.gauge / copy.task.step_run.step.tail_target_ms
-            for copy in worker.services()
-        ),
-        default=0.0,
-    )
+    return max((copy.tail_share for copy in worker.services()), default=0.0)
 
 
 def plan(
@@ -125,10 +119,10 @@
     """Returns the logarithm of the highest tail of each image."""
     found: dict = {}
     for copy in worker.services():
-        step = _step(copy)
+        image = _step(copy).image
         if copy.gauge > 0:
-            tail = math.log(copy.gauge / step.tail_target_ms)
-            found[step.image] = max(tail, found.get(step.image, tail))
+            tail = math.log(copy.tail_share)
+            found[image] = max(tail, found.get(image, tail))
     return found
 
 
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -503,7 +503,6 @@
             worker=worker.id,
             run=row.run,
             state=execution.CopyState.RUNNING,
-            planned_s=now_s,
             settled_s=sent_s,
             pace=0,
             resumed=True,
@@ -639,7 +638,6 @@
             worker.shunned_until_s = now_s + pause_s
         copy.state = execution.CopyState.UNCERTAIN
         copy.settled_s = void_s
-        copy.why = 'no-answer'
         self._orders.append(orders.Stop(copy))
 
     def on_stopped(self, copy: execution.Copy, now_s: float) -> None:
@@ -930,7 +928,6 @@
             worker=worker.id,
             run=task.step_run.job_run.take_run(task),
             state=execution.CopyState.PLANNED,
-            planned_s=now_s,
             resumed=bool(task.checkpoint),
         )
         task.copies.append(copy)
@@ -962,7 +959,6 @@
             return
         uncertain = copy.state is execution.CopyState.UNCERTAIN
         copy.state = execution.CopyState.STOPPING
-        copy.why = why
         _log(
             'run_stopped',
             copy,
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/tails.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/tails.py
@@ -127,8 +127,8 @@
     for copy in worker.services():
         step = copy.task.step_run.step
         if copy.gauge > 0:
-            tail = math.log(copy.gauge / step.tail_target_ms)
-            tails[copy.task.key] = (ids.TaskClass(step.image), tail)
+            image = ids.TaskClass(step.image)
+            tails[copy.task.key] = (image, math.log(copy.tail_share))
     loads: dict[ids.TaskClass, float] = {}
     for copy in worker.opportunistic():
         image = ids.TaskClass(copy.task.step_run.step.image)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
@@ -23,7 +23,6 @@
 class Sample(t.NamedTuple):
     """Tails and loads of one report.
 
-    :ivar unanswered: starts without an answer since the last answered one.
     :ivar tails: image and logarithm of the tail of each service's task.
     :ivar loads: share of the worker's processor in use by each image.
     """
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/record_store.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/record_store.py
@@ -5,9 +5,8 @@
 import random
 import typing as t
 
-from amaranthflow_scheduler import ports
-
 from amaranthflow import exceptions
+from amaranthflow_scheduler import ports
 
 _ANSWER_S = 0.005
 _SILENCE_S = 0.9
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
@@ -9,15 +9,15 @@
 import random
 import typing as t
 
+import msgspec
+
+from amaranthflow import exceptions
+from amaranthflow import ids
 from amaranthflow_scheduler import metrics
 from amaranthflow_scheduler import model
 from amaranthflow_scheduler import node as node_lib
 from amaranthflow_scheduler import ports
 from amaranthflow_scheduler import scheduler
-import msgspec
-
-from amaranthflow import exceptions
-from amaranthflow import ids
 
 from . import record_store
 from . import task_worker
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_worker.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_worker.py
@@ -5,11 +5,10 @@
 import random
 import typing as t
 
-from amaranthflow_scheduler import model
-from amaranthflow_scheduler import ports
-
 from amaranthflow import exceptions
 from amaranthflow import ids
+from amaranthflow_scheduler import model
+from amaranthflow_scheduler import ports
 
 _ANSWER_S = 0.002
 _ORDER_SILENCE_S = 0.4
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -9,6 +9,10 @@
 import tempfile
 import types
 
+import behave
+
+from amaranthflow import exceptions
+from amaranthflow import ids
 from amaranthflow_platform import adviser
 from amaranthflow_platform import fleet
 from amaranthflow_platform import front
@@ -18,10 +22,6 @@
 from amaranthflow_scheduler import httpserver
 from amaranthflow_scheduler import model
 from amaranthflow_scheduler import ports
-import behave
-
-from amaranthflow import exceptions
-from amaranthflow import ids
 from amaranthflow_standins import clock
 
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -3,6 +3,10 @@
 import dataclasses
 import random
 
+import behave
+
+from amaranthflow import exceptions
+from amaranthflow import ids
 from amaranthflow_scheduler import elections
 from amaranthflow_scheduler import execution
 from amaranthflow_scheduler import jobrecord
@@ -16,10 +20,6 @@
 from amaranthflow_scheduler import stragglers
 from amaranthflow_scheduler import tails
 from amaranthflow_scheduler import workers
-import behave
-
-from amaranthflow import exceptions
-from amaranthflow import ids
 from amaranthflow_standins import task_fleet
 
 _SERVICE = ids.ServiceId('workers')
@@ -75,7 +75,6 @@
         worker=worker.id,
         run=model.Run(1),
         state=execution.CopyState.RUNNING,
-        planned_s=now_s,
         reported=True,
         **fields,
     )
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -2,11 +2,11 @@
 
 import asyncio
 
-from amaranthflow_scheduler import model
-from amaranthflow_scheduler import ports
 import behave
 
 from amaranthflow import exceptions
+from amaranthflow_scheduler import model
+from amaranthflow_scheduler import ports
 from amaranthflow_standins import task_fleet
 from amaranthflow_standins import task_fuzz
 from amaranthflow_standins import virtual_time
