--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
@@ -15,9 +15,9 @@
 from . import model
 
 _FORMAT = 1  # layout of the record; raise it when a field changes its meaning
-# Records follow starts. An earlier leader has used fewer runs of one task
-# than this since its last record.
-_RUNS_UNRECORDED = 100
+# Numbers of one task's runs that one token is worth. Tokens rise twice a
+# second, a task is started a few times a second at most.
+_RUNS_PER_TOKEN = 1_000
 
 
 class CopyState(enum.Enum):
@@ -148,13 +148,13 @@
     :ivar first_run: least number of a run that this leader starts.
     """
 
-    def __init__(self, *, job: model.Job):
+    def __init__(self, *, job: model.Job, first_run: int = 1):
         self.job = job
         self.state = model.JobState.PENDING
         self.shown = model.JobState.PENDING
         self.started = False
         self.ended_ms = 0
-        self.first_run = 1
+        self.first_run = first_run
         self.opened: dict[int, list[StepRun]] = {}
         self.closed: set[int] = set()
 
@@ -163,11 +163,6 @@
         """True once the job needs no further run."""
         return self.state in model.ENDED
 
-    def skip_runs(self) -> None:
-        """Leaves out the run numbers that may have been used unrecorded."""
-        highest = max((task.next_run for task in self.tasks()), default=1)
-        self.first_run = max(self.first_run, highest) + _RUNS_UNRECORDED
-
     def take_run(self, task: 'TaskRun') -> model.Run:
         """Returns a number for a new run of a task, higher than any before."""
         run = max(task.next_run, self.first_run)
@@ -248,6 +243,14 @@
         ]
 
 
+def first_run(token: model.Token) -> int:
+    """Returns the least number of a run that a leader may use.
+
+    Records follow starts, so numbers of earlier leaders may be unrecorded.
+    """
+    return (token - 1) * _RUNS_PER_TOKEN + 1
+
+
 def longest_chain_ms(job: model.Job) -> int:
     """Returns the estimated time of a job's longest chain of steps."""
     ends: list[int] = []
@@ -313,7 +316,7 @@
         job_run.state = job_run.shown = model.JobState(state)
         job_run.started = bool(started)
         job_run.ended_ms = ended_ms
-        job_run.first_run = first_run
+        job_run.first_run = max(job_run.first_run, first_run)
         job_run.closed = set(closed)
         for occurrence, number in full:
             step_run = _step_run(job_run, occurrence, number)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -81,7 +81,9 @@
         self._leaders_end = leaders_end
         self._store_was_lost = store_was_lost
         self.core = scheduler.Scheduler(
-            limits=tools.limits, now_s=tools.clock.monotonic()
+            limits=tools.limits,
+            token=term.token,
+            now_s=tools.clock.monotonic(),
         )
         if cfg is not None:
             self.core.configure(cfg)
@@ -721,6 +723,8 @@
         except exceptions.AmaranthflowError as exc:
             reason = f'the newest jobs cannot be read: {exc}'
             raise exceptions.NotReady(reason) from exc
+        # Deposed meanwhile: the jobs read just now would not be taken.
+        self._check_ready()
         self._take_jobs(batch)
 
     def pending_count(self, queue: model.QueueId) -> int:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -76,11 +76,12 @@
 class Scheduler:
     """State and decisions of one leader, from its election on."""
 
-    def __init__(self, *, limits: Limits, now_s: float):
+    def __init__(self, *, limits: Limits, token: model.Token, now_s: float):
         self.jobs: dict[ids.JobId, execution.JobRun] = {}
         self.workers: dict[ids.WorkerId, workers.Worker] = {}
         self.dirty: set[ids.JobId] = set()
         self._limits = limits
+        self._first_run = execution.first_run(token)
         self._since_s = now_s
         self._active: dict[ids.JobId, execution.JobRun] = {}
         self._queues: dict[model.QueueId, model.Queue] = {}
@@ -110,7 +111,7 @@
         """Takes an accepted job; False where it is known already."""
         if job.id in self.jobs:
             return False
-        job_run = execution.JobRun(job=job)
+        job_run = execution.JobRun(job=job, first_run=self._first_run)
         self.jobs[job.id] = job_run
         self._active[job.id] = job_run
         return True
@@ -140,7 +141,6 @@
         unlisted = any(w.unlisted_s is not None for w in self.workers.values())
         for job_run in self._active.values():
             job_run.open_due(now_ms)
-            job_run.skip_runs()
             self._held_back.add(job_run.job.id)
         self._listed_by_s = now_s
         if unlisted or store_was_lost:
--- a/tests/amaranthflow_scheduler/decisions.feature
+++ b/tests/amaranthflow_scheduler/decisions.feature
@@ -155,3 +155,7 @@
     When a gang of 4 tasks of one core is planned
     And its members are sent and one is refused
     Then the other 3 members are stopped
+
+  Scenario: Leaders that stored nothing give a task's runs different numbers
+    When 3 leaders in a row start the task of one job and store nothing
+    Then the 3 runs have different numbers, each higher than the one before
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -208,6 +208,11 @@
     Then no task runs
     And the task fleet broke no promise
 
+  Scenario: A leader that is deposed during a look-up calls no job unknown
+    Given the store's answers take 0.3 s more
+    When a job is stored and its leader is deposed while it looks it up
+    Then the deposed leader has not called the job unknown
+
   Scenario Outline: Random failures break no promise
     Given nothing but a seed
     When the scheduler's fleet plays seed <seed>
@@ -220,3 +225,5 @@
       | 27   | a job stored elsewhere was unknown to the leader's cancel |
       | 56   | stand-in: calls to a killed instance never ended          |
       | 115  | stand-in: late orders reached a worker's next life        |
+      | 363  | deposed during a look-up, a leader called a job unknown   |
+      | 398  | two leaders in a row gave a task's run the same number    |
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -583,7 +583,7 @@
 
 @behave.given('a scheduler with {count:d} workers that answer')
 def step_core(context, count):
-    context.core = scheduler.Scheduler(limits=task_fleet.LIMITS, now_s=0.0)
+    context.core = _core()
     for number in range(count):
         entry = _worker(f'w{number + 1}').entry
         context.core.entry_changed(entry, 0.0)
@@ -592,6 +592,12 @@
         _report(context.core, worker, [], 0.1)
 
 
+def _core(token=1):
+    return scheduler.Scheduler(
+        limits=task_fleet.LIMITS, token=model.Token(token), now_s=0.0
+    )
+
+
 def _report(core, worker, ended, now_s):
     report = ports.Report(
         clock_ms=round(now_s * 1000), born_ms=1, running=[], ended=ended
@@ -628,8 +634,8 @@
 def step_listed_twice(context, count):
     job = _job('j1', _step())
     value = None
-    for _ in range(count):
-        core = scheduler.Scheduler(limits=task_fleet.LIMITS, now_s=0.0)
+    for leader in range(count):
+        core = _core(token=leader + 1)
         core.entry_changed(_worker('w1').entry, 0.0)
         core.restore_job(job, value, 0.0)
         core.hold_back(0.0, 0, store_was_lost=False)
@@ -764,3 +770,28 @@
     ]
     assert stops == context.copies[1:], stops
     assert len(stops) == count
+
+
+@behave.when(
+    '{count:d} leaders in a row start the task of one job and store nothing'
+)
+def step_leaders_in_a_row(context, count):
+    context.numbers = []
+    for token in range(1, count + 1):
+        core = _core(token=token)
+        core.entry_changed(_worker('w1').entry, 0.0)
+        core.restore_job(_job('j1', _step()), None, 0.0)
+        core.hold_back(0.0, 0, store_was_lost=False)
+        _report(core, core.workers[ids.WorkerId('w1')], [], 0.1)
+        core.plan(0.2, 0)
+        (start,) = core.take_orders()
+        context.numbers.append(start.copy.run)
+
+
+@behave.then(
+    'the {count:d} runs have different numbers, each higher than the one '
+    'before'
+)
+def step_different_numbers(context, count):
+    assert len(set(context.numbers)) == count, context.numbers
+    assert context.numbers == sorted(context.numbers), context.numbers
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -5,6 +5,7 @@
 import behave
 
 from amaranthflow import exceptions
+from amaranthflow_scheduler import jobrecord
 from amaranthflow_scheduler import model
 from amaranthflow_scheduler import ports
 from amaranthflow_standins import task_fleet
@@ -459,3 +460,31 @@
 def step_configured(context, version):
     found = {node.cfg.version for node in context.fleet.nodes.values()}
     assert found == {version}, found
+
+
+@behave.when('a job is stored and its leader is deposed while it looks it up')
+def step_deposed(context):
+    context.told = _run(context, _depose_during_look_up(context.fleet))
+
+
+async def _depose_during_look_up(fleet):
+    leader = fleet.nodes[fleet.leader()].leader
+    for job_id in ('x0', 'x1'):
+        # The leader's own read returns with the first one, the next is slow.
+        fleet.jobs_steps[job_id] = _steps('1x1.0')
+        job = task_fleet.make_job(job_id, _steps('1x1.0'), fleet.loop)
+        value = jobrecord.encode(job)
+        fleet.store.put(ports.Table.JOBS, job_id.encode(), value)
+        await asyncio.sleep(0.05)
+    looking = asyncio.create_task(leader.state(job.id))
+    await asyncio.sleep(0.05)
+    leader.depose('test')
+    try:
+        return await looking
+    except exceptions.NotReady as exc:
+        return exc
+
+
+@behave.then('the deposed leader has not called the job unknown')
+def step_not_unknown(context):
+    assert isinstance(context.told, exceptions.NotReady), context.told
