--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
@@ -96,7 +96,10 @@
 
 
 class StepRun:
-    """One occurrence of a step."""
+    """One occurrence of a step.
+
+    :ivar waits_since_s: since when a task finds no worker, None if none does.
+    """
 
     __slots__ = (
         'job_run',
@@ -106,7 +109,8 @@
         'tasks',
         'left',
         'speeds',
-        'waits',
+        'waits_since_s',
+        'wait_logged',
     )
 
     def __init__(self, *, job_run: 'JobRun', occurrence: int, number: int):
@@ -116,7 +120,8 @@
         self.step = job_run.job.steps[number]
         self.left = self.step.count
         self.speeds: list[float] = []
-        self.waits = False
+        self.waits_since_s: float | None = None
+        self.wait_logged = False
         self.tasks = [
             TaskRun(
                 key=model.TaskKey(job_run.job.id, occurrence, number, index),
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
@@ -31,9 +31,25 @@
 _SLOW = 2.0
 
 
+def label_permits(worker: workers.Worker, step: model.Step) -> bool:
+    """Tells whether a worker has the label that a step requires."""
+    return not step.label or step.label in worker.entry.labels
+
+
+def count_permits(
+    worker: workers.Worker, step_run: execution.StepRun
+) -> bool:
+    """Tells whether a worker may take one more task of a step."""
+    most = step_run.step.max_per_worker
+    if not most:
+        return True
+    here = sum(copy.worker == worker.id for copy in step_run.copies())
+    return here < most
+
+
 def may_run(worker: workers.Worker, step: model.Step) -> bool:
     """Tells whether the step's label and amounts permit a worker at all."""
-    if step.label and step.label not in worker.entry.labels:
+    if not label_permits(worker, step):
         return False
     need = step.resources
     if step.opportunistic:
--- /dev/null
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/reservations.py
@@ -0,0 +1,151 @@
+"""Workers that are kept for tasks too large for the rooms that are left.
+
+Answers full fleets: processors are free in many small rooms, and each room
+that grows is filled by a small task before a large one fits. A service's
+task that has waited for a while gets a worker on which nothing else starts;
+if what runs there takes long to end, it is stopped.
+"""
+
+import dataclasses
+import typing as t
+
+from . import execution
+from . import logs
+from . import placement
+from . import workers
+
+# Most rooms that fit open up sooner: the tasks of jobs last about a second.
+_PATIENCE_S = 0.5
+# A service may wait 3 s in all (the platform's rule on lost tasks).
+_STOP_AFTER_S = 1.3
+# Share of the usable workers that may be kept at once.
+_MOST_KEPT = 0.15
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Reservation:
+    """A worker kept for one task of a step, since a time in seconds."""
+
+    step_run: execution.StepRun
+    since_s: float
+
+
+class Reservations:
+    """Which workers are kept for which steps."""
+
+    def __init__(self):
+        self._kept: dict[workers.Worker, Reservation] = {}
+
+    def kept(self) -> list[workers.Worker]:
+        """Returns the workers that are kept."""
+        return list(self._kept)
+
+    def holds(self, step_run: execution.StepRun) -> bool:
+        """Tells whether a worker is kept for a step."""
+        return any(k.step_run is step_run for k in self._kept.values())
+
+    def permitted(
+        self, step_run: execution.StepRun, candidates: list[workers.Worker]
+    ) -> list[workers.Worker]:
+        """Returns the workers that are not kept for other steps.
+
+        Opportunistic runs take no processor, so they may go anywhere.
+        """
+        if not self._kept or step_run.step.opportunistic:
+            return candidates
+        return [
+            worker
+            for worker in candidates
+            if (kept := self._kept.get(worker)) is None
+            or kept.step_run is step_run
+        ]
+
+    def clear(self) -> None:
+        """Keeps no worker any longer."""
+        self._kept.clear()
+
+    def update(
+        self,
+        waiting: t.Iterable[tuple[execution.StepRun, list[workers.Worker]]],
+        now_s: float,
+    ) -> None:
+        """Keeps workers for the steps that have waited longest.
+
+        :param waiting: steps of services with a task that found no worker,
+            each with the workers that it may use.
+        """
+        before, self._kept = self._kept, {}
+        for step_run, usable in sorted(waiting, key=_waits_since):
+            if now_s - (step_run.waits_since_s or now_s) < _PATIENCE_S:
+                continue
+            most = max(1, int(_MOST_KEPT * len(usable)))
+            count = sum(task.waiting for task in step_run.tasks)
+            for worker in self._choose(step_run, usable, before)[:count]:
+                if len(self._kept) >= most:
+                    break
+                known = before.get(worker)
+                if known is None or known.step_run is not step_run:
+                    known = Reservation(step_run=step_run, since_s=now_s)
+                    logs.event(
+                        'worker_reserved',
+                        id=step_run.job_run.job.id,
+                        worker=worker.id,
+                        cpu=step_run.step.resources.cpu,
+                        room=worker.room().cpu,
+                    )
+                self._kept[worker] = known
+
+    def _choose(
+        self,
+        step_run: execution.StepRun,
+        usable: list[workers.Worker],
+        before: dict[workers.Worker, Reservation],
+    ) -> list[workers.Worker]:
+        """Returns workers that can make room, the best ones first."""
+        step = step_run.step
+
+        def rank(worker: workers.Worker) -> tuple[bool, int]:
+            known = before.get(worker)
+            kept = known is not None and known.step_run is step_run
+            return not kept, -worker.room().cpu
+
+        found = [
+            worker
+            for worker in usable
+            if worker not in self._kept
+            and placement.label_permits(worker, step)
+            and placement.count_permits(worker, step_run)
+            and step.resources.fits(worker.room().plus(worker.passing()))
+        ]
+        return sorted(found, key=rank)
+
+    def overdue(
+        self, worker: workers.Worker, now_s: float
+    ) -> list[execution.Copy]:
+        """Returns the runs to stop so that the task fits at last."""
+        kept = self._kept.get(worker)
+        if kept is None or now_s - kept.since_s < _STOP_AFTER_S:
+            return []
+        need = kept.step_run.step.resources
+        room = worker.room()
+        stopped = []
+        for copy in sorted(worker.passing_runs(), key=_loss):
+            if need.fits(room):
+                break
+            room = room.plus(copy.task.step_run.step.resources)
+            stopped.append(copy)
+        return stopped
+
+
+def _waits_since(
+    entry: tuple[execution.StepRun, list[workers.Worker]],
+) -> float:
+    return entry[0].waits_since_s or 0.0
+
+
+def _loss(copy: execution.Copy) -> tuple[bool, float]:
+    """Orders runs by what stopping them throws away."""
+    step = copy.task.step_run.step
+    stopping = copy.state is execution.CopyState.STOPPING
+    lost = 0.0 if step.checkpoints else copy.percent * step.resources.cpu
+    return not stopping, lost
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -20,6 +20,7 @@
 from . import pacing
 from . import placement
 from . import ports
+from . import reservations
 from . import stragglers
 from . import tails
 from . import workers
@@ -87,6 +88,7 @@
         self._queues: dict[model.QueueId, model.Queue] = {}
         self._orders: list[orders.Order] = []
         self._tails = tails.Tails()
+        self._reservations = reservations.Reservations()
         self.advice = advice.Advice()
         self._held_back: set[ids.JobId] = set()
         self._listed_by_s = now_s
@@ -777,18 +779,38 @@
             ):
                 wanting.append(job_run)
         if not wanting:
+            self._reservations.clear()
             return
         wanting.sort(key=lambda job_run: order.rank(job_run, now_ms))
         usable = [w for w in self.workers.values() if self.usable(w, now_s)]
         by_service = collections.defaultdict(list)
         for worker in usable:
             by_service[worker.entry.service].append(worker)
+        self._reserve(wanting, by_service, now_s)
         full: set[tuple] = set()
         for job_run in wanting:
             service = self.queue_of(job_run.job).service
             for step_run in job_run.ready_steps():
                 self._plan_step(step_run, by_service[service], full, now_s)
 
+    def _reserve(
+        self,
+        wanting: list[execution.JobRun],
+        usable: dict[ids.ServiceId, list[workers.Worker]],
+        now_s: float,
+    ) -> None:
+        """Keeps workers for services that wait, stops what lasts there."""
+        waiting = [
+            (step_run, usable[self.queue_of(job_run.job).service])
+            for job_run in wanting
+            for step_run in job_run.ready_steps()
+            if step_run.step.service and step_run.waits_since_s is not None
+        ]
+        self._reservations.update(waiting, now_s)
+        for worker in self._reservations.kept():
+            for copy in self._reservations.overdue(worker, now_s):
+                self._stop(copy, 'reserved-for-service')
+
     def _plan_step(
         self,
         step_run: execution.StepRun,
@@ -802,19 +824,26 @@
         if step.gang:
             self._plan_gang(step_run, candidates, now_s)
             return
+        candidates = self._reservations.permitted(step_run, candidates)
         shape = (step.resources, step.opportunistic, step.label)
+        hopeless = shape in full and not self._reservations.holds(step_run)
         for task in step_run.tasks:
             if not task.waiting:
                 continue
-            if shape in full:
-                return
-            worker = placement.choose(task, candidates, self._tails)
-            if worker is None:
-                if not step.max_per_worker:
-                    full.add(shape)
-                self._note_waiting(task, candidates)
-                return
-            self._place(task, worker, now_s, 'waiting')
+            worker = None
+            if not hopeless:
+                worker = placement.choose(task, candidates, self._tails)
+            if worker is not None:
+                self._place(task, worker, now_s, 'waiting')
+                continue
+            if step_run.waits_since_s is None:
+                step_run.waits_since_s = now_s
+            if not hopeless:
+                self._log_waiting(task, candidates)
+            if not step.max_per_worker:
+                full.add(shape)
+            return
+        step_run.waits_since_s = None
 
     def _advised(
         self,
@@ -836,14 +865,14 @@
             self.advice.want(key, [worker.id for worker in others])
         return ready
 
-    def _note_waiting(
+    def _log_waiting(
         self, task: execution.TaskRun, candidates: list[workers.Worker]
     ) -> None:
         """Logs once for each step why a task has no worker."""
         step_run = task.step_run
-        if step_run.waits:
+        if step_run.wait_logged:
             return
-        step_run.waits = True
+        step_run.wait_logged = True
         rooms = [worker.room().cpu for worker in candidates]
         step = step_run.step
         beside = {}
@@ -905,8 +934,8 @@
             and self.usable(worker, now_s)
         ]
         if queue.advised:
-            return self._advised(task.step_run, found, now_s)
-        return found
+            found = self._advised(task.step_run, found, now_s)
+        return self._reservations.permitted(task.step_run, found)
 
     def _place(
         self,
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
@@ -132,6 +132,22 @@
         """Returns what is free."""
         return self.entry.capacity.minus(self.used)
 
+    def passing_runs(self) -> list[execution.Copy]:
+        """Returns the runs that take processors and will end."""
+        return [
+            copy
+            for copy in self.copies
+            if not copy.task.step_run.step.service
+            and not copy.task.step_run.step.opportunistic
+        ]
+
+    def passing(self) -> model.Resources:
+        """Returns what ``passing_runs`` take together."""
+        total = model.Resources()
+        for copy in self.passing_runs():
+            total = total.plus(copy.task.step_run.step.resources)
+        return total
+
     def unused_cpu(self) -> float:
         """Returns what another opportunistic run may expect to use."""
         idle = SERVICE_IDLE if self._squeezed() else SERVICE_IDLE_SEEN
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -213,6 +213,18 @@
     When a job is stored and its leader is deposed while it looks it up
     Then the deposed leader has not called the job unknown
 
+  Scenario Outline: A service's large task gets a worker on a full fleet
+    Given small task jobs of <seconds> s come faster than they can be run
+    And 3 s pass in the task fleet
+    When a task service "s1" of 1 task of 6 cores is accepted
+    Then a task of "s1" runs within 3 s
+    And the task fleet broke no promise
+
+    Examples: jobs that end soon, and jobs that have to be stopped
+      | seconds |
+      | 0.8     |
+      | 9       |
+
   Scenario Outline: Random failures break no promise
     Given nothing but a seed
     When the scheduler's fleet plays seed <seed>
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -488,3 +488,52 @@
 @behave.then('the deposed leader has not called the job unknown')
 def step_not_unknown(context):
     assert isinstance(context.told, exceptions.NotReady), context.told
+
+
+@behave.given(
+    'small task jobs of {seconds:g} s come faster than they can be run'
+)
+def step_crowd(context, seconds):
+    # 4 workers of 8 cores.
+    every_s = 0.8 * seconds / 32
+    context.crowd = context.loop.create_task(
+        _crowd(context.fleet, seconds, every_s)
+    )
+
+
+async def _crowd(fleet, seconds, every_s):
+    number = 0
+    while True:
+        job_id = f'c{number}'
+        fleet.jobs_steps[job_id] = _steps(f'1x{seconds}')
+        await fleet.submit(job_id, fleet.jobs_steps[job_id])
+        number += 1
+        # At first all at once, so that every worker is full.
+        await asyncio.sleep(every_s if number > 40 else 0)
+
+
+@behave.when(
+    'a task service "{job_id}" of 1 task of {cores:d} cores is accepted'
+)
+def step_large_service(context, job_id, cores):
+    step = model.Step(
+        count=1,
+        resources=model.Resources(cores * _CPU, 100, 0),
+        service=True,
+    )
+    _submit(context, job_id, [step])
+
+
+@behave.then('a task of "{job_id}" runs within {seconds:g} s')
+def step_runs_within(context, job_id, seconds):
+    _run(context, _wait_running(context.fleet, job_id, seconds))
+
+
+async def _wait_running(fleet, job_id, seconds):
+    end_s = fleet.loop.time() + seconds
+    while fleet.loop.time() < end_s:
+        for worker in fleet.workers.values():
+            if any(task.job == job_id for task in worker.running):
+                return
+        await asyncio.sleep(0.05)
+    raise AssertionError(f'no task of {job_id} runs after {seconds} s')
