--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/httpclient.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/httpclient.py
@@ -1,7 +1,8 @@
 """Small HTTP/1.1 client with kept connections to one address.
 
 Each call has its own time limit, since a connection may go silent without a
-reset. A connection on which an answer is overdue is closed, never reused.
+reset; a long answer that keeps arriving over a narrow link is waited for. A
+connection on which an answer is overdue is closed, never reused.
 """
 
 import asyncio
@@ -16,6 +17,8 @@
 # A host that does not answer the opening packet within this time is taken as
 # unreachable; twice the longest round trip plus a slow accept.
 _CONNECT_S = 0.5
+# Longest pause within an answer; a lost packet is sent again sooner.
+_STALL_S = 0.9
 
 
 class Answer(t.NamedTuple):
@@ -33,6 +36,7 @@
         self._fut: asyncio.Future[Answer] | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._body: list[bytes] = []
+        self._timer: asyncio.TimerHandle | None = None
         self.open = False
 
     # asyncio.Protocol
@@ -52,6 +56,7 @@
         if self._parser is None:
             self.abort()
             return
+        self._set_timer(_STALL_S)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
@@ -77,7 +82,8 @@
     async def call(self, head: bytes, body: bytes, limit_s: float) -> Answer:
         """Sends a request and returns its answer.
 
-        Raises PlatformUncertain where none came within the limit.
+        Raises PlatformUncertain where none began within the limit, or where
+        it stopped arriving.
         """
         if self._transport is None or self._transport.is_closing():
             self.open = False
@@ -87,19 +93,27 @@
         self._parser = httptools.HttpResponseParser(self)
         self._body = []
         self._transport.write(head + body)
-        timer = loop.call_later(limit_s, self._overdue, limit_s)
+        self._set_timer(limit_s)
         try:
             answer = await self._fut
         except asyncio.CancelledError:
             self.abort()
             raise
         finally:
-            timer.cancel()
+            if self._timer is not None:
+                self._timer.cancel()
             self._fut = None
         if not self.open:
             self.abort()
         return answer
 
+    def _set_timer(self, limit_s: float) -> None:
+        """Gives the answer, or what is left of it, so long to arrive."""
+        if self._timer is not None:
+            self._timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(limit_s, self._overdue, limit_s)
+
     def _overdue(self, limit_s: float) -> None:
         if self._fut is not None and not self._fut.done():
             reason = f'no answer within {limit_s:.2f} s'
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
@@ -36,9 +36,7 @@
     return not step.label or step.label in worker.entry.labels
 
 
-def count_permits(
-    worker: workers.Worker, step_run: execution.StepRun
-) -> bool:
+def count_permits(worker: workers.Worker, step_run: execution.StepRun) -> bool:
     """Tells whether a worker may take one more task of a step."""
     most = step_run.step.max_per_worker
     if not most:
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -89,6 +89,16 @@
     When a record is appended
     Then the append ends as uncertain
 
+  Scenario: A table that arrives slowly is read whole
+    Given a store that sends a table's page in 5 pieces, one each 0.3 s
+    When the newest records are read
+    Then 1 record is read
+
+  Scenario: A page that stops arriving is given up
+    Given a store that sends 2 of the 5 pieces of a table's page
+    When the newest records are read
+    Then the read ends as uncertain
+
   Scenario: A store that does not listen has done nothing
     Given no store
     When a record is appended
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -278,6 +278,61 @@
     context.handler = handler
 
 
+@behave.given(
+    "a store that sends a table's page in {count:d} pieces, one each "
+    '{seconds:g} s'
+)
+def step_slow_page(context, count, seconds):
+    context.page = (count, count, seconds)
+
+
+@behave.given(
+    "a store that sends {sent:d} of the {count:d} pieces of a table's page"
+)
+def step_part_of_page(context, sent, count):
+    context.page = (sent, count, 0.1)
+
+
+@behave.when('the newest records are read')
+def step_newest(context):
+    context.outcome = asyncio.run(_newest_in_pieces(*context.page))
+
+
+async def _newest_in_pieces(sent, count, seconds):
+    body = b'{"items":[{"key":"k","value":"dg==","offset":0}],"end":1}'
+    answer = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s' % (
+        len(body),
+        body,
+    )
+    size = -(-len(answer) // count)
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        for number in range(sent):
+            await asyncio.sleep(seconds)
+            writer.write(answer[number * size : (number + 1) * size])
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(serve, _HOST, 0)
+    port = server.sockets[0].getsockname()[1]
+    link = store.Store(address=f'{_HOST}:{port}')
+    try:
+        batch = await link.newest(ports.Table.JOBS)
+        return len(batch.records)
+    except exceptions.PlatformUncertain:
+        return 'uncertain'
+    finally:
+        link._client.close()
+        server.close()
+        await asyncio.sleep(0.01)
+
+
+@behave.then('{count:d} record is read')
+def step_records_read(context, count):
+    assert context.outcome == count, context.outcome
+
+
 @behave.given('no store')
 def step_no_store(context):
     context.handler = None
@@ -321,6 +376,7 @@
 
 @behave.then('the append ends as {outcome}')
 @behave.then('the start ends as {outcome}')
+@behave.then('the read ends as {outcome}')
 def step_outcome(context, outcome):
     assert context.outcome == outcome, context.outcome
 
