--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/elections.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/elections.py
@@ -26,6 +26,38 @@
 _GAP_S = 1.6
 
 
+# A leader of some 200 workers uses up to 0.4 cores and 2 Mbit/s, and reads
+# a few MB before it starts; both are wanted several times over.
+_LEADER_PROCESSORS = 1.0
+_LEADER_LINK_MBPS = 50.0
+# A larger instance claims within some 20 ms; one that is too slow to be
+# there by then is no better leader.
+HANDICAP_S = 0.5
+# An instance that failed to recover leaves the next claims to others.
+REST_S = 6.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Size:
+    """What an instance has for its work.
+
+    :ivar processors: whole processors' worth, may be a fraction.
+    :ivar link_mbps: bandwidth of its network link, Mbit/s.
+    """
+
+    processors: float = _LEADER_PROCESSORS
+    link_mbps: float = _LEADER_LINK_MBPS
+
+    @property
+    def handicap_s(self) -> float:
+        """Seconds by which the instance claims later than a large one."""
+        small = (
+            self.processors < _LEADER_PROCESSORS,
+            self.link_mbps < _LEADER_LINK_MBPS,
+        )
+        return HANDICAP_S * any(small)
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Term:
     """A leader's time in office as its newest record tells.
@@ -76,16 +108,24 @@
     :param instance: this instance. A term of its own that it does not serve
         is one of its former process.
     :param patience_s: silence after which this instance claims.
+    :param handicap_s: how much later it claims than larger instances do.
     """
 
     def __init__(
-        self, *, instance: ids.InstanceId, patience_s: float = TAKEOVER_S
+        self,
+        *,
+        instance: ids.InstanceId,
+        patience_s: float = TAKEOVER_S,
+        handicap_s: float = 0.0,
     ):
         self.term: Term | None = None
         self.end = 0
         self._instance = instance
         self._over: Term | None = None
         self._patience_s = patience_s
+        self._handicap_s = handicap_s
+        self._free_since_s: float | None = None
+        self._rests_until_s = float('-inf')
         self._silent_since_s: float | None = None
         self._read_s: float | None = None
 
@@ -105,15 +145,26 @@
         for record in batch.records:
             if record.value:
                 self.term = decode(record)
+        if not self._is_free():
+            self._free_since_s = None
+        elif self._free_since_s is None:
+            self._free_since_s = now_s
         return self.term if self.term != before else None
 
     def on_failure(self) -> None:
         """Notes that a read has failed; silence counts anew."""
         self._silent_since_s = None
+        self._free_since_s = None
 
-    def mark_over(self, term: Term) -> None:
+    def rest(self, now_s: float) -> None:
+        """Leaves the next claims to other instances."""
+        self._rests_until_s = now_s + REST_S
+
+    def mark_over(self, term: Term, now_s: float) -> None:
         """Notes that a term's process no longer serves it."""
         self._over = term
+        if self._free_since_s is None and self._is_free():
+            self._free_since_s = now_s
 
     def silent_s(self, now_s: float) -> float:
         """Returns for how long there surely was no record, in seconds."""
@@ -123,11 +174,21 @@
 
     def may_claim(self, now_s: float) -> bool:
         """Tells whether there is no leader, for one that does not lead."""
+        return self.claims_in_s(now_s) <= 0.0
+
+    def claims_in_s(self, now_s: float) -> float:
+        """Returns the seconds until this instance may claim if none does."""
         if self._silent_since_s is None:
-            return False
+            return float('inf')
+        left_s = self._patience_s + self._handicap_s - self.silent_s(now_s)
+        if self._free_since_s is not None:
+            free_s = now_s - self._free_since_s
+            left_s = min(left_s, self._handicap_s - free_s)
+        return max(left_s, self._rests_until_s - now_s)
+
+    def _is_free(self) -> bool:
+        """Tells whether nobody serves the newest term."""
         term = self.term
         if term is None or term.released or term == self._over:
             return True
-        if term.instance == self._instance:
-            return True
-        return self.silent_s(now_s) >= self._patience_s
+        return term.instance == self._instance
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -39,6 +39,8 @@
 _PLAN_GATHER_S = 0.004
 _FORGET_EVERY_S = 5.0
 _RESIGN_S = 0.6
+# Leases last 4.5 s; another instance may recover before they lapse.
+_RECOVERY_STALL_S = 2.5
 
 
 class Deposed(Exception):
@@ -61,6 +63,8 @@
 class Leader:
     """One term in office, from the claim to the end.
 
+    :ivar gave_up: the term ended since its instance could not recover.
+
     :param store_was_lost: the store was away a short time ago, so that
         entries of workers may be missing.
     """
@@ -100,6 +104,8 @@
         self._group: asyncio.TaskGroup | None = None
         self._over = asyncio.Event()
         self._why = ''
+        self.gave_up = False
+        self._stalled_s: float | None = None
 
     # life
 
@@ -132,10 +138,11 @@
         """Stores what is not stored yet and lets another instance lead."""
         if self._over.is_set():
             return
-        self.ready = False
+        has_changes, self.ready = self.ready, False
         try:
             async with asyncio.timeout(_RESIGN_S):
-                await self._journal.flush()
+                if has_changes:
+                    await self._journal.flush()
                 await self._renew(released=True)
         except (
             TimeoutError,
@@ -182,6 +189,18 @@
                 await self._renew(released=False)
             except exceptions.AmaranthflowError as exc:
                 logs.event('renewal_failed', error=str(exc))
+                continue
+            if self._recovery_fails():
+                self.gave_up = True
+                await self.resign()
+                return
+
+    def _recovery_fails(self) -> bool:
+        """Tells whether tables do not arrive though renewals are stored."""
+        stalled_s = self._stalled_s
+        if self.ready or stalled_s is None:
+            return False
+        return self._clock.monotonic() - stalled_s > _RECOVERY_STALL_S
 
     async def _renew(self, *, released: bool) -> None:
         term = dataclasses.replace(self.term, released=released)
@@ -246,8 +265,12 @@
     async def _retry(self, call: t.Callable[[], t.Awaitable]) -> t.Any:
         while True:
             try:
-                return await call()
+                found = await call()
+                self._stalled_s = None
+                return found
             except exceptions.AmaranthflowError as exc:
+                if self._stalled_s is None:
+                    self._stalled_s = self._clock.monotonic()
                 logs.event('recovery_stalled', error=str(exc))
                 await asyncio.sleep(_STORE_RETRY_S)
 
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
@@ -42,6 +42,7 @@
     instance: ids.InstanceId
     address: str
     seeds: tuple[str, ...]
+    size: elections.Size = elections.Size()
 
 
 class Node:
@@ -81,7 +82,9 @@
         spread = hashlib.sha256(identity.instance.encode()).digest()[0] / 255
         patience_s = elections.TAKEOVER_S + spread * _CLAIM_SPREAD_S
         self._observer = elections.Observer(
-            instance=identity.instance, patience_s=patience_s
+            instance=identity.instance,
+            patience_s=patience_s,
+            handicap_s=identity.size.handicap_s,
         )
         self.entry = entry_lib.Entry(
             store=store, peers=self, clock=clock, meters=meters
@@ -156,7 +159,7 @@
                     batch = await self._store.read(
                         ports.Table.LEADERS,
                         self._observer.end,
-                        wait_ms=0 if self._store_lost else _LEADERS_WAIT_MS,
+                        wait_ms=self._leaders_wait_ms(),
                     )
             except exceptions.OffsetExpired:
                 started = False
@@ -172,6 +175,15 @@
             await self._doubt_leader()
             await self._claim_if_due()
 
+    def _leaders_wait_ms(self) -> int:
+        """Returns how long a read waits: until a claim is due at most."""
+        if self._store_lost:
+            return 0
+        due_s = self._observer.claims_in_s(self._clock.monotonic())
+        if self.leader is not None or due_s <= 0:
+            return _LEADERS_WAIT_MS
+        return round(min(due_s * 1000, _LEADERS_WAIT_MS))
+
     async def _newest_leader(self) -> ports.Batch:
         batch = await self._store.newest(ports.Table.LEADERS)
         end = max((r.offset + 1 for r in batch.records), default=batch.end)
@@ -224,7 +236,7 @@
             gone = False
         logs.event('leader_doubted', leader=term.instance, gone=gone)
         if gone:
-            self._observer.mark_over(term)
+            self._observer.mark_over(term, self._clock.monotonic())
 
     async def _claim_if_due(self) -> None:
         if self.stopping or self._term_task is not None:
@@ -283,6 +295,8 @@
             self.leader = None
             self._term_task = None
             self._observer.on_failure()
+            if leader.gave_up:
+                self._observer.rest(self._clock.monotonic())
 
     async def _ask_seeds(self) -> None:
         """Learns of the leader from other instances."""
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -266,12 +266,14 @@
         return worker
 
     def usable(self, worker: workers.Worker, now_s: float) -> bool:
-        """Tells whether a worker may get a new run."""
-        entry = worker.entry
-        if entry.state is not model.WorkerState.READY:
+        """Tells whether a worker may get a new run.
+
+        An unlisted one may not: a next leader would not know of it, and
+        starts may be unrecorded.
+        """
+        if worker.entry.state is not model.WorkerState.READY:
             return False
-        unlisted_s = worker.unlisted_s
-        if unlisted_s is not None and now_s - unlisted_s > _UNLISTED_GRACE_S:
+        if worker.unlisted_s is not None:
             return False
         answered_s = worker.answered_s
         if answered_s is None or now_s - answered_s > _CONTACT_S:
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/record_store.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/record_store.py
@@ -11,6 +11,7 @@
 _ANSWER_S = 0.005
 _SILENCE_S = 0.9
 _REFUSE_S = 0.002
+_LARGE = (ports.Table.JOBS, ports.Table.PROGRESS)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -22,6 +23,7 @@
     :ivar lost_share: share of appends that are done and not answered.
     :ivar late_share: share of appends that are done seconds later.
     :ivar slow_s: added to each answer.
+    :ivar unread: instances to which whole tables do not arrive.
     """
 
     silent: set[str] = dataclasses.field(default_factory=set)
@@ -29,6 +31,7 @@
     lost_share: float = 0.0
     late_share: float = 0.0
     slow_s: float = 0.0
+    unread: set[str] = dataclasses.field(default_factory=set)
 
 
 class _Table:
@@ -197,4 +200,7 @@
     async def newest(self, table: ports.Table) -> ports.Batch:
         """Returns the newest record of each key; see ``ports.Store``."""
         await self._store.reach(self._instance)
+        if table in _LARGE and self._instance in self._store.faults.unread:
+            await asyncio.sleep(_SILENCE_S)
+            raise exceptions.PlatformUncertain('no answer')
         return self._store.newest(table)
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
@@ -13,6 +13,7 @@
 
 from amaranthflow import exceptions
 from amaranthflow import ids
+from amaranthflow_scheduler import elections
 from amaranthflow_scheduler import metrics
 from amaranthflow_scheduler import model
 from amaranthflow_scheduler import node as node_lib
@@ -36,6 +37,7 @@
     stretch=2.0,
     target_ms=500,
 )
+_SIZE = elections.Size()
 LIMITS = scheduler.Limits(hold_max_s=6.0, state_kept_s=120.0)
 
 
@@ -203,7 +205,9 @@
                     self.store.put(ports.Table.WORKERS, key, b'')
             await asyncio.sleep(_BEAT_S)
 
-    def start_node(self, name: str = '') -> str:
+    def start_node(
+        self, name: str = '', *, size: elections.Size = _SIZE
+    ) -> str:
         """Starts an instance; returns its name, which is its address."""
         self._started += 1
         name = name or f'n{self._started}'
@@ -212,6 +216,7 @@
                 instance=ids.InstanceId(name),
                 address=name,
                 seeds=tuple(self.nodes)[:3],
+                size=size,
             ),
             store=self.store.link(name),
             fleet=_Fleet(self, name),
--- a/tests/amaranthflow_scheduler/decisions.feature
+++ b/tests/amaranthflow_scheduler/decisions.feature
@@ -107,6 +107,30 @@
     When it reads that the term is released
     Then it may claim
 
+  Scenario: A small instance leaves a released term to larger ones at first
+    Given a small instance's election observer that has read a term
+    When it reads that the term is released
+    Then it may not claim
+    When it reads without records for 0.6 s
+    Then it may claim
+
+  Scenario Outline: Small instances claim later
+    Then an instance of <processors> processors and <link> Mbit/s claims <seconds> s later
+
+    Examples:
+      | processors | link | seconds |
+      | 1.07       | 1000 | 0       |
+      | 2.1        | 5    | 0.5     |
+      | 0.5        | 100  | 0.5     |
+
+  Scenario: An instance that failed to recover leaves the next claim to others
+    Given an election observer that has read a term of another instance
+    When it has failed to recover
+    And it reads that the term is released
+    Then it may not claim
+    When it reads without records for 6.1 s
+    Then it may claim
+
   Scenario: A worker's lease is over only when its slow clock says so
     Given a decision worker whose clock was read as 1000 ms at 10 s
     When its lease is extended to 5500 ms on its clock
@@ -117,6 +141,11 @@
     When runs of 2 jobs fail on the first worker
     Then only the second worker is usable
 
+  Scenario: A worker whose entry went gets no new run though it answers
+    Given a scheduler with 2 workers that answer
+    When the entry of the first worker goes
+    Then only the second worker is usable
+
   Scenario: A failure that is listed again counts once
     Given a scheduler with 1 workers that answer
     When a run fails and its end is listed by 2 leaders
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -213,6 +213,14 @@
     When a job is stored and its leader is deposed while it looks it up
     Then the deposed leader has not called the job unknown
 
+  Scenario: A leader that cannot read the tables hands over
+    When the next leader's reads of tables fail and the leader is killed
+    Then another task instance leads within 6 s
+
+  Scenario: A large instance leads where there are small ones
+    Given a task fleet of 5 small instances and 1 large one
+    Then the large task instance leads
+
   Scenario Outline: A service's large task gets a worker on a full fleet
     Given small task jobs of <seconds> s come faster than they can be run
     And 3 s pass in the task fleet
@@ -239,3 +247,4 @@
       | 115  | stand-in: late orders reached a worker's next life        |
       | 363  | deposed during a look-up, a leader called a job unknown   |
       | 398  | two leaders in a row gave a task's run the same number    |
+      | 816  | a start on a worker that no next leader could know of     |
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -92,6 +92,9 @@
         'bounds.hold_max_ms': 6000,
         'bounds.status_s': 120,
         'bounds.grace_s': 6,
+        'limits.cpu_share': 0.537,
+        'limits.cores': 2,
+        'limits.link_mbps': 1000.0,
     }
     for name, value in values.items():
         text = text.replace(f'{{{{{name}|json}}}}', json.dumps(value))
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -502,7 +502,32 @@
 
 @behave.given('an election observer that has read a term of another instance')
 def step_observer(context):
-    context.observer = elections.Observer(instance=ids.InstanceId('me'))
+    _observe(context, elections.Size())
+
+
+@behave.given("a small instance's election observer that has read a term")
+def step_small_observer(context):
+    _observe(context, elections.Size(link_mbps=5))
+
+
+@behave.then(
+    'an instance of {processors:g} processors and {link:g} Mbit/s claims '
+    '{seconds:g} s later'
+)
+def step_handicap(context, processors, link, seconds):
+    size = elections.Size(processors=processors, link_mbps=link)
+    assert size.handicap_s == seconds, size.handicap_s
+
+
+@behave.when('it has failed to recover')
+def step_failed_to_recover(context):
+    context.observer.rest(context.now_s)
+
+
+def _observe(context, size):
+    context.observer = elections.Observer(
+        instance=ids.InstanceId('me'), handicap_s=size.handicap_s
+    )
     context.now_s = 10.0
     term = elections.Term(
         token=model.Token(1), instance=ids.InstanceId('other'), address='a'
@@ -620,6 +645,11 @@
         _report(context.core, worker, [_end(number + 1, job.id)], 0.2)
 
 
+@behave.when('the entry of the first worker goes')
+def step_entry_gone(context):
+    context.core.entry_gone(ids.WorkerId('w1'), 0.2)
+
+
 @behave.then('only the second worker is usable')
 def step_usable(context):
     usable = [
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -5,6 +5,7 @@
 import behave
 
 from amaranthflow import exceptions
+from amaranthflow_scheduler import elections
 from amaranthflow_scheduler import jobrecord
 from amaranthflow_scheduler import model
 from amaranthflow_scheduler import ports
@@ -537,3 +538,35 @@
                 return
         await asyncio.sleep(0.05)
     raise AssertionError(f'no task of {job_id} runs after {seconds} s')
+
+
+@behave.when("the next leader's reads of tables fail and the leader is killed")
+def step_unread(context):
+    fleet = context.fleet
+    first, *others = [name for name in fleet.nodes if name != fleet.leader()]
+    fleet.store.faults.unread.update(others)
+    # The other one may not claim before it has seen the first one's term.
+    fleet.nodes[first]._observer.rest(
+        context.loop.time() - elections.REST_S + 2
+    )
+    step_kill(context)
+
+
+@behave.given('a task fleet of {small:d} small instances and 1 large one')
+def step_sizes(context, small):
+    _run(context, _make_sized(context, small))
+
+
+async def _make_sized(context, small):
+    fleet = task_fleet.TaskFleet(loop=context.loop, plan=_Plan())
+    fleet.configure()
+    for _ in range(small):
+        fleet.start_node(size=elections.Size(link_mbps=5))
+    context.large = fleet.start_node()
+    await fleet.wait_leader()
+    context.fleet = fleet
+
+
+@behave.then('the large task instance leads')
+def step_large_leads(context):
+    assert context.fleet.leader() == context.large
