--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
@@ -265,8 +265,17 @@
     return max(ends, default=0)
 
 
+class EndedJob(t.NamedTuple):
+    """What is still told of a job of which nothing runs any more."""
+
+    state: model.JobState
+    ended_ms: int
+
+
 def encode(job_run: JobRun) -> bytes:
     """Returns the record of a job's progress."""
+    if job_run.ended and not any(True for _ in job_run.copies()):
+        return _encode_fields(job_run, closed=[], full=[], tasks=[])
     full = [
         [s.occurrence, s.number]
         for step_runs in job_run.opened.values()
@@ -280,6 +289,14 @@
         if not task.pristine
         and (task.key.occurrence, task.key.step) not in complete
     ]
+    return _encode_fields(
+        job_run, closed=sorted(job_run.closed), full=full, tasks=tasks
+    )
+
+
+def _encode_fields(
+    job_run: JobRun, *, closed: list, full: list, tasks: list
+) -> bytes:
     return msgspec.json.encode(
         [
             _FORMAT,
@@ -287,7 +304,7 @@
             int(job_run.started),
             job_run.ended_ms,
             job_run.first_run,
-            sorted(job_run.closed),
+            closed,
             full,
             tasks,
         ]
@@ -307,6 +324,24 @@
     ]
 
 
+def decode_ended(job_id: ids.JobId, value: bytes) -> EndedJob:
+    """Returns the end of a job whose own record was dropped.
+
+    Raises InvalidRecord, also for a job that has not ended.
+    """
+    try:
+        fields = msgspec.json.decode(value)
+        if fields[0] != _FORMAT:
+            raise exceptions.InvalidRecord(f'format {fields[0]} of progress')
+        ended = EndedJob(model.JobState(fields[1]), int(fields[3]))
+    except (msgspec.MsgspecError, ValueError, TypeError, IndexError) as exc:
+        reason = f'progress of job {job_id}: {exc}'
+        raise exceptions.InvalidRecord(reason) from exc
+    if ended.state not in model.ENDED:
+        raise exceptions.InvalidRecord(f'job {job_id} runs and has no record')
+    return ended
+
+
 def restore(job_run: JobRun, value: bytes, now_s: float) -> None:
     """Sets a fresh job's progress from its record.
 
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -37,7 +37,8 @@
 _ADVICE_POLL_S = 0.02
 _ADVICE_RETRY_S = 0.1
 _PLAN_GATHER_S = 0.004
-_FORGET_EVERY_S = 5.0
+# A next leader reads the steps of jobs that ended since.
+_FORGET_EVERY_S = 2.0
 _RESIGN_S = 0.6
 # Leases last 4.5 s; another instance may recover before they lapse.
 _RECOVERY_STALL_S = 2.5
@@ -286,6 +287,15 @@
                 self.core.restore_job(job, known.get(record.key), now_s)
             except exceptions.InvalidRecord as exc:
                 logs.event('record_set_aside', id=job.id, error=str(exc))
+        listed = {record.key for record in jobs.records}
+        for key, value in known.items():
+            if key in listed:
+                continue
+            job_id = ids.JobId(key.decode('latin-1'))
+            try:
+                self.core.restore_ended(job_id, value)
+            except exceptions.InvalidRecord as exc:
+                logs.event('record_set_aside', id=job_id, error=str(exc))
 
     def _decode_job(self, record: ports.Record) -> model.Job | None:
         if not record.value:
@@ -694,22 +704,33 @@
             self._replan.set()
 
     async def _forget_loop(self) -> None:
+        unneeded: set[ids.JobId] = set()
         while True:
             await asyncio.sleep(_FORGET_EVERY_S)
             counts = self.core.counts()
             for name, value in counts._asdict().items():
                 self._tools.meters.gauge(name, value)
+            unneeded.update(self.core.retire())
             old = self.core.forgettable(self._clock.wall_ms())
-            if not old:
-                continue
-            items = [(job_id.encode(), b'') for job_id in old]
-            try:
-                for table in (ports.Table.JOBS, ports.Table.PROGRESS):
-                    await self._tools.store.append(table, items)
-            except exceptions.AmaranthflowError as exc:
-                logs.event('records_not_dropped', error=str(exc))
-                continue
-            self.core.forget(old)
+            unneeded.update(old)
+            if await self._drop(ports.Table.JOBS, unneeded):
+                unneeded.clear()
+                if await self._drop(ports.Table.PROGRESS, old):
+                    self.core.forget(old)
+
+    async def _drop(
+        self, table: ports.Table, job_ids: t.Collection[ids.JobId]
+    ) -> bool:
+        """Drops records; False where the store may still have them."""
+        if not job_ids:
+            return True
+        items = [(job_id.encode(), b'') for job_id in job_ids]
+        try:
+            await self._tools.store.append(table, items)
+        except exceptions.AmaranthflowError as exc:
+            logs.event('records_not_dropped', error=str(exc))
+            return False
+        return True
 
     # questions of callers
 
@@ -719,7 +740,7 @@
         Raises NotReady where a job might be stored that is not known here.
         """
         self._check_ready()
-        if job_id not in self.core.jobs:
+        if not self.core.knows(job_id):
             await self._read_latest_jobs()
         return self.core.state(job_id)
 
@@ -729,7 +750,7 @@
         Raises NotReady where a job might be stored that is not known here.
         """
         self._check_ready()
-        if job_id not in self.core.jobs:
+        if not self.core.knows(job_id):
             await self._read_latest_jobs()
         if not self.core.cancel(job_id, self._clock.wall_ms()):
             return False
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
@@ -243,9 +243,10 @@
             return
         if not self._observer.may_claim(self._clock.monotonic()):
             return
-        if not await clock_lib.wait_event(
-            self._clock, self._configured, _RETRY_S
-        ):
+        if not self._configured.is_set():
+            # The wait begins anew, so that large instances still go first.
+            self._observer.on_failure()
+            await clock_lib.wait_event(self._clock, self._configured, _RETRY_S)
             return
         identity = self._identity
         value = elections.encode(
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -79,6 +79,7 @@
 
     def __init__(self, *, limits: Limits, token: model.Token, now_s: float):
         self.jobs: dict[ids.JobId, execution.JobRun] = {}
+        self.ended: dict[ids.JobId, execution.EndedJob] = {}
         self.workers: dict[ids.WorkerId, workers.Worker] = {}
         self.dirty: set[ids.JobId] = set()
         self._limits = limits
@@ -109,9 +110,13 @@
         """Returns a job's queue as it is now."""
         return self._queues.get(job.queue.id, job.queue)
 
+    def knows(self, job_id: ids.JobId) -> bool:
+        """Tells whether a job was accepted, as far as is known here."""
+        return job_id in self.jobs or job_id in self.ended
+
     def add_job(self, job: model.Job) -> bool:
         """Takes an accepted job; False where it is known already."""
-        if job.id in self.jobs:
+        if self.knows(job.id):
             return False
         job_run = execution.JobRun(job=job, first_run=self._first_run)
         self.jobs[job.id] = job_run
@@ -130,6 +135,13 @@
             self._recall(copy, now_s)
         self._settle_job(job_run)
 
+    def restore_ended(self, job_id: ids.JobId, progress: bytes) -> None:
+        """Takes a job of which only the end is recorded.
+
+        Raises InvalidRecord.
+        """
+        self.ended[job_id] = execution.decode_ended(job_id, progress)
+
     def hold_back(
         self, now_s: float, now_ms: int, *, store_was_lost: bool
     ) -> None:
@@ -171,23 +183,21 @@
     def cancel(self, job_id: ids.JobId, now_ms: int) -> bool:
         """Ends a job at its caller's wish; False where none is known."""
         job_run = self.jobs.get(job_id)
-        if job_run is None:
-            return False
-        if not job_run.ended:
+        if job_run is not None and not job_run.ended:
             self._end_job(job_run, model.JobState.CANCELLED, now_ms)
-        return True
+        return self.knows(job_id)
 
     def state(self, job_id: ids.JobId) -> model.JobState | None:
         """Returns what may be told of a job, None where none is known."""
         job_run = self.jobs.get(job_id)
         if job_run is None:
-            return None
-        if job_run.ended and job_run.shown is not job_run.state:
-            return model.JobState.RUNNING
-        if job_run.ended:
+            ended = self.ended.get(job_id)
+            return ended.state if ended is not None else None
+        if job_run.ended and job_run.shown is job_run.state:
             return job_run.state
-        running = job_run.started
-        return model.JobState.RUNNING if running else model.JobState.PENDING
+        if job_run.ended or job_run.started:
+            return model.JobState.RUNNING
+        return model.JobState.PENDING
 
     def pending_count(self, queue: model.QueueId) -> int:
         """Returns how many jobs of a queue have had no run yet."""
@@ -199,22 +209,39 @@
             and job_run.job.queue.id == queue
         )
 
-    def forgettable(self, now_ms: int) -> list[ids.JobId]:
-        """Returns jobs whose state need not be told any longer."""
-        kept_ms = self._limits.state_kept_s * 1000
-        return [
+    def retire(self) -> list[ids.JobId]:
+        """Keeps only the ends of jobs that have ended and are recorded.
+
+        Returns these jobs; a next leader does not need their steps.
+        """
+        retired = [
             job_id
             for job_id, job_run in self.jobs.items()
             if job_run.ended
+            and job_run.shown is job_run.state
             and job_id not in self._active
             and job_id not in self.dirty
-            and now_ms - job_run.ended_ms > kept_ms
+        ]
+        for job_id in retired:
+            job_run = self.jobs.pop(job_id)
+            self.ended[job_id] = execution.EndedJob(
+                job_run.state, job_run.ended_ms
+            )
+        return retired
+
+    def forgettable(self, now_ms: int) -> list[ids.JobId]:
+        """Returns jobs whose state need not be told any longer."""
+        kept_ms = self._limits.state_kept_s * 1000
+        return [
+            job_id
+            for job_id, ended in self.ended.items()
+            if now_ms - ended.ended_ms > kept_ms
         ]
 
     def forget(self, job_ids: t.Iterable[ids.JobId]) -> None:
         """Drops jobs whose records are dropped."""
         for job_id in job_ids:
-            self.jobs.pop(job_id, None)
+            self.ended.pop(job_id, None)
 
     def counts(self) -> Counts:
         """Returns sizes."""
@@ -367,7 +394,8 @@
     ) -> bool:
         job_run = self.jobs.get(end.task.job)
         if job_run is None:
-            return now_s - self._since_s > _SETTLING_S
+            settled = now_s - self._since_s > _SETTLING_S
+            return settled or end.task.job in self.ended
         task = job_run.find(end.task)
         if task is None:
             return True
@@ -478,8 +506,9 @@
         now_s: float,
     ) -> None:
         job_run = self.jobs.get(row.task.job)
-        if job_run is None and now_s - self._since_s <= _SETTLING_S:
-            return
+        if not self.knows(row.task.job):
+            if now_s - self._since_s <= _SETTLING_S:
+                return
         task = job_run.find(row.task) if job_run is not None else None
         if task is None:
             stray = orders.StopStray(worker.id, row.task, row.run)
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/record_store.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/record_store.py
@@ -165,6 +165,10 @@
                 return ports.Batch([], start)
         return ports.Batch(table.records[start:], max(start, table.end))
 
+    def written(self, name: ports.Table) -> int:
+        """Returns how many records with a value were ever added."""
+        return sum(bool(record.value) for record in self._tables[name].records)
+
     def newest(self, name: ports.Table) -> ports.Batch:
         """Returns the newest record of each key."""
         table = self._tables[name]
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -213,6 +213,19 @@
     When a job is stored and its leader is deposed while it looks it up
     Then the deposed leader has not called the job unknown
 
+  Scenario: Only the end of a job that has ended is kept
+    Given task job "a1" with steps "4x1.0" is accepted
+    And 4 s pass in the task fleet
+    Then the task store holds no job
+    When the task fleet's leader is killed
+    Then task job "a1" is completed within 3 s
+    When task job "a1" with steps "4x1.0" is accepted
+    And 4 s pass in the task fleet
+    Then 4 task runs were started
+    And the task fleet broke no promise
+    When task job "a1" is cancelled
+    Then task job "a1" is completed within 1 s
+
   Scenario: A leader that cannot read the tables hands over
     When the next leader's reads of tables fail and the leader is killed
     Then another task instance leads within 6 s
