--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/elections.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/elections.py
@@ -156,6 +156,11 @@
         self._silent_since_s = None
         self._free_since_s = None
 
+    def wait_anew(self, now_s: float) -> None:
+        """Begins the wait of a free term anew: nobody could claim it yet."""
+        if self._free_since_s is not None:
+            self._free_since_s = now_s
+
     def rest(self, now_s: float) -> None:
         """Leaves the next claims to other instances."""
         self._rests_until_s = now_s + REST_S
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
@@ -244,10 +244,13 @@
         if not self._observer.may_claim(self._clock.monotonic()):
             return
         if not self._configured.is_set():
-            # The wait begins anew, so that large instances still go first.
-            self._observer.on_failure()
-            await clock_lib.wait_event(self._clock, self._configured, _RETRY_S)
-            return
+            if not await clock_lib.wait_event(
+                self._clock, self._configured, _RETRY_S
+            ):
+                return
+            self._observer.wait_anew(self._clock.monotonic())
+            if not self._observer.may_claim(self._clock.monotonic()):
+                return
         identity = self._identity
         value = elections.encode(
             None, instance=identity.instance, address=identity.address
