--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -292,8 +292,10 @@
         self.workers[entry.id] = worker
         return worker
 
-    def usable(self, worker: workers.Worker, now_s: float) -> bool:
-        """Tells whether a worker may get a new run.
+    def usable(
+        self, worker: workers.Worker, now_s: float, *, service: bool = False
+    ) -> bool:
+        """Tells whether a worker may get a new run, or one of a service.
 
         An unlisted one may not: a next leader would not know of it, and
         starts may be unrecorded.
@@ -305,7 +307,7 @@
         answered_s = worker.answered_s
         if answered_s is None or now_s - answered_s > _CONTACT_S:
             return False
-        return now_s >= worker.shunned_until_s
+        return not worker.shunned(now_s, by_services=service)
 
     def drop_worker(self, worker_id: ids.WorkerId, now_s: float) -> bool:
         """Forgets a worker that is gone; False while something may run."""
@@ -489,7 +491,7 @@
     def _shun(
         self, worker: workers.Worker, seconds: float, why: str, now_s: float
     ) -> None:
-        worker.shunned_until_s = max(worker.shunned_until_s, now_s + seconds)
+        worker.shun(now_s, seconds)
         logs.event(
             'worker_shunned',
             worker=worker.id,
@@ -642,7 +644,7 @@
             refusal=refusal.value,
         )
         if refusal is ports.Refusal.ROOM and worker is not None:
-            worker.shunned_until_s = now_s + _ROOM_PAUSE_S
+            worker.shun(now_s, _ROOM_PAUSE_S)
         if refusal is ports.Refusal.UNHEALTHY and worker is not None:
             self._shun(worker, _UNHEALTHY_PAUSE_S, refusal.value, now_s)
         self._remove(copy, refusal.value)
@@ -651,7 +653,7 @@
         """Notes that a start order could not be sent."""
         worker = self.workers.get(copy.worker)
         if worker is not None:
-            worker.shunned_until_s = now_s + _ROOM_PAUSE_S
+            worker.shun(now_s, _ROOM_PAUSE_S)
         self._remove(copy, 'not-sent')
 
     def on_start_uncertain(
@@ -668,7 +670,7 @@
             pause_s = _UNANSWERED_PAUSE_S * 2**worker.unanswered
             worker.unanswered += 1
             pause_s = min(_MOST_PAUSE_S, pause_s)
-            worker.shunned_until_s = now_s + pause_s
+            worker.shun(now_s, pause_s)
         copy.state = execution.CopyState.UNCERTAIN
         copy.settled_s = void_s
         self._orders.append(orders.Stop(copy))
@@ -813,16 +815,26 @@
             self._reservations.clear()
             return
         wanting.sort(key=lambda job_run: order.rank(job_run, now_ms))
-        usable = [w for w in self.workers.values() if self.usable(w, now_s)]
-        by_service = collections.defaultdict(list)
-        for worker in usable:
-            by_service[worker.entry.service].append(worker)
-        self._reserve(wanting, by_service, now_s)
+        for_tasks = self._usable(now_s, service=False)
+        for_services = self._usable(now_s, service=True)
+        self._reserve(wanting, for_services, now_s)
         full: set[tuple] = set()
         for job_run in wanting:
-            service = self.queue_of(job_run.job).service
+            pool = self.queue_of(job_run.job).service
             for step_run in job_run.ready_steps():
-                self._plan_step(step_run, by_service[service], full, now_s)
+                lasts = step_run.step.service
+                found = for_services[pool] if lasts else for_tasks[pool]
+                self._plan_step(step_run, found, full, now_s)
+
+    def _usable(
+        self, now_s: float, *, service: bool
+    ) -> dict[ids.ServiceId, list[workers.Worker]]:
+        """Returns the workers of each pool that may get new runs."""
+        found = collections.defaultdict(list)
+        for worker in self.workers.values():
+            if self.usable(worker, now_s, service=service):
+                found[worker.entry.service].append(worker)
+        return found
 
     def _reserve(
         self,
@@ -962,7 +974,7 @@
             worker
             for worker in self.workers.values()
             if worker.entry.service == queue.service
-            and self.usable(worker, now_s)
+            and self.usable(worker, now_s, service=task.step_run.step.service)
         ]
         if queue.advised:
             found = self._advised(task.step_run, found, now_s)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
@@ -10,6 +10,9 @@
 
 # A worker's steady clock may be this much slow (platform's pages).
 CLOCK_RATE = 0.98
+# Longest pause for services; they may wait 3 s where there is room (the
+# platform's rule on lost tasks).
+SERVICE_PAUSE_S = 2.0
 # Share of a service's processor that is idle on the average: services are
 # sized for their peaks.
 SERVICE_IDLE = 0.5
@@ -42,6 +45,8 @@
     :ivar unanswered: starts without an answer since the last answered one.
     :ivar tails: expected logarithm of the highest tail of each service
         image, as a share of its target.
+    :ivar shunned_s: when the last pause of starts there began.
+    :ivar shunned_until_s: end of that pause.
     :ivar paced_s: when paces were last changed.
     :ivar used: what runs take; opportunistic ones take no processor.
     :ivar unlisted_s: when the worker's entry went, None while it is there.
@@ -66,6 +71,7 @@
     tails: dict[ids.TaskClass, float] = dataclasses.field(default_factory=dict)
     sample: Sample | None = None
     paced_s: float = 0.0
+    shunned_s: float = 0.0
     shunned_until_s: float = 0.0
     unanswered: int = 0
     failures_in_row: int = 0
@@ -96,6 +102,22 @@
         """Notes that a call which sets this deadline is on its way."""
         self.lapsed_s = max(self.lapsed_s, self.passed_s(deadline_ms))
 
+    def shun(self, now_s: float, seconds: float) -> None:
+        """Lets nothing start there for a while."""
+        self.shunned_s = now_s
+        self.shunned_until_s = max(self.shunned_until_s, now_s + seconds)
+
+    def shunned(self, now_s: float, *, by_services: bool) -> bool:
+        """Tells whether nothing may start there now.
+
+        Runs of services have no limit of attempts, and have to be placed
+        where there is room, so they return sooner.
+        """
+        until_s = self.shunned_until_s
+        if by_services:
+            until_s = min(until_s, self.shunned_s + SERVICE_PAUSE_S)
+        return now_s < until_s
+
     def attach(self, copy: execution.Copy) -> None:
         """Adds a run and what it takes."""
         self.copies.append(copy)
--- a/tests/amaranthflow_scheduler/decisions.feature
+++ b/tests/amaranthflow_scheduler/decisions.feature
@@ -146,6 +146,13 @@
     When the entry of the first worker goes
     Then only the second worker is usable
 
+  Scenario: A service may start on a shunned worker after two seconds
+    Given a scheduler with 2 workers that answer
+    When runs of 2 jobs fail on the first worker
+    Then a service may not start on the first worker after 1.9 s
+    And a service may start on the first worker after 2.1 s
+    And a task that ends may not start on the first worker after 4.9 s
+
   Scenario: A failure that is listed again counts once
     Given a scheduler with 1 workers that answer
     When a run fails and its end is listed by 2 leaders
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -660,6 +660,29 @@
     assert usable == ['w2'], usable
 
 
+def _starts_after(context, seconds, *, service):
+    worker = context.core.workers[ids.WorkerId('w1')]
+    worker.answered_s = now_s = 0.2 + seconds
+    return context.core.usable(worker, now_s, service=service)
+
+
+@behave.then('a service may start on the first worker after {seconds:g} s')
+def step_service_starts(context, seconds):
+    assert _starts_after(context, seconds, service=True)
+
+
+@behave.then('a service may not start on the first worker after {seconds:g} s')
+def step_service_waits(context, seconds):
+    assert not _starts_after(context, seconds, service=True)
+
+
+@behave.then(
+    'a task that ends may not start on the first worker after {seconds:g} s'
+)
+def step_task_waits(context, seconds):
+    assert not _starts_after(context, seconds, service=False)
+
+
 @behave.when('a run fails and its end is listed by {count:d} leaders')
 def step_listed_twice(context, count):
     job = _job('j1', _step())
