--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/elections.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/elections.py
@@ -33,6 +33,9 @@
 # A larger instance claims within some 20 ms; one that is too slow to be
 # there by then is no better leader.
 HANDICAP_S = 0.5
+# A small instance that leads is asked to hand over after so long; twice the
+# time in which leaders that are in touch may not take turns.
+RELIEF_S = 6.0
 # An instance that failed to recover leaves the next claims to others.
 REST_S = 6.0
 
@@ -63,17 +66,21 @@
     """A leader's time in office as its newest record tells.
 
     :ivar released: the leader has stepped down.
+    :ivar small: the leader's instance is too small for a fleet.
     """
 
     token: model.Token
     instance: ids.InstanceId
     address: str
     released: bool = False
+    small: bool = False
 
 
-def encode(term: Term | None, *, instance: str, address: str) -> bytes:
+def encode(
+    term: Term | None, *, instance: str, address: str, small: bool = False
+) -> bytes:
     """Returns a record; without a term it is a claim."""
-    fields = {'instance': instance, 'address': address}
+    fields = {'instance': instance, 'address': address, 'small': small}
     if term is not None:
         fields['token'] = term.token
         fields['released'] = term.released
@@ -90,6 +97,7 @@
             instance=ids.InstanceId(fields['instance']),
             address=str(fields['address']),
             released=bool(fields.get('released')),
+            small=bool(fields.get('small')),
         )
     except (
         msgspec.MsgspecError,
@@ -125,6 +133,7 @@
         self._patience_s = patience_s
         self._handicap_s = handicap_s
         self._free_since_s: float | None = None
+        self._term_since_s = 0.0
         self._rests_until_s = float('-inf')
         self._silent_since_s: float | None = None
         self._read_s: float | None = None
@@ -145,6 +154,10 @@
         for record in batch.records:
             if record.value:
                 self.term = decode(record)
+        if before is None or self.term is None:
+            self._term_since_s = now_s
+        elif self.term.token != before.token:
+            self._term_since_s = now_s
         if not self._is_free():
             self._free_since_s = None
         elif self._free_since_s is None:
@@ -156,11 +169,6 @@
         self._silent_since_s = None
         self._free_since_s = None
 
-    def wait_anew(self, now_s: float) -> None:
-        """Begins the wait of a free term anew: nobody could claim it yet."""
-        if self._free_since_s is not None:
-            self._free_since_s = now_s
-
     def rest(self, now_s: float) -> None:
         """Leaves the next claims to other instances."""
         self._rests_until_s = now_s + REST_S
@@ -177,6 +185,10 @@
             return 0.0
         return now_s - self._silent_since_s
 
+    def term_age_s(self, now_s: float) -> float:
+        """Returns for how long the newest term is known, in seconds."""
+        return now_s - self._term_since_s
+
     def may_claim(self, now_s: float) -> bool:
         """Tells whether there is no leader, for one that does not lead."""
         return self.claims_in_s(now_s) <= 0.0
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -206,7 +206,10 @@
     async def _renew(self, *, released: bool) -> None:
         term = dataclasses.replace(self.term, released=released)
         value = elections.encode(
-            term, instance=term.instance, address=term.address
+            term,
+            instance=term.instance,
+            address=term.address,
+            small=term.small,
         )
         table = ports.Table.LEADERS
         try:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
@@ -148,6 +148,9 @@
     # leaders
 
     async def _follow_leaders(self) -> None:
+        # Without it nobody can be served. All begin to wait for a free term
+        # at the same time, so that large instances claim first.
+        await self._configured.wait()
         started = False
         while True:
             asked_s = self._clock.monotonic()
@@ -173,6 +176,7 @@
             self._note_store(None)
             self._take_leaders(batch, asked_s)
             await self._doubt_leader()
+            await self._relieve_leader()
             await self._claim_if_due()
 
     def _leaders_wait_ms(self) -> int:
@@ -238,22 +242,40 @@
         if gone:
             self._observer.mark_over(term, self._clock.monotonic())
 
+    async def _relieve_leader(self) -> None:
+        """Asks a small instance that has led for a while to hand over."""
+        term = self._observer.term
+        if term is None or not term.small or self._is_small:
+            return
+        if self.stopping or self._observer.term_age_s(
+            self._clock.monotonic()
+        ) < (elections.RELIEF_S):
+            return
+        try:
+            answer = await self._caller.call(
+                term.address, 'hand_over', {'token': term.token}, _ALIVE_S
+            )
+            logs.event('leader_relieved', leader=term.instance, resigns=answer)
+        except exceptions.AmaranthflowError as exc:
+            logs.event(
+                'leader_not_relieved', leader=term.instance, error=str(exc)
+            )
+
+    @property
+    def _is_small(self) -> bool:
+        return self._identity.size.handicap_s > 0
+
     async def _claim_if_due(self) -> None:
         if self.stopping or self._term_task is not None:
             return
         if not self._observer.may_claim(self._clock.monotonic()):
             return
-        if not self._configured.is_set():
-            if not await clock_lib.wait_event(
-                self._clock, self._configured, _RETRY_S
-            ):
-                return
-            self._observer.wait_anew(self._clock.monotonic())
-            if not self._observer.may_claim(self._clock.monotonic()):
-                return
         identity = self._identity
         value = elections.encode(
-            None, instance=identity.instance, address=identity.address
+            None,
+            instance=identity.instance,
+            address=identity.address,
+            small=self._is_small,
         )
         end = self._observer.end
         try:
@@ -278,6 +300,7 @@
             token=token,
             instance=self._identity.instance,
             address=self._identity.address,
+            small=self._is_small,
         )
         self.leader = leader_lib.Leader(
             tools=self._tools,
@@ -333,6 +356,7 @@
                 token=model.Token(token),
                 instance=ids.InstanceId(str(answer.get('instance'))),
                 address=str(answer.get('address')),
+                small=bool(answer.get('small')),
             )
 
     # configuration
@@ -422,6 +446,8 @@
             return await self.entry.accept(message)
         if self.leader is None:
             raise exceptions.NotReady('this instance does not lead')
+        if name == 'hand_over':
+            return await self._hand_over(message)
         if name == 'state':
             state = await self.leader.state(ids.JobId(str(message['id'])))
             return {'state': state.value if state is not None else None}
@@ -433,6 +459,16 @@
             return {'count': self.leader.pending_count(queue)}
         raise exceptions.RequestRefused(f'no question {name!r}')
 
+    async def _hand_over(self, message: dict) -> dict:
+        leader = self.leader
+        if leader is None or leader.term.token != message.get('token'):
+            raise exceptions.NotReady('this instance does not lead')
+        if not leader.ready or not self._is_small:
+            return {'resigned': False}
+        self._observer.rest(self._clock.monotonic())
+        await leader.resign()
+        return {'resigned': True}
+
     def _tell_leader(self) -> dict:
         term = self._observer.term
         if term is None:
@@ -441,4 +477,5 @@
             'token': term.token,
             'instance': term.instance,
             'address': term.address,
+            'small': term.small,
         }
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -234,6 +234,15 @@
     Given a task fleet of 5 small instances and 1 large one
     Then the large task instance leads
 
+  Scenario: A small instance hands over to a large one that is back
+    Given a task fleet of 5 small instances and 1 large one
+    And task job "a1" with steps "4x16.0" is accepted
+    When the large task instance is killed and started anew after 4 s
+    And 10 s pass in the task fleet
+    Then the large task instance leads
+    And task job "a1" is completed within 6 s
+    And the task fleet broke no promise
+
   Scenario Outline: A service's large task gets a worker on a full fleet
     Given small task jobs of <seconds> s come faster than they can be run
     And 3 s pass in the task fleet
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -16,6 +16,7 @@
 _CPU = 1_000
 _SETTLE_S = 3.0
 _FAILING = 'f'
+_SMALL_FLEET_WORKERS = 4
 
 
 class _Plan:
@@ -558,7 +559,12 @@
 
 
 async def _make_sized(context, small):
-    fleet = task_fleet.TaskFleet(loop=context.loop, plan=_Plan())
+    plan = _Plan()
+    fleet = task_fleet.TaskFleet(loop=context.loop, plan=plan)
+    fleet.jobs_steps = {}
+    plan.fleet = fleet
+    for number in range(_SMALL_FLEET_WORKERS):
+        fleet.add_worker(f'w{number + 1}')
     for _ in range(small):
         fleet.start_node(size=elections.Size(link_mbps=5))
     context.large = fleet.start_node()
@@ -571,3 +577,17 @@
 @behave.then('the large task instance leads')
 def step_large_leads(context):
     assert context.fleet.leader() == context.large
+
+
+@behave.when(
+    'the large task instance is killed and started anew after {seconds:g} s'
+)
+def step_large_anew(context, seconds):
+    _run(context, _start_large_anew(context, seconds))
+
+
+async def _start_large_anew(context, seconds):
+    await context.fleet.kill(context.large)
+    await asyncio.sleep(seconds)
+    assert context.fleet.leader() is not None
+    context.fleet.start_node(context.large)
