--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 export PYTHONPATH := $(subst $(SPACE),:,$(foreach p,$(PACKAGES),$(CURDIR)/$(p)/src)):$(CURDIR)/platform
 export UV_USE_IO_URING = 0
 
-.PHONY: setup format lint schema test demo fuzz fuzz-fleet fuzz-scheduler bench bench-recovery bench-capacity
+.PHONY: setup format lint schema test demo fuzz fuzz-fleet fuzz-scheduler soak bench bench-recovery bench-capacity
 
 setup: $(STAMP)
 
@@ -57,3 +57,6 @@
 
 fuzz-scheduler: setup
 	$(PY) tools/fuzz_scheduler.py --seed $(SEED) --seeds $(SEEDS)
+
+soak: setup
+	$(PY) tools/soak.py --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/httpserver.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/httpserver.py
@@ -75,6 +75,12 @@
         self._sweeper = loop.create_task(self._sweep())
         logs.event('listening', server=self.name, host=host, port=port)
 
+    @property
+    def port(self) -> int:
+        """Port on which it listens; chosen by the system for port 0."""
+        assert self._server is not None
+        return self._server.sockets[0].getsockname()[1]
+
     def busy(self) -> bool:
         """Tells whether a request is being handled."""
         return any(conn.busy for conn in self.conns)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -37,6 +37,9 @@
 _ADVICE_POLL_S = 0.02
 _ADVICE_RETRY_S = 0.1
 _PLAN_GATHER_S = 0.004
+# Pause after a plan as a multiple of its time; leaves most of the processor
+# to holds and callers while many jobs wait.
+_PLAN_PAUSE = 3.0
 # A next leader reads the steps of jobs that ended since.
 _FORGET_EVERY_S = 2.0
 _RESIGN_S = 0.6
@@ -665,11 +668,15 @@
             self._dispatch()
 
     async def _plan_loop(self) -> None:
+        took_s = 0.0
         while True:
             await self._replan.wait()
-            await asyncio.sleep(_PLAN_GATHER_S)
+            await asyncio.sleep(max(_PLAN_GATHER_S, _PLAN_PAUSE * took_s))
             self._replan.clear()
-            self.core.plan(self._clock.monotonic(), self._clock.wall_ms())
+            begun_s = self._clock.monotonic()
+            self.core.plan(begun_s, self._clock.wall_ms())
+            took_s = self._clock.monotonic() - begun_s
+            self._tools.meters.observe('plan', took_s)
             self._dispatch()
 
     async def _advice_loop(self) -> None:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
@@ -11,6 +11,8 @@
 
 import typing as t
 
+from amaranthflow import ids
+
 from . import execution
 from . import model
 from . import tails
@@ -31,6 +33,37 @@
 _SLOW = 2.0
 
 
+class Full:
+    """What found no worker in one plan, so that no more is tried in vain.
+
+    A step that needs as much or more of everything finds none either.
+    """
+
+    def __init__(self):
+        self._failed: dict[tuple, list[model.Resources]] = {}
+
+    def add(self, pool: ids.ServiceId, step: model.Step) -> None:
+        """Notes that a step found no worker."""
+        if step.max_per_worker or step.gang:
+            # Others may use the workers that it may not.
+            return
+        self._failed.setdefault(_kind(pool, step), []).append(step.resources)
+
+    def covers(self, pool: ids.ServiceId, step: model.Step) -> bool:
+        """Tells whether a step can find no worker."""
+        return any(
+            failed.fits(step.resources)
+            for failed in self._failed.get(_kind(pool, step), ())
+        )
+
+
+def _kind(pool: ids.ServiceId, step: model.Step) -> tuple:
+    # Services may use more workers than other steps. What an opportunistic
+    # run does to its neighbours depends on its image.
+    image = step.image if step.opportunistic else ''
+    return pool, step.service, step.opportunistic, step.label, image
+
+
 def label_permits(worker: workers.Worker, step: model.Step) -> bool:
     """Tells whether a worker has the label that a step requires."""
     return not step.label or step.label in worker.entry.labels
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -818,7 +818,7 @@
         for_tasks = self._usable(now_s, service=False)
         for_services = self._usable(now_s, service=True)
         self._reserve(wanting, for_services, now_s)
-        full: set[tuple] = set()
+        full = placement.Full()
         for job_run in wanting:
             pool = self.queue_of(job_run.job).service
             for step_run in job_run.ready_steps():
@@ -858,18 +858,21 @@
         self,
         step_run: execution.StepRun,
         candidates: list[workers.Worker],
-        full: set[tuple],
+        full: placement.Full,
         now_s: float,
     ) -> None:
         step = step_run.step
-        if self.queue_of(step_run.job_run.job).advised:
+        queue = self.queue_of(step_run.job_run.job)
+        if queue.advised:
             candidates = self._advised(step_run, candidates, now_s)
         if step.gang:
             self._plan_gang(step_run, candidates, now_s)
             return
         candidates = self._reservations.permitted(step_run, candidates)
-        shape = (step.resources, step.opportunistic, step.label)
-        hopeless = shape in full and not self._reservations.holds(step_run)
+        pool = queue.service
+        hopeless = full.covers(pool, step) and not self._reservations.holds(
+            step_run
+        )
         for task in step_run.tasks:
             if not task.waiting:
                 continue
@@ -883,8 +886,9 @@
                 step_run.waits_since_s = now_s
             if not hopeless:
                 self._log_waiting(task, candidates)
-            if not step.max_per_worker:
-                full.add(shape)
+            if not queue.advised:
+                # Others may have tickets for workers that this one has not.
+                full.add(pool, step)
             return
         step_run.waits_since_s = None
 
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/record_store.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/record_store.py
@@ -165,6 +165,10 @@
                 return ports.Batch([], start)
         return ports.Batch(table.records[start:], max(start, table.end))
 
+    def first(self, name: ports.Table) -> int:
+        """Returns the offset of the first record that is still kept."""
+        return self._tables[name].first
+
     def written(self, name: ports.Table) -> int:
         """Returns how many records with a value were ever added."""
         return sum(bool(record.value) for record in self._tables[name].records)
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import collections
 import dataclasses
 import random
 import typing as t
@@ -21,13 +20,13 @@
 from amaranthflow_scheduler import scheduler
 
 from . import record_store
+from . import task_history
 from . import task_worker
 from . import virtual_time
 
 _BEAT_S = 1.1
 _MISSED_BEATS = 3
 _PEER_S = 0.002
-_NOTED_S = 1.0
 _QUEUE = model.Queue(
     id=model.QueueId('jobs'),
     host='jobs.example',
@@ -124,20 +123,8 @@
     )
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Accepted:
-    """A job as its caller knows it."""
-
-    job: model.Job
-    accepted_s: float
-    cancelled_s: float | None = None
-
-
-class TaskFleet:
-    """Central object of a run; ``plan`` says what tasks do.
-
-    :ivar runs: each run with the worker it was on, in order of start.
-    """
+class TaskFleet(task_history.TaskHistory):
+    """Central object of a run; ``plan`` says what tasks do."""
 
     def __init__(
         self,
@@ -146,17 +133,13 @@
         plan: task_worker.Plan,
         seed: int = 1,
     ):
+        super().__init__()
         self.loop = loop
         self.rng = random.Random(seed)
         self.store = record_store.RecordStore(rng=self.rng)
         self.workers: dict[ids.WorkerId, task_worker.TaskWorker] = {}
         self.nodes: dict[str, node_lib.Node] = {}
         self.frozen: set[str] = set()
-        self.runs: list[
-            tuple[task_worker.TaskWorker, task_worker.StandinRun]
-        ] = []
-        self.jobs: dict[ids.JobId, Accepted] = {}
-        self.shown: dict[ids.JobId, tuple[float, model.JobState]] = {}
         self._plan = plan
         self._beats: list[asyncio.Task] = []
         self._version = 0
@@ -270,7 +253,9 @@
                 break
             except exceptions.AmaranthflowError:
                 await asyncio.sleep(0.2)
-        self.jobs[job.id] = Accepted(job=job, accepted_s=self.loop.time())
+        self.jobs[job.id] = task_history.Accepted(
+            job=job, accepted_s=self.loop.time()
+        )
         return job
 
     async def ask(self, job_id: str) -> model.JobState | None:
@@ -285,11 +270,7 @@
                 await asyncio.sleep(0.2)
                 continue
             if state is not None:
-                self.shown.setdefault(
-                    ids.JobId(job_id), (self.loop.time(), state)
-                )
-                if self.shown[ids.JobId(job_id)][1] is not state:
-                    self.shown[ids.JobId(job_id)] = (self.loop.time(), state)
+                self.note_shown(ids.JobId(job_id), state, self.loop.time())
             return state
 
     async def cancel(self, job_id: str) -> None:
@@ -319,99 +300,3 @@
         raise AssertionError(
             f'{job_id} is {seen} after {within_s} s, not {state}'
         )
-
-    # promises
-
-    def broken(self) -> list[str]:
-        """Names each promise that the history breaks."""
-        findings = [*self._doubled(), *self._disordered()]
-        findings.extend(self._over_capacity())
-        findings.extend(self._started_after_cancel())
-        return findings
-
-    def _by_task(
-        self,
-    ) -> dict[
-        model.TaskKey,
-        list[tuple[task_worker.TaskWorker, task_worker.StandinRun]],
-    ]:
-        found = collections.defaultdict(list)
-        for worker, run in self.runs:
-            found[run.task].append((worker, run))
-        return found
-
-    def _step(self, task: model.TaskKey) -> model.Step:
-        return self.jobs[task.job].job.steps[task.step]
-
-    def _doubled(self) -> t.Iterator[str]:
-        for task, found in self._by_task().items():
-            if task.job not in self.jobs or self._step(task).backups:
-                continue
-            numbers = [run.run for _, run in found]
-            if len(set(numbers)) != len(numbers):
-                yield f'{task}: run numbers {numbers}'
-            found.sort(key=lambda pair: pair[1].begun_s)
-            for (_, first), (_, second) in zip(found, found[1:], strict=False):
-                if first.ended_s is None or first.ended_s > second.begun_s:
-                    yield (
-                        f'{task}: run {second.run} began at '
-                        f'{second.begun_s:.2f} beside run {first.run}'
-                    )
-            for _, run in found:
-                if run.ending is model.Ending.DONE:
-                    later = [r for _, r in found if r.begun_s > run.ended_s]
-                    yield from self._after_done(task, run, later)
-
-    def _after_done(
-        self,
-        task: model.TaskKey,
-        done: task_worker.StandinRun,
-        later: list[task_worker.StandinRun],
-    ) -> t.Iterator[str]:
-        shown = self.shown.get(task.job)
-        if shown is None or shown[1] is not model.JobState.COMPLETED:
-            return
-        for run in later:
-            if run.begun_s > shown[0] + _NOTED_S:
-                yield f'{task}: run {run.run} began after it was done'
-
-    def _disordered(self) -> t.Iterator[str]:
-        done: dict[tuple, float] = {}
-        for _, run in self.runs:
-            if run.ending is model.Ending.DONE:
-                known = done.get(run.task, float('inf'))
-                done[run.task] = min(known, run.ended_s)
-        for _, run in self.runs:
-            if run.task.job not in self.jobs:
-                continue
-            job = self.jobs[run.task.job].job
-            for number in self._step(run.task).after:
-                for index in range(job.steps[number].count):
-                    key = run.task._replace(step=number, index=index)
-                    if done.get(key, float('inf')) > run.begun_s:
-                        yield f'{run.task} began before {key} was done'
-
-    def _over_capacity(self) -> t.Iterator[str]:
-        by_worker = collections.defaultdict(list)
-        for worker, run in self.runs:
-            by_worker[worker].append(run)
-        for worker, found in by_worker.items():
-            for run in found:
-                used = sum(
-                    self._step(other.task).resources.cpu
-                    for other in found
-                    if other.task.job in self.jobs
-                    and other.begun_s <= run.begun_s
-                    and (other.ended_s is None or other.ended_s > run.begun_s)
-                    and not self._step(other.task).opportunistic
-                )
-                if used > worker.entry.capacity.cpu:
-                    yield f'{worker.id}: {used} used at {run.begun_s:.2f}'
-
-    def _started_after_cancel(self) -> t.Iterator[str]:
-        for _, run in self.runs:
-            accepted = self.jobs.get(run.task.job)
-            if accepted is None or accepted.cancelled_s is None:
-                continue
-            if run.begun_s > accepted.cancelled_s + 3.0:
-                yield f'{run.task} began after its job was cancelled'
--- /dev/null
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_history.py
@@ -0,0 +1,149 @@
+"""What callers and workers saw, and which promises that breaks."""
+
+import collections
+import dataclasses
+import typing as t
+
+from amaranthflow import ids
+from amaranthflow_scheduler import model
+
+from . import task_worker
+
+# A run may be under way when its job is shown as completed.
+_NOTED_S = 1.0
+# Time in which a cancelled job's last orders end (the platform's rule).
+_CANCEL_S = 3.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Accepted:
+    """A job as its caller knows it."""
+
+    job: model.Job
+    accepted_s: float
+    cancelled_s: float | None = None
+
+
+class TaskHistory:
+    """History of a fleet. Times are seconds of one clock.
+
+    :ivar runs: each run with the worker it was on, in order of start.
+    :ivar shown: when each job was first shown in its newest state.
+    :ivar refused: jobs of which every try was answered "not accepted".
+    """
+
+    def __init__(self):
+        self.runs: list[
+            tuple[task_worker.TaskWorker, task_worker.StandinRun]
+        ] = []
+        self.jobs: dict[ids.JobId, Accepted] = {}
+        self.shown: dict[ids.JobId, tuple[float, model.JobState]] = {}
+        self.refused: set[ids.JobId] = set()
+
+    def note_shown(
+        self, job_id: ids.JobId, state: model.JobState, now_s: float
+    ) -> None:
+        """Notes what a caller was told."""
+        known = self.shown.get(job_id)
+        if known is None or known[1] is not state:
+            self.shown[job_id] = (now_s, state)
+
+    def broken(self) -> list[str]:
+        """Names each promise that the history breaks."""
+        findings = [*self._doubled(), *self._disordered()]
+        findings.extend(self._over_capacity())
+        findings.extend(self._started_after_cancel())
+        findings.extend(self._ran_though_refused())
+        return findings
+
+    def _ran_though_refused(self) -> t.Iterator[str]:
+        for _, run in self.runs:
+            if run.task.job in self.refused:
+                yield f'{run.task} ran, its job was refused'
+
+    def _by_task(
+        self,
+    ) -> dict[
+        model.TaskKey,
+        list[tuple[task_worker.TaskWorker, task_worker.StandinRun]],
+    ]:
+        found = collections.defaultdict(list)
+        for worker, run in self.runs:
+            found[run.task].append((worker, run))
+        return found
+
+    def _step(self, task: model.TaskKey) -> model.Step:
+        return self.jobs[task.job].job.steps[task.step]
+
+    def _doubled(self) -> t.Iterator[str]:
+        for task, found in self._by_task().items():
+            if task.job not in self.jobs or self._step(task).backups:
+                continue
+            numbers = [run.run for _, run in found]
+            if len(set(numbers)) != len(numbers):
+                yield f'{task}: run numbers {numbers}'
+            found.sort(key=lambda pair: pair[1].begun_s)
+            for (_, first), (_, second) in zip(found, found[1:], strict=False):
+                if first.ended_s is None or first.ended_s > second.begun_s:
+                    yield (
+                        f'{task}: run {second.run} began at '
+                        f'{second.begun_s:.2f} beside run {first.run}'
+                    )
+            for _, run in found:
+                if run.ending is model.Ending.DONE:
+                    later = [r for _, r in found if r.begun_s > run.ended_s]
+                    yield from self._after_done(task, run, later)
+
+    def _after_done(
+        self,
+        task: model.TaskKey,
+        done: task_worker.StandinRun,
+        later: list[task_worker.StandinRun],
+    ) -> t.Iterator[str]:
+        shown = self.shown.get(task.job)
+        if shown is None or shown[1] is not model.JobState.COMPLETED:
+            return
+        for run in later:
+            if run.begun_s > shown[0] + _NOTED_S:
+                yield f'{task}: run {run.run} began after it was done'
+
+    def _disordered(self) -> t.Iterator[str]:
+        done: dict[tuple, float] = {}
+        for _, run in self.runs:
+            if run.ending is model.Ending.DONE:
+                known = done.get(run.task, float('inf'))
+                done[run.task] = min(known, run.ended_s)
+        for _, run in self.runs:
+            if run.task.job not in self.jobs:
+                continue
+            job = self.jobs[run.task.job].job
+            for number in self._step(run.task).after:
+                for index in range(job.steps[number].count):
+                    key = run.task._replace(step=number, index=index)
+                    if done.get(key, float('inf')) > run.begun_s:
+                        yield f'{run.task} began before {key} was done'
+
+    def _over_capacity(self) -> t.Iterator[str]:
+        by_worker = collections.defaultdict(list)
+        for worker, run in self.runs:
+            by_worker[worker].append(run)
+        for worker, found in by_worker.items():
+            for run in found:
+                used = sum(
+                    self._step(other.task).resources.cpu
+                    for other in found
+                    if other.task.job in self.jobs
+                    and other.begun_s <= run.begun_s
+                    and (other.ended_s is None or other.ended_s > run.begun_s)
+                    and not self._step(other.task).opportunistic
+                )
+                if used > worker.entry.capacity.cpu:
+                    yield f'{worker.id}: {used} used at {run.begun_s:.2f}'
+
+    def _started_after_cancel(self) -> t.Iterator[str]:
+        for _, run in self.runs:
+            accepted = self.jobs.get(run.task.job)
+            if accepted is None or accepted.cancelled_s is None:
+                continue
+            if run.begun_s > accepted.cancelled_s + _CANCEL_S:
+                yield f'{run.task} began after its job was cancelled'
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_worker.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_worker.py
@@ -62,7 +62,10 @@
 
 
 class TaskWorker:
-    """One worker; ``runs`` keeps the history for checks."""
+    """One worker; ``history`` keeps its runs for checks.
+
+    :param clock_rate: its clock's seconds in a second.
+    """
 
     def __init__(
         self,
@@ -71,6 +74,7 @@
         plan: Plan,
         rng: random.Random,
         history: list[tuple['TaskWorker', StandinRun]],
+        clock_rate: float = 1.0,
     ):
         self.entry = entry
         self.faults = WorkerFaults()
@@ -80,6 +84,7 @@
         self._plan = plan
         self._rng = rng
         self._history = history
+        self._clock_rate = clock_rate
         self._loop = asyncio.get_running_loop()
         self._changed = asyncio.Event()
         self._reset()
@@ -101,7 +106,8 @@
 
     def clock_ms(self) -> int:
         """Returns the worker's own clock."""
-        return int((self._loop.time() - self.born_s) * 1000)
+        passed_s = self._loop.time() - self.born_s
+        return int(passed_s * self._clock_rate * 1000)
 
     def crash(self) -> None:
         """Ends all runs; nothing is listed, nothing is known any more."""
@@ -171,7 +177,7 @@
         self._deadline_ms = deadline_ms
         if self._lease is not None:
             self._lease.cancel()
-        left_s = (deadline_ms - self.clock_ms()) / 1000
+        left_s = (deadline_ms - self.clock_ms()) / 1000 / self._clock_rate
         self._lease = self._loop.call_later(left_s, self._lapse)
 
     def _lapse(self) -> None:
--- a/tests/amaranthflow_scheduler/decisions.feature
+++ b/tests/amaranthflow_scheduler/decisions.feature
@@ -195,3 +195,19 @@
   Scenario: Leaders that stored nothing give a task's runs different numbers
     When 3 leaders in a row start the task of one job and store nothing
     Then the 3 runs have different numbers, each higher than the one before
+
+  Scenario Outline: A plan tries nothing that is larger than what failed
+    When a step of 2 cores and image "a" has found no worker
+    Then a step of <cores> cores and image "<image>" <verdict> tried
+
+    Examples:
+      | cores | image | verdict |
+      | 2     | a     | is not  |
+      | 3     | a     | is not  |
+      | 1     | a     | is      |
+      | 3     | b     | is      |
+
+  Scenario: Waiting jobs of many sizes take few looks at workers
+    Given a scheduler with 20 workers that answer
+    When 200 jobs of different size wait for a full fleet
+    Then a plan looks at fewer than 300 workers
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -250,8 +250,7 @@
         idle_s=lambda: 60.0,
     )
     await server.start(_HOST, 0)
-    port = server._server.sockets[0].getsockname()[1]
-    return server, f'{_HOST}:{port}'
+    return server, f'{_HOST}:{server.port}'
 
 
 def _with_server(context, work):
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+from unittest import mock
 
 import behave
 
@@ -848,3 +849,49 @@
 def step_different_numbers(context, count):
     assert len(set(context.numbers)) == count, context.numbers
     assert context.numbers == sorted(context.numbers), context.numbers
+
+
+def _opportunistic(cores, image):
+    resources = model.Resources(cores * 1_000, 100, 0)
+    return _step(resources=resources, opportunistic=True, image=image)
+
+
+@behave.when(
+    'a step of {cores:d} cores and image "{image}" has found no worker'
+)
+def step_failed(context, cores, image):
+    context.full = placement.Full()
+    context.full.add(_SERVICE, _opportunistic(cores, image))
+
+
+@behave.then('a step of {cores:d} cores and image "{image}" {verdict} tried')
+def step_tried(context, cores, image, verdict):
+    covered = context.full.covers(_SERVICE, _opportunistic(cores, image))
+    assert covered is (verdict == 'is not')
+
+
+@behave.when('{count:d} jobs of different size wait for a full fleet')
+def step_many_wait(context, count):
+    core = context.core
+    fill = model.Resources(8_000, 100, 0)
+    core.add_job(_job('fill', _step(len(core.workers), resources=fill)))
+    core.plan(0.2, 0)
+    assert len(core.take_orders()) == len(core.workers)
+    for number in range(count):
+        resources = model.Resources(1_000 + number, 100, 0)
+        core.add_job(_job(f'j{number}', _step(resources=resources)))
+
+
+@behave.then('a plan looks at fewer than {most:d} workers')
+def step_few_looks(context, most):
+    looks = 0
+    may_run = placement.may_run
+
+    def count(worker, step):
+        nonlocal looks
+        looks += 1
+        return may_run(worker, step)
+
+    with mock.patch.object(placement, 'may_run', count):
+        context.core.plan(0.3, 0)
+    assert looks < most, looks
--- /dev/null
+++ b/tests/steps/soak_steps.py
@@ -0,0 +1,131 @@
+"""Steps for soak.feature: real processes, loopback connections, real time."""
+
+import asyncio
+import os
+import pathlib
+import tempfile
+
+from amaranthflow_platform_standins import servers
+from amaranthflow_platform_standins import soak
+import behave
+
+from amaranthflow import ids
+from amaranthflow_scheduler import model
+from amaranthflow_standins import proxy
+from amaranthflow_standins import task_history
+from amaranthflow_standins import task_worker
+
+_HOST = '127.0.0.1'
+
+
+@behave.when('the real program is soaked for {seconds:g} s with seed {seed:d}')
+def step_soak(context, seconds, seed):
+    pid = os.getpid()
+    size = soak.Size(seconds=seconds, instances=3, workers=4, callers=6)
+    with tempfile.TemporaryDirectory() as folder:
+        context.report = soak.play(
+            seed,
+            size=size,
+            folder=pathlib.Path(folder),
+            net=f'127.{1 + (pid >> 8) % 250}.{pid % 256}',
+        )
+
+
+@behave.then('callers had answers, tasks ran and no promise was broken')
+def step_soaked(context):
+    report = context.report
+    assert not report.broken, (report.broken[:5], report.faults)
+    assert report.jobs and report.runs and report.answers.get(200), report
+
+
+@behave.given("a history in which a refused job's task ran")
+def step_refused_ran(context):
+    context.history = task_history.TaskHistory()
+    job_id = servers.job_id(1)
+    key = model.TaskKey(ids.JobId(job_id), 0, 0, 0)
+    run = task_worker.StandinRun(
+        task=key, run=1, token=1, begun_s=1.0, lasts_s=1.0
+    )
+    context.history.refused.add(job_id)
+    context.history.runs.append((None, run))
+
+
+@behave.then('{count:d} broken promise names it')
+def step_names(context, count):
+    broken = list(context.history._ran_though_refused())
+    assert len(broken) == count, broken
+    assert servers.job_id(1) in broken[0]
+
+
+@behave.given('a proxy before a server that echoes')
+def step_proxy(context):
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    context.add_cleanup(lambda: _run(context, _close(context)))
+    context.arrived = context.returned = 0
+    _run(context, _open(context))
+
+
+def _run(context, work):
+    return context.loop.run_until_complete(work)
+
+
+async def _open(context):
+    async def echo(reader, writer):
+        while line := await reader.readline():
+            context.arrived += 1
+            writer.write(line)
+        writer.close()
+
+    context.server = await asyncio.start_server(echo, _HOST, 0)
+    target = context.server.sockets[0].getsockname()
+    context.proxy = proxy.Proxy(host=_HOST, target=target)
+    await context.proxy.open()
+    context.reader, context.writer = await asyncio.open_connection(
+        _HOST, context.proxy.port
+    )
+
+
+async def _close(context):
+    context.writer.close()
+    context.proxy.close()
+    context.server.close()
+    await asyncio.sleep(0.02)
+
+
+@behave.when('its harm is {harm} and a caller sends a line')
+def step_harm(context, harm):
+    context.proxy.harm = proxy.Harm(harm)
+    context.proxy.delay_s = 0.05
+    _run(context, _send(context))
+
+
+@behave.when('the harm is over and the caller sends another line')
+def step_harm_over(context):
+    _run(context, asyncio.sleep(0.05))
+    context.proxy.harm = proxy.Harm.NONE
+    _run(context, _send(context))
+
+
+async def _send(context):
+    context.writer.write(b'line\n')
+    await context.writer.drain()
+
+
+@behave.then(
+    'the server has {arrived:d} lines and the caller {returned:d} within '
+    '{seconds:g} s'
+)
+def step_lines(context, arrived, returned, seconds):
+    async def count():
+        try:
+            async with asyncio.timeout(seconds):
+                while await context.reader.readline():
+                    context.returned += 1
+        except TimeoutError:
+            # The connection is still open: nothing more comes.
+            pass
+
+    _run(context, count())
+    found = (context.arrived, context.returned)
+    assert found == (arrived, returned), found
--- /dev/null
+++ b/tools/soak.py
@@ -0,0 +1,46 @@
+"""Soaks the real program under faults from outside, seed by seed."""
+
+import argparse
+import os
+import pathlib
+import sys
+
+from amaranthflow_platform_standins import soak
+
+_FOLDER = pathlib.Path(__file__).resolve().parents[1] / 'build' / 'soak'
+
+
+def main() -> int:
+    """Plays the seeds; returns 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1, help='first seed')
+    parser.add_argument('--seeds', type=int, default=1, help='how many')
+    parser.add_argument('--seconds', type=float, default=20.0)
+    parser.add_argument('--instances', type=int, default=4)
+    parser.add_argument('--workers', type=int, default=5)
+    args = parser.parse_args()
+    size = soak.Size(
+        seconds=args.seconds, instances=args.instances, workers=args.workers
+    )
+    pid = os.getpid()
+    net = f'127.{1 + (pid >> 8) % 250}.{pid % 256}'
+    failed = 0
+    for seed in range(args.seed, args.seed + args.seeds):
+        folder = _FOLDER / f'{seed}-{pid}'
+        report = soak.play(seed, size=size, folder=folder, net=net)
+        print(
+            f'seed {seed}: {report.jobs} jobs, {report.runs} runs, '
+            f'{len(report.faults)} faults, answers {report.answers}, '
+            f'{len(report.broken)} broken promises'
+        )
+        if report.broken:
+            failed += 1
+            for line in (*report.broken[:10], *report.faults):
+                print(f'  {line}')
+            print(f'  logs: {folder}')
+    print(f'{args.seeds} seeds, {failed} broken')
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
