--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
@@ -9,6 +9,7 @@
 are no services they are spread.
 """
 
+import heapq
 import typing as t
 
 from amaranthflow import ids
@@ -82,10 +83,10 @@
     """Tells whether the step's label and amounts permit a worker at all."""
     if not label_permits(worker, step):
         return False
-    need = step.resources
+    need, room = step.resources, worker.room()
     if step.opportunistic:
-        need = need._replace(cpu=0)
-    return need.fits(worker.room())
+        return need.mem_mb <= room.mem_mb and need.gpu <= room.gpu
+    return need.fits(room)
 
 
 def choose(
@@ -118,6 +119,68 @@
     return best
 
 
+class Ranking:
+    """Workers for the tasks of one step, ranked once for all of them.
+
+    A run that is placed changes the cost of its own worker only, except where
+    tasks want to share a rack.
+    """
+
+    def __init__(
+        self,
+        step_run: execution.StepRun,
+        candidates: t.Sequence[workers.Worker],
+        disturbance: tails.Tails,
+    ):
+        self._step_run = step_run
+        self._candidates = candidates
+        self._disturbance = disturbance
+        self._heap: list[tuple[float, int]] | None = None
+        self._task = step_run.tasks[0]
+
+    def best(self, task: execution.TaskRun) -> workers.Worker | None:
+        """Returns the best worker for a waiting task, or None."""
+        if task.failed_runs or self._step_run.step.same_rack:
+            self._heap = None
+            return choose(task, self._candidates, self._disturbance)
+        if self._heap is None:
+            self._heap = self._rank(task)
+            self._task = task
+        if not self._heap:
+            return None
+        return self._candidates[self._heap[0][1]]
+
+    def _rank(self, task: execution.TaskRun) -> list[tuple[float, int]]:
+        costs = (
+            (self._cost(task, worker), number)
+            for number, worker in enumerate(self._candidates)
+        )
+        heap = [entry for entry in costs if entry[0] is not None]
+        heapq.heapify(heap)
+        return heap
+
+    def _cost(
+        self, task: execution.TaskRun, worker: workers.Worker
+    ) -> float | None:
+        step = self._step_run.step
+        if not may_run(worker, step):
+            return None
+        if not count_permits(worker, self._step_run):
+            return None
+        return _cost(task, step, worker, set(), self._disturbance)
+
+    def placed(self, worker: workers.Worker) -> None:
+        """Notes that a run was placed on the worker returned last."""
+        if not self._heap:
+            return
+        number = self._heap[0][1]
+        cost = self._cost(self._task, worker)
+        if cost is None:
+            heapq.heappop(self._heap)
+        else:
+            heapq.heapreplace(self._heap, (cost, number))
+
+
 def _racks(
     step_run: execution.StepRun, candidates: t.Iterable[workers.Worker]
 ) -> set[str]:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -51,6 +51,9 @@
 _SLOWED = 60
 _SLOWED_S = 0.4
 _NEARLY = 85
+# Each try looks at all workers, whose tails change within half a second.
+_MOVES_EVERY_S = 0.5
+_MOVES_APART_S = 0.02  # at 250 workers a try takes about a millisecond
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -93,6 +96,7 @@
         self.advice = advice.Advice()
         self._held_back: set[ids.JobId] = set()
         self._listed_by_s = now_s
+        self._moves_tried_s = 0.0
         self._unknown_leases_s = now_s + self._longest_lease_s()
 
     def _longest_lease_s(self) -> float:
@@ -350,6 +354,7 @@
             self._drop_unlisted(worker, listed, sent_s)
         self._tails.observe(worker, now_s, now_ms)
         self._pace(worker, now_s)
+        worker.runs_changed()
 
     def on_replaced(self, worker: workers.Worker) -> None:
         """Notes that another worker answers at a worker's address.
@@ -600,6 +605,10 @@
 
     def _move_slowed(self, worker: workers.Worker, now_s: float) -> None:
         """Moves resumable runs that are slowed here and would not be there."""
+        if now_s - worker.moves_tried_s < _MOVES_EVERY_S:
+            return
+        if now_s - self._moves_tried_s < _MOVES_APART_S:
+            return
         for copy in worker.opportunistic():
             step = copy.task.step_run.step
             if copy.pace >= _SLOWED or not step.checkpoints:
@@ -608,12 +617,15 @@
                 continue
             if now_s - copy.slowed_s < _SLOWED_S or copy.percent > _NEARLY:
                 continue
+            worker.moves_tried_s = self._moves_tried_s = now_s
             candidates = self._candidates(copy.task, now_s)
             other = placement.choose(copy.task, candidates, self._tails)
-            if other is not None:
-                # Counted as placed, so that not all choose the same worker.
-                self._tails.add(other, step)
-                self._stop(copy, 'slowed-beside-service')
+            if other is None:
+                # The worker's other runs will hardly find one either.
+                return
+            # Counted as placed, so that not all choose the same worker.
+            self._tails.add(other, step)
+            self._stop(copy, 'slowed-beside-service')
 
     # answers to orders
 
@@ -873,14 +885,16 @@
         hopeless = full.covers(pool, step) and not self._reservations.holds(
             step_run
         )
+        ranking = placement.Ranking(
+            step_run, () if hopeless else candidates, self._tails
+        )
         for task in step_run.tasks:
             if not task.waiting:
                 continue
-            worker = None
-            if not hopeless:
-                worker = placement.choose(task, candidates, self._tails)
+            worker = ranking.best(task)
             if worker is not None:
                 self._place(task, worker, now_s, 'waiting')
+                ranking.placed(worker)
                 continue
             if step_run.waits_since_s is None:
                 step_run.waits_since_s = now_s
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
@@ -48,6 +48,7 @@
     :ivar shunned_s: when the last pause of starts there began.
     :ivar shunned_until_s: end of that pause.
     :ivar paced_s: when paces were last changed.
+    :ivar moves_tried_s: when slowed runs were last tried elsewhere.
     :ivar used: what runs take; opportunistic ones take no processor.
     :ivar unlisted_s: when the worker's entry went, None while it is there.
     """
@@ -71,6 +72,7 @@
     tails: dict[ids.TaskClass, float] = dataclasses.field(default_factory=dict)
     sample: Sample | None = None
     paced_s: float = 0.0
+    moves_tried_s: float = 0.0
     shunned_s: float = 0.0
     shunned_until_s: float = 0.0
     unanswered: int = 0
@@ -78,6 +80,8 @@
     failed_jobs: set[ids.JobId] = dataclasses.field(default_factory=set)
     successes: int = 0
     pace_factor: float = 1.0
+    _room: tuple[model.WorkerEntry, model.Resources] | None = None
+    _unused_cpu: float | None = None
 
     @property
     def id(self) -> ids.WorkerId:
@@ -129,7 +133,13 @@
             self.copies.remove(copy)
             self._count(copy, -1)
 
+    def runs_changed(self) -> None:
+        """Notes that runs came, went or were reported anew."""
+        self._unused_cpu = None
+
     def _count(self, copy: execution.Copy, sign: int) -> None:
+        self._room = None
+        self.runs_changed()
         step = copy.task.step_run.step
         cpu, mem_mb, gpu = self.used
         need = step.resources
@@ -152,7 +162,10 @@
 
     def room(self) -> model.Resources:
         """Returns what is free."""
-        return self.entry.capacity.minus(self.used)
+        if self._room is None or self._room[0] is not self.entry:
+            self._room = (self.entry, self.entry.capacity.minus(self.used))
+            self.runs_changed()
+        return self._room[1]
 
     def passing_runs(self) -> list[execution.Copy]:
         """Returns the runs that take processors and will end."""
@@ -172,9 +185,12 @@
 
     def unused_cpu(self) -> float:
         """Returns what another opportunistic run may expect to use."""
-        idle = SERVICE_IDLE if self._squeezed() else SERVICE_IDLE_SEEN
-        unused = self.room().cpu + idle * self.service_cpu
-        return unused - self.opportunistic_cpu
+        room = self.room()
+        if self._unused_cpu is None:
+            idle = SERVICE_IDLE if self._squeezed() else SERVICE_IDLE_SEEN
+            unused = room.cpu + idle * self.service_cpu
+            self._unused_cpu = unused - self.opportunistic_cpu
+        return self._unused_cpu
 
     def _squeezed(self) -> bool:
         """Tells whether opportunistic runs get less than they could use."""
--- a/tests/amaranthflow_scheduler/decisions.feature
+++ b/tests/amaranthflow_scheduler/decisions.feature
@@ -211,3 +211,7 @@
     Given a scheduler with 20 workers that answer
     When 200 jobs of different size wait for a full fleet
     Then a plan looks at fewer than 300 workers
+
+  Scenario: Workers ranked once for a step are those chosen one by one
+    When 60 random steps are placed on like workers in both ways
+    Then both ways have placed all runs on the same workers
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -895,3 +895,61 @@
     with mock.patch.object(placement, 'may_run', count):
         context.core.plan(0.3, 0)
     assert looks < most, looks
+
+
+def _random_step(rng):
+    kind = rng.choice(('plain', 'service', 'opportunistic', 'spread', 'rack'))
+    return _step(
+        rng.randint(1, 9),
+        resources=model.Resources(rng.randint(500, 4_000), 100, 0),
+        service=kind == 'service',
+        tail_target_ms=100 if kind == 'service' else 0,
+        opportunistic=kind == 'opportunistic',
+        max_per_worker=2 if kind == 'spread' else 0,
+        data_rack='r1' if kind == 'rack' else '',
+        same_rack=kind == 'rack' and rng.random() < 0.5,
+        image=rng.choice('abc'),
+    )
+
+
+def _one_by_one(step_run, found, disturbance):
+    for task in step_run.tasks:
+        worker = placement.choose(task, found, disturbance)
+        if worker is None:
+            return
+        yield _copy(task, worker, gauge=50.0).worker
+
+
+def _ranked(step_run, found, disturbance):
+    ranking = placement.Ranking(step_run, found, disturbance)
+    for task in step_run.tasks:
+        worker = ranking.best(task)
+        if worker is None:
+            return
+        yield _copy(task, worker, gauge=50.0).worker
+        ranking.placed(worker)
+
+
+@behave.when('{count:d} random steps are placed on like workers in both ways')
+def step_both_ways(context, count):
+    context.placed = []
+    for way in (_one_by_one, _ranked):
+        rng = random.Random(7)
+        disturbance = tails.Tails()
+        found = [_worker(f'w{n}', 16_000, f'r{n % 3}') for n in range(9)]
+        chosen = []
+        for number in range(count):
+            step_run = _job_run(f'j{number}', _random_step(rng)).opened[0][0]
+            for task in step_run.tasks:
+                if rng.random() < 0.1:
+                    task.failed_runs.append(1)
+                    task.failed_on.append(rng.choice(found).id)
+            chosen.append(list(way(step_run, found, disturbance)))
+        context.placed.append(chosen)
+
+
+@behave.then('both ways have placed all runs on the same workers')
+def step_same_workers(context):
+    one_by_one, ranked = context.placed
+    assert one_by_one == ranked
+    assert sum(map(len, ranked)) > len(ranked), ranked
