--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -53,7 +53,6 @@
 _NEARLY = 85
 # Each try looks at all workers, whose tails change within half a second.
 _MOVES_EVERY_S = 0.5
-_MOVES_APART_S = 0.02  # at 250 workers a try takes about a millisecond
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -96,7 +95,6 @@
         self.advice = advice.Advice()
         self._held_back: set[ids.JobId] = set()
         self._listed_by_s = now_s
-        self._moves_tried_s = 0.0
         self._unknown_leases_s = now_s + self._longest_lease_s()
 
     def _longest_lease_s(self) -> float:
@@ -607,8 +605,7 @@
         """Moves resumable runs that are slowed here and would not be there."""
         if now_s - worker.moves_tried_s < _MOVES_EVERY_S:
             return
-        if now_s - self._moves_tried_s < _MOVES_APART_S:
-            return
+        worker.moves_tried_s = now_s
         for copy in worker.opportunistic():
             step = copy.task.step_run.step
             if copy.pace >= _SLOWED or not step.checkpoints:
@@ -617,15 +614,12 @@
                 continue
             if now_s - copy.slowed_s < _SLOWED_S or copy.percent > _NEARLY:
                 continue
-            worker.moves_tried_s = self._moves_tried_s = now_s
             candidates = self._candidates(copy.task, now_s)
             other = placement.choose(copy.task, candidates, self._tails)
-            if other is None:
-                # The worker's other runs will hardly find one either.
-                return
-            # Counted as placed, so that not all choose the same worker.
-            self._tails.add(other, step)
-            self._stop(copy, 'slowed-beside-service')
+            if other is not None:
+                # Counted as placed, so that not all choose the same worker.
+                self._tails.add(other, step)
+                self._stop(copy, 'slowed-beside-service')
 
     # answers to orders
 
