--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
@@ -27,7 +27,7 @@
 _BEAT_S = 1.1
 _MISSED_BEATS = 3
 _PEER_S = 0.002
-_QUEUE = model.Queue(
+QUEUE = model.Queue(
     id=model.QueueId('jobs'),
     host='jobs.example',
     prefix='/jobs/',
@@ -55,8 +55,8 @@
     ) -> model.Configuration | None:
         return model.Configuration(
             version=int(value),
-            queues=(_QUEUE,),
-            checked_services=frozenset((_QUEUE.service,)),
+            queues=(QUEUE,),
+            checked_services=frozenset((QUEUE.service,)),
             max_body_bytes=262_144,
             idle_timeout_ms=15_000,
         )
@@ -115,7 +115,7 @@
     """Returns a job of the fleet's only queue."""
     return model.Job(
         id=ids.JobId(job_id),
-        queue=_QUEUE,
+        queue=QUEUE,
         payload='payload',
         steps=tuple(steps),
         accepted_ms=loop.wall_ms(),
@@ -159,7 +159,7 @@
         """Adds a worker that keeps its entry alive."""
         entry = model.WorkerEntry(
             id=ids.WorkerId(name),
-            service=_QUEUE.service,
+            service=QUEUE.service,
             address=name,
             zone=ids.ZoneId('z1'),
             state=model.WorkerState.READY,
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_fuzz.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_fuzz.py
@@ -9,11 +9,11 @@
 import asyncio
 import dataclasses
 import random
-import typing as t
 
 from amaranthflow_scheduler import model
 
 from . import task_fleet
+from . import task_shapes
 from . import virtual_time
 
 _INSTANCES = 4
@@ -25,6 +25,8 @@
 _CANCELLED = 0.1
 _POISONED = 0.05
 _RUN_FAILS = 0.03
+_MOST_TASKS = 5
+_ESTIMATES_MS = (300, 800, 2000, 5000)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -94,7 +96,9 @@
     async def _job(self, number: int) -> None:
         await asyncio.sleep(self.rng.uniform(0.0, _LENGTH_S))
         job_id = f'j{number:02}'
-        steps = self._steps()
+        steps = task_shapes.random_steps(
+            self.rng, most_tasks=_MOST_TASKS, estimates_ms=_ESTIMATES_MS
+        )
         self.plan.steps[job_id] = steps
         if self.rng.random() < _POISONED:
             self.plan.poisoned.add(job_id)
@@ -103,24 +107,6 @@
             await asyncio.sleep(self.rng.uniform(0.0, 6.0))
             await self.fleet.cancel(job_id)
 
-    def _steps(self) -> list[model.Step]:
-        rng = self.rng
-        if rng.random() < 0.15:
-            return [self._step(service=True, max_per_worker=2)]
-        steps = [self._step(backups=rng.random() < 0.2)]
-        for number in range(rng.randrange(3)):
-            steps.append(self._step(after=(number,)))
-        return steps
-
-    def _step(self, **fields: t.Any) -> model.Step:
-        rng = self.rng
-        return model.Step(
-            count=rng.randint(1, 5),
-            resources=model.Resources(rng.choice((500, 1000, 2000)), 100, 0),
-            estimate_ms=rng.choice((300, 800, 2000, 5000)),
-            **fields,
-        )
-
     async def _fault(self) -> None:
         rng = self.rng
         await asyncio.sleep(rng.uniform(0.0, _LENGTH_S))
@@ -233,24 +219,9 @@
                     findings.append(f'{job_id} is {state} at the end')
                     break
                 await asyncio.sleep(0.2)
-            findings.extend(self._wrong_end(job_id, state))
+            findings.extend(self.fleet.wrong_end(job_id, state))
         return findings
 
-    def _wrong_end(
-        self, job_id: str, state: model.JobState | None
-    ) -> t.Iterator[str]:
-        accepted = self.fleet.jobs[job_id]
-        if state is model.JobState.CANCELLED and accepted.cancelled_s is None:
-            yield f'{job_id} is cancelled and nobody asked for it'
-        if state is model.JobState.FAILED:
-            failed = [
-                run
-                for _, run in self.fleet.runs
-                if run.task.job == job_id and run.ending is model.Ending.FAILED
-            ]
-            if len(failed) < accepted.job.queue.max_attempts:
-                yield f'{job_id} failed after {len(failed)} failed runs'
-
 
 def explore(seed: int) -> Outcome:
     """Plays one seed in virtual time."""
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_history.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_history.py
@@ -48,6 +48,21 @@
         if known is None or known[1] is not state:
             self.shown[job_id] = (now_s, state)
 
+    def wrong_end(
+        self, job_id: ids.JobId, state: model.JobState | None
+    ) -> t.Iterator[str]:
+        """Names an end that is shown without a cause."""
+        accepted = self.jobs[job_id]
+        if state is model.JobState.CANCELLED and accepted.cancelled_s is None:
+            yield f'{job_id} is cancelled and nobody asked for it'
+        if state is model.JobState.FAILED:
+            failed = sum(
+                run.task.job == job_id and run.ending is model.Ending.FAILED
+                for _, run in self.runs
+            )
+            if failed < accepted.job.queue.max_attempts:
+                yield f'{job_id} failed after {failed} failed runs'
+
     def broken(self) -> list[str]:
         """Names each promise that the history breaks."""
         findings = [*self._doubled(), *self._disordered()]
