--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -135,6 +135,9 @@
         execution.restore(job_run, progress, now_s)
         for copy in list(job_run.copies()):
             self._recall(copy, now_s)
+            if job_run.ended or copy.task.done:
+                # The earlier leader's stop may not have arrived.
+                self._stop(copy, 'not-wanted')
         self._settle_job(job_run)
 
     def restore_ended(self, job_id: ids.JobId, progress: bytes) -> None:
--- a/tests/amaranthflow_scheduler/decisions.feature
+++ b/tests/amaranthflow_scheduler/decisions.feature
@@ -215,3 +215,9 @@
   Scenario: Workers ranked once for a step are those chosen one by one
     When 60 random steps are placed on like workers in both ways
     Then both ways have placed all runs on the same workers
+
+  Scenario: A new leader stops the runs of a job that was cancelled before
+    Given a scheduler with 1 workers that answer
+    When a job of 2 tasks is planned there
+    And the job is cancelled and a new leader restores it
+    Then the new leader stops 2 runs and starts none
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -953,3 +953,25 @@
     one_by_one, ranked = context.placed
     assert one_by_one == ranked
     assert sum(map(len, ranked)) > len(ranked), ranked
+
+
+@behave.when('the job is cancelled and a new leader restores it')
+def step_cancelled_restored(context):
+    job_run = context.core.jobs[ids.JobId('j1')]
+    for copy in context.copies:
+        context.core.on_sent(copy)
+        context.core.on_started(copy, 0.3)
+    context.core.cancel(job_run.job.id, 0)
+    context.core = _core(token=2)
+    context.core.entry_changed(_worker('w1').entry, 0.0)
+    context.core.restore_job(job_run.job, execution.encode(job_run), 0.0)
+    context.core.hold_back(0.0, 0, store_was_lost=False)
+    _report(context.core, context.core.workers[ids.WorkerId('w1')], [], -0.1)
+    context.core.plan(0.2, 0)
+
+
+@behave.then('the new leader stops {count:d} runs and starts none')
+def step_stops_restored(context, count):
+    taken = context.core.take_orders()
+    stops = [one for one in taken if isinstance(one, orders.Stop)]
+    assert len(stops) == len(taken) == count, taken
