--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_fuzz.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_fuzz.py
@@ -13,6 +13,7 @@
 from amaranthflow_scheduler import model
 
 from . import task_fleet
+from . import task_history
 from . import task_shapes
 from . import virtual_time
 
@@ -83,6 +84,8 @@
                     for one in work:
                         group.create_task(one)
                 broken = await self._finish()
+                await asyncio.sleep(task_history.LINGER_S)
+                broken.extend(fleet.lingering(fleet.loop.time()))
         except TimeoutError:
             broken = ['callers get no answer']
         broken.extend(fleet.broken())
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_history.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_history.py
@@ -11,6 +11,9 @@
 
 # A run may be under way when its job is shown as completed.
 _NOTED_S = 1.0
+# Time in which a cancelled job's runs have ended, come what may: a takeover,
+# a lease on a slow clock, and a stop.
+LINGER_S = 12.0
 # Time in which a cancelled job's last orders end (the platform's rule).
 _CANCEL_S = 3.0
 
@@ -63,6 +66,17 @@
             if failed < accepted.job.queue.max_attempts:
                 yield f'{job_id} failed after {failed} failed runs'
 
+    def lingering(self, now_s: float) -> list[str]:
+        """Names the runs of cancelled jobs that were never stopped."""
+        return [
+            f'{run.task} runs on, its job was cancelled'
+            for _, run in self.runs
+            if run.ended_s is None
+            and (accepted := self.jobs.get(run.task.job)) is not None
+            and accepted.cancelled_s is not None
+            and now_s > accepted.cancelled_s + LINGER_S
+        ]
+
     def broken(self) -> list[str]:
         """Names each promise that the history breaks."""
         findings = [*self._doubled(), *self._disordered()]
