--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/reservations.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/reservations.py
@@ -76,7 +76,8 @@
         """
         before, self._kept = self._kept, {}
         for step_run, usable in sorted(waiting, key=_waits_since):
-            if now_s - (step_run.waits_since_s or now_s) < _PATIENCE_S:
+            since_s = step_run.waits_since_s
+            if since_s is None or now_s - since_s < _PATIENCE_S:
                 continue
             most = max(1, int(_MOST_KEPT * len(usable)))
             count = sum(task.waiting for task in step_run.tasks)
@@ -122,7 +123,10 @@
     def overdue(
         self, worker: workers.Worker, now_s: float
     ) -> list[execution.Copy]:
-        """Returns the runs to stop so that the task fits at last."""
+        """Returns the runs to stop so that the task fits at last.
+
+        Runs of queues that go before the service's are left to end.
+        """
         kept = self._kept.get(worker)
         if kept is None or now_s - kept.since_s < _STOP_AFTER_S:
             return []
@@ -132,6 +136,8 @@
         for copy in sorted(worker.passing_runs(), key=_loss):
             if need.fits(room):
                 break
+            if _priority(copy.task.step_run) < _priority(kept.step_run):
+                continue
             room = room.plus(copy.task.step_run.step.resources)
             stopped.append(copy)
         return stopped
@@ -143,6 +149,10 @@
     return entry[0].waits_since_s or 0.0
 
 
+def _priority(step_run: execution.StepRun) -> int:
+    return step_run.job_run.job.queue.priority
+
+
 def _loss(copy: execution.Copy) -> tuple[bool, float]:
     """Orders runs by what stopping them throws away."""
     step = copy.task.step_run.step
--- a/tests/amaranthflow_scheduler/decisions.feature
+++ b/tests/amaranthflow_scheduler/decisions.feature
@@ -221,3 +221,14 @@
     When a job of 2 tasks is planned there
     And the job is cancelled and a new leader restores it
     Then the new leader stops 2 runs and starts none
+
+  Scenario Outline: A reservation stops runs of its own priority and lower ones
+    Given a worker of 8 cores full of runs of priority <runs>
+    When it is kept for 2 s for a service's task of 4 cores and priority 1
+    Then <count> of the runs are to be stopped
+
+    Examples:
+      | runs | count |
+      | 0    | 0     |
+      | 1    | 4     |
+      | 2    | 4     |
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -17,6 +17,7 @@
 from amaranthflow_scheduler import pacing
 from amaranthflow_scheduler import placement
 from amaranthflow_scheduler import ports
+from amaranthflow_scheduler import reservations
 from amaranthflow_scheduler import scheduler
 from amaranthflow_scheduler import stragglers
 from amaranthflow_scheduler import tails
@@ -975,3 +976,40 @@
     taken = context.core.take_orders()
     stops = [one for one in taken if isinstance(one, orders.Stop)]
     assert len(stops) == len(taken) == count, taken
+
+
+def _prioritized(job_id, step, priority):
+    queue = dataclasses.replace(_QUEUE, priority=priority)
+    job = dataclasses.replace(_job(job_id, step), queue=queue)
+    job_run = execution.JobRun(job=job)
+    job_run.open_due(0)
+    return job_run.opened[0][0]
+
+
+@behave.given(
+    'a worker of {cores:d} cores full of runs of priority {priority:d}'
+)
+def step_full_worker(context, cores, priority):
+    context.worker = _worker('w1', cores * 1_000)
+    for task in _prioritized('b', _step(cores), priority).tasks:
+        _copy(task, context.worker)
+
+
+@behave.when(
+    "it is kept for {seconds:g} s for a service's task of {cores:d} cores "
+    'and priority {priority:d}'
+)
+def step_kept(context, seconds, cores, priority):
+    resources = model.Resources(cores * 1_000, 100, 0)
+    step = _step(resources=resources, service=True)
+    waiting = _prioritized('s', step, priority)
+    waiting.waits_since_s = 0.0
+    kept = reservations.Reservations()
+    for now_s in (1.0, 1.0 + seconds):
+        kept.update([(waiting, [context.worker])], now_s)
+    context.overdue = kept.overdue(context.worker, 1.0 + seconds)
+
+
+@behave.then('{count:d} of the runs are to be stopped')
+def step_overdue(context, count):
+    assert len(context.overdue) == count, context.overdue
