--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -53,6 +53,8 @@
 _NEARLY = 85
 # Each try looks at all workers, whose tails change within half a second.
 _MOVES_EVERY_S = 0.5
+# Pause for each worker that a try looks at: leaves most of a processor.
+_MOVES_COST_S = 0.003
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -606,7 +608,8 @@
 
     def _move_slowed(self, worker: workers.Worker, now_s: float) -> None:
         """Moves resumable runs that are slowed here and would not be there."""
-        if now_s - worker.moves_tried_s < _MOVES_EVERY_S:
+        pause_s = min(_MOVES_EVERY_S, _MOVES_COST_S * len(self.workers))
+        if now_s - worker.moves_tried_s < pause_s:
             return
         worker.moves_tried_s = now_s
         for copy in worker.opportunistic():
--- a/tests/amaranthflow_scheduler/decisions.feature
+++ b/tests/amaranthflow_scheduler/decisions.feature
@@ -232,3 +232,13 @@
       | 0    | 0     |
       | 1    | 4     |
       | 2    | 4     |
+
+  Scenario Outline: Slowed runs are tried elsewhere less often in large pools
+    Given a scheduler with <workers> workers that answer
+    When a slowed run of the first worker is tried elsewhere for 2 s
+    Then it is tried <tries> times
+
+    Examples: reports come each 0.1 s
+      | workers | tries |
+      | 10      | 20    |
+      | 200     | 4     |
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -1013,3 +1013,29 @@
 @behave.then('{count:d} of the runs are to be stopped')
 def step_overdue(context, count):
     assert len(context.overdue) == count, context.overdue
+
+
+@behave.when(
+    'a slowed run of the first worker is tried elsewhere for {seconds:d} s'
+)
+def step_tried_elsewhere(context, seconds):
+    core = context.core
+    step = _step(opportunistic=True, checkpoints=True, image='a')
+    core.add_job(_job('o', step))
+    core.jobs[ids.JobId('o')].open_due(0)
+    task = core.jobs[ids.JobId('o')].opened[0][0].tasks[0]
+    worker = core.workers[ids.WorkerId('w1')]
+    _copy(task, worker, pace=0)
+    context.tries = 0
+
+    def count(*args):
+        context.tries += 1
+
+    with mock.patch.object(placement, 'choose', count):
+        for tenth in range(seconds * 10):
+            core._move_slowed(worker, 10.0 + tenth / 10)
+
+
+@behave.then('it is tried {count:d} times')
+def step_tries(context, count):
+    assert context.tries == count, context.tries
