--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/elections.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/elections.py
@@ -26,8 +26,9 @@
 _GAP_S = 1.6
 
 
-# A leader of some 200 workers uses up to 0.4 cores and 2 Mbit/s, and reads
-# a few MB before it starts; both are wanted several times over.
+# A leader of 175 workers uses 0.4 cores on the average, one of 246 up to 0.9
+# (bench, grown deployments). Its tables of a few MB are to arrive within a
+# second.
 _LEADER_PROCESSORS = 1.0
 _LEADER_LINK_MBPS = 50.0
 # A larger instance claims within some 20 ms; one that is too slow to be
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
@@ -3,6 +3,7 @@
 A record holds the whole state of one job, so that the newest one suffices.
 """
 
+import contextlib
 import dataclasses
 import enum
 import typing as t
@@ -140,6 +141,16 @@
         for task in self.tasks:
             yield from task.copies
 
+    @property
+    def has_copies(self) -> bool:
+        """True while a run may be there."""
+        return any(True for _ in self.copies())
+
+    @property
+    def waiting(self) -> int:
+        """Number of tasks that need a run and have none."""
+        return sum(task.waiting for task in self.tasks)
+
     def mark_done(self, task: TaskRun) -> None:
         """Takes a task as done; again is harmless."""
         if not task.done:
@@ -190,7 +201,7 @@
         """Forgets the tasks of occurrences that are complete."""
         for occurrence, step_runs in list(self.opened.items()):
             if all(step_run.complete for step_run in step_runs):
-                if not any(True for s in step_runs for _ in s.copies()):
+                if not any(step_run.has_copies for step_run in step_runs):
                     del self.opened[occurrence]
                     self.closed.add(occurrence)
 
@@ -231,6 +242,11 @@
         for task in self.tasks():
             yield from task.copies
 
+    @property
+    def has_copies(self) -> bool:
+        """True while a run may be there."""
+        return any(True for _ in self.copies())
+
     def work_left(self) -> float:
         """Returns core-ms of estimated work that is not done."""
         total = 0.0
@@ -274,13 +290,13 @@
 
 def encode(job_run: JobRun) -> bytes:
     """Returns the record of a job's progress."""
-    if job_run.ended and not any(True for _ in job_run.copies()):
+    if job_run.ended and not job_run.has_copies:
         return _encode_fields(job_run, closed=[], full=[], tasks=[])
     full = [
         [s.occurrence, s.number]
         for step_runs in job_run.opened.values()
         for s in step_runs
-        if s.complete and not any(True for _ in s.copies())
+        if s.complete and not s.has_copies
     ]
     complete = {(occurrence, number) for occurrence, number in full}
     tasks = [
@@ -329,14 +345,9 @@
 
     Raises InvalidRecord, also for a job that has not ended.
     """
-    try:
-        fields = msgspec.json.decode(value)
-        if fields[0] != _FORMAT:
-            raise exceptions.InvalidRecord(f'format {fields[0]} of progress')
-        ended = EndedJob(model.JobState(fields[1]), int(fields[3]))
-    except (msgspec.MsgspecError, ValueError, TypeError, IndexError) as exc:
-        reason = f'progress of job {job_id}: {exc}'
-        raise exceptions.InvalidRecord(reason) from exc
+    with _reading(job_id):
+        _, state, _, ended_ms, *_ = _fields(value)
+        ended = EndedJob(model.JobState(state), int(ended_ms))
     if ended.state not in model.ENDED:
         raise exceptions.InvalidRecord(f'job {job_id} runs and has no record')
     return ended
@@ -348,11 +359,10 @@
     Recorded runs are taken as running until their worker's report.
     Raises InvalidRecord.
     """
-    try:
-        fields = msgspec.json.decode(value)
-        if fields[0] != _FORMAT:
-            raise exceptions.InvalidRecord(f'format {fields[0]} of progress')
-        _, state, started, ended_ms, first_run, closed, full, tasks = fields
+    with _reading(job_run.job.id):
+        _, state, started, ended_ms, first_run, closed, full, tasks = _fields(
+            value
+        )
         job_run.state = job_run.shown = model.JobState(state)
         job_run.started = bool(started)
         job_run.ended_ms = ended_ms
@@ -364,6 +374,13 @@
                 step_run.mark_done(task)
         for row in tasks:
             _restore_task(job_run, row, now_s)
+
+
+@contextlib.contextmanager
+def _reading(job_id: ids.JobId) -> t.Iterator[None]:
+    """Tells of a progress record that cannot be read by InvalidRecord."""
+    try:
+        yield
     except (
         msgspec.MsgspecError,
         ValueError,
@@ -371,10 +388,18 @@
         IndexError,
         KeyError,
     ) as exc:
-        reason = f'progress of job {job_run.job.id}: {exc}'
+        reason = f'progress of job {job_id}: {exc}'
         raise exceptions.InvalidRecord(reason) from exc
 
 
+def _fields(value: bytes) -> list:
+    """Returns the fields of a progress record in their order."""
+    fields = msgspec.json.decode(value)
+    if fields[0] != _FORMAT:
+        raise exceptions.InvalidRecord(f'format {fields[0]} of progress')
+    return fields
+
+
 def _step_run(job_run: JobRun, occurrence: int, number: int) -> StepRun:
     if occurrence not in job_run.opened:
         job_run.open(occurrence)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/httpclient.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/httpclient.py
@@ -56,7 +56,6 @@
         if self._parser is None:
             self.abort()
             return
-        self._set_timer(_STALL_S)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
@@ -64,6 +63,10 @@
             if self._fut is not None and not self._fut.done():
                 reason = f'answer is not HTTP/1.1: {exc}'
                 self._fut.set_exception(exceptions.PlatformUncertain(reason))
+            return
+        if self._fut is not None and not self._fut.done():
+            # More of the answer is to come.
+            self._set_timer(_STALL_S)
 
     # httptools
 
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
@@ -247,9 +247,8 @@
         term = self._observer.term
         if term is None or not term.small or self._is_small:
             return
-        if self.stopping or self._observer.term_age_s(
-            self._clock.monotonic()
-        ) < (elections.RELIEF_S):
+        age_s = self._observer.term_age_s(self._clock.monotonic())
+        if self.stopping or age_s < elections.RELIEF_S:
             return
         try:
             answer = await self._caller.call(
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
@@ -9,6 +9,7 @@
 are no services they are spread.
 """
 
+import collections
 import heapq
 import typing as t
 
@@ -70,13 +71,20 @@
     return not step.label or step.label in worker.entry.labels
 
 
-def count_permits(worker: workers.Worker, step_run: execution.StepRun) -> bool:
-    """Tells whether a worker may take one more task of a step."""
-    most = step_run.step.max_per_worker
-    if not most:
-        return True
-    here = sum(copy.worker == worker.id for copy in step_run.copies())
-    return here < most
+def runs_by_worker(
+    step_run: execution.StepRun,
+) -> collections.Counter[ids.WorkerId]:
+    """Returns how many runs of a step are on each worker."""
+    return collections.Counter(copy.worker for copy in step_run.copies())
+
+
+def count_permits(
+    worker: workers.Worker,
+    step: model.Step,
+    runs: collections.Counter[ids.WorkerId],
+) -> bool:
+    """Tells whether a worker may take one more run of a step."""
+    return not step.max_per_worker or runs[worker.id] < step.max_per_worker
 
 
 def may_run(worker: workers.Worker, step: model.Step) -> bool:
@@ -97,19 +105,14 @@
     """Returns the best worker with room for a run of a task, or None."""
     step_run = task.step_run
     step = step_run.step
-    taken: dict[str, int] = {}
-    racks: set[str] = set()
-    for copy in step_run.copies():
-        taken[copy.worker] = taken.get(copy.worker, 0) + 1
-    if step.same_rack:
-        racks = _racks(step_run, candidates)
+    runs = runs_by_worker(step_run)
+    racks = _racks(step_run, candidates) if step.same_rack else set()
     best = None
     best_cost = 0.0
     for worker in candidates:
         if not may_run(worker, step):
             continue
-        here = taken.get(worker.id, 0)
-        if step.max_per_worker and here >= step.max_per_worker:
+        if not count_permits(worker, step, runs):
             continue
         if any(copy.worker == worker.id for copy in task.copies):
             continue
@@ -137,6 +140,7 @@
         self._disturbance = disturbance
         self._heap: list[tuple[float, int]] | None = None
         self._task = step_run.tasks[0]
+        self._runs: collections.Counter[ids.WorkerId] = collections.Counter()
 
     def best(self, task: execution.TaskRun) -> workers.Worker | None:
         """Returns the best worker for a waiting task, or None."""
@@ -144,37 +148,37 @@
             self._heap = None
             return choose(task, self._candidates, self._disturbance)
         if self._heap is None:
-            self._heap = self._rank(task)
             self._task = task
+            self._runs = runs_by_worker(self._step_run)
+            self._heap = self._rank()
         if not self._heap:
             return None
         return self._candidates[self._heap[0][1]]
 
-    def _rank(self, task: execution.TaskRun) -> list[tuple[float, int]]:
+    def _rank(self) -> list[tuple[float, int]]:
         costs = (
-            (self._cost(task, worker), number)
+            (self._cost(worker), number)
             for number, worker in enumerate(self._candidates)
         )
         heap = [entry for entry in costs if entry[0] is not None]
         heapq.heapify(heap)
         return heap
 
-    def _cost(
-        self, task: execution.TaskRun, worker: workers.Worker
-    ) -> float | None:
+    def _cost(self, worker: workers.Worker) -> float | None:
         step = self._step_run.step
         if not may_run(worker, step):
             return None
-        if not count_permits(worker, self._step_run):
+        if not count_permits(worker, step, self._runs):
             return None
-        return _cost(task, step, worker, set(), self._disturbance)
+        return _cost(self._task, step, worker, set(), self._disturbance)
 
     def placed(self, worker: workers.Worker) -> None:
         """Notes that a run was placed on the worker returned last."""
         if not self._heap:
             return
         number = self._heap[0][1]
-        cost = self._cost(self._task, worker)
+        self._runs[worker.id] += 1
+        cost = self._cost(worker)
         if cost is None:
             heapq.heappop(self._heap)
         else:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/reservations.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/reservations.py
@@ -71,8 +71,8 @@
     ) -> None:
         """Keeps workers for the steps that have waited longest.
 
-        :param waiting: steps of services with a task that found no worker,
-            each with the workers that it may use.
+        :param waiting: steps of services with a task that waits, each with
+            the workers that it may use.
         """
         before, self._kept = self._kept, {}
         for step_run, usable in sorted(waiting, key=_waits_since):
@@ -80,8 +80,8 @@
             if since_s is None or now_s - since_s < _PATIENCE_S:
                 continue
             most = max(1, int(_MOST_KEPT * len(usable)))
-            count = sum(task.waiting for task in step_run.tasks)
-            for worker in self._choose(step_run, usable, before)[:count]:
+            found = self._choose(step_run, usable, before)
+            for worker in found[: step_run.waiting]:
                 if len(self._kept) >= most:
                     break
                 known = before.get(worker)
@@ -104,6 +104,7 @@
     ) -> list[workers.Worker]:
         """Returns workers that can make room, the best ones first."""
         step = step_run.step
+        runs = placement.runs_by_worker(step_run)
 
         def rank(worker: workers.Worker) -> tuple[bool, int]:
             known = before.get(worker)
@@ -115,7 +116,7 @@
             for worker in usable
             if worker not in self._kept
             and placement.label_permits(worker, step)
-            and placement.count_permits(worker, step_run)
+            and placement.count_permits(worker, step, runs)
             and step.resources.fits(worker.room().plus(worker.passing()))
         ]
         return sorted(found, key=rank)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -254,11 +254,9 @@
         """Returns sizes."""
         copies = sum(len(w.copies) for w in self.workers.values())
         waiting = sum(
-            1
+            step_run.waiting
             for job_run in self._active.values()
             for step_run in job_run.ready_steps()
-            for task in step_run.tasks
-            if task.waiting
         )
         return Counts(len(self.jobs), waiting, copies, len(self.workers))
 
@@ -515,10 +513,10 @@
         sent_s: float,
         now_s: float,
     ) -> None:
+        settling = now_s - self._since_s <= _SETTLING_S
+        if settling and not self.knows(row.task.job):
+            return
         job_run = self.jobs.get(row.task.job)
-        if not self.knows(row.task.job):
-            if now_s - self._since_s <= _SETTLING_S:
-                return
         task = job_run.find(row.task) if job_run is not None else None
         if task is None:
             stray = orders.StopStray(worker.id, row.task, row.run)
@@ -859,7 +857,7 @@
             (step_run, usable[self.queue_of(job_run.job).service])
             for job_run in wanting
             for step_run in job_run.ready_steps()
-            if step_run.step.service and step_run.waits_since_s is not None
+            if step_run.step.service
         ]
         self._reservations.update(waiting, now_s)
         for worker in self._reservations.kept():
@@ -920,8 +918,7 @@
                 ready.append(worker)
             elif placement.may_run(worker, step_run.step):
                 others.append(worker)
-        waiting = sum(task.waiting for task in step_run.tasks)
-        if others and len(ready) < waiting:
+        if others and len(ready) < step_run.waiting:
             others.sort(key=lambda worker: -worker.room().cpu)
             self.advice.want(key, [worker.id for worker in others])
         return ready
@@ -963,7 +960,7 @@
         now_s: float,
     ) -> None:
         """Places all members of a gang, or none."""
-        if any(True for _ in step_run.copies()):
+        if step_run.has_copies:
             return
         run = max(task.next_run for task in step_run.tasks)
         saved = max(
@@ -1098,7 +1095,7 @@
     def _settle_job(self, job_run: execution.JobRun) -> None:
         """Keeps a job active while a run may be there or is needed."""
         job_run.close_complete()
-        if job_run.ended and not any(True for _ in job_run.copies()):
+        if job_run.ended and not job_run.has_copies:
             self._active.pop(job_run.job.id, None)
             self.advice.forget(job_run.job.id)
 
--- a/tests/amaranthflow_scheduler/decisions.feature
+++ b/tests/amaranthflow_scheduler/decisions.feature
@@ -17,6 +17,19 @@
       | [1,"running",1,0,1,[],[[0,7]],[]] |
       | nothing                         |
 
+  Scenario Outline: A record of an ended job that cannot be read is refused
+    When progress "<record>" of a job without a record of its own is restored
+    Then it is refused as an invalid record
+
+    Examples:
+      | record                          |
+      | []                              |
+      | {}                              |
+      | [9,"failed",1,0,1,[],[],[]]     |
+      | [1,"running",1,0,1,[],[],[]]    |
+      | [1,"failed",1,"late",1,[],[],[]] |
+      | nothing                         |
+
   Scenario: The record of a job restores it
     When a job with every field set is recorded and read
     Then the job that is read equals it
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -135,6 +135,17 @@
         context.error = exc
 
 
+@behave.when(
+    'progress "{record}" of a job without a record of its own is restored'
+)
+def step_bad_end(context, record):
+    context.error = None
+    try:
+        _core().restore_ended(ids.JobId('j1'), record.encode())
+    except exceptions.InvalidRecord as exc:
+        context.error = exc
+
+
 @behave.then('it is refused as an invalid record')
 def step_refused(context):
     assert 'j1' in str(context.error) or 'format' in str(context.error)
