--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
@@ -24,9 +24,8 @@
 from . import task_worker
 from . import virtual_time
 
-_BEAT_S = 1.1
-_MISSED_BEATS = 3
 _PEER_S = 0.002
+WORKER_CPU = 8_000
 QUEUE = model.Queue(
     id=model.QueueId('jobs'),
     host='jobs.example',
@@ -106,6 +105,25 @@
             raise exceptions.PlatformUncertain('no answer') from exc
 
 
+def worker_entry(
+    name: str, *, address: str, cpu: int = WORKER_CPU, rack: str = 'r1'
+) -> model.WorkerEntry:
+    """Returns the entry of a worker of the fleet's only pool."""
+    return model.WorkerEntry(
+        id=ids.WorkerId(name),
+        service=QUEUE.service,
+        address=address,
+        zone=ids.ZoneId('z1'),
+        state=model.WorkerState.READY,
+        capacity=model.Resources(cpu, 64_000, 0),
+        rack=rack,
+    )
+
+
+def _encode_entry(worker: task_worker.TaskWorker, seq: int) -> bytes:
+    return msgspec.json.encode(dataclasses.asdict(worker.entry))
+
+
 def make_job(
     job_id: str,
     steps: t.Sequence[model.Step],
@@ -154,40 +172,18 @@
         self.store.put(ports.Table.CONFIGURATION, b'config', value)
 
     def add_worker(
-        self, name: str, *, cpu: int = 8_000, rack: str = 'r1'
+        self, name: str, *, cpu: int = WORKER_CPU, rack: str = 'r1'
     ) -> task_worker.TaskWorker:
         """Adds a worker that keeps its entry alive."""
-        entry = model.WorkerEntry(
-            id=ids.WorkerId(name),
-            service=QUEUE.service,
-            address=name,
-            zone=ids.ZoneId('z1'),
-            state=model.WorkerState.READY,
-            capacity=model.Resources(cpu, 64_000, 0),
-            rack=rack,
-        )
+        entry = worker_entry(name, address=name, cpu=cpu, rack=rack)
         worker = task_worker.TaskWorker(
             entry=entry, plan=self._plan, rng=self.rng, history=self.runs
         )
         self.workers[entry.id] = worker
-        self._beats.append(self.loop.create_task(self._beat(worker)))
+        beat = task_worker.keep_listed(worker, self.store, _encode_entry)
+        self._beats.append(self.loop.create_task(beat))
         return worker
 
-    async def _beat(self, worker: task_worker.TaskWorker) -> None:
-        missed = 0
-        while True:
-            key = worker.id.encode()
-            if worker.up and '*' not in worker.faults.cut_from:
-                missed = 0
-                fields = dataclasses.asdict(worker.entry)
-                value = msgspec.json.encode(fields)
-                self.store.put(ports.Table.WORKERS, key, value)
-            else:
-                missed += 1
-                if missed == _MISSED_BEATS:
-                    self.store.put(ports.Table.WORKERS, key, b'')
-            await asyncio.sleep(_BEAT_S)
-
     def start_node(
         self, name: str = '', *, size: elections.Size = _SIZE
     ) -> str:
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_fuzz.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_fuzz.py
@@ -44,26 +44,10 @@
     runs: int
 
 
-class _Plan:
-    def __init__(self, rng: random.Random):
-        self._rng = rng
-        self.steps: dict[str, list[model.Step]] = {}
-        self.poisoned: set[str] = set()
-
-    def lasts_s(self, task: model.TaskKey) -> float:
-        step = self.steps[task.job][task.step]
-        if step.service:
-            return float('inf')
-        return step.estimate_ms / 1000 * self._rng.uniform(0.8, 1.3)
-
-    def fails(self, task: model.TaskKey, run: int) -> bool:
-        return task.job in self.poisoned or self._rng.random() < _RUN_FAILS
-
-
 class _Exploration:
     def __init__(self, seed: int, loop: virtual_time.VirtualLoop):
         self.rng = random.Random(seed)
-        self.plan = _Plan(self.rng)
+        self.plan = task_shapes.RandomPlan(rng=self.rng, fail_share=_RUN_FAILS)
         self.fleet = task_fleet.TaskFleet(loop=loop, plan=self.plan, seed=seed)
         self.faults: list[str] = []
         self.seed = seed
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_worker.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_worker.py
@@ -10,11 +10,15 @@
 from amaranthflow_scheduler import model
 from amaranthflow_scheduler import ports
 
+from . import record_store
+
 _ANSWER_S = 0.002
 _ORDER_SILENCE_S = 0.4
 _HOLD_SILENCE_S = 0.6
 _HOLD_MAX_MS = 6_000
 _MOST_ENDS = 500
+_BEAT_S = 1.1
+_MISSED_BEATS = 3
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -237,6 +241,29 @@
     return min(99.0, 100 * (now_s - run.begun_s) / run.lasts_s)
 
 
+async def keep_listed(
+    worker: TaskWorker,
+    store: record_store.RecordStore,
+    encode: t.Callable[[TaskWorker, int], bytes],
+) -> None:
+    """Keeps a worker's entry in the store while it reaches it.
+
+    :param encode: returns the entry, given the number of the heartbeat.
+    """
+    missed = seq = 0
+    key = worker.id.encode()
+    while True:
+        seq += 1
+        if worker.up and '*' not in worker.faults.cut_from:
+            missed = 0
+            store.put(ports.Table.WORKERS, key, encode(worker, seq))
+        else:
+            missed += 1
+            if missed == _MISSED_BEATS:
+                store.put(ports.Table.WORKERS, key, b'')
+        await asyncio.sleep(_BEAT_S)
+
+
 class TaskWorkerLink:
     """Implements ``ports.WorkerLink`` from one instance to one worker."""
 
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -1,7 +1,6 @@
 """Steps for soak.feature: real processes, loopback connections, real time."""
 
 import asyncio
-import os
 import pathlib
 import tempfile
 
@@ -20,14 +19,12 @@
 
 @behave.when('the real program is soaked for {seconds:g} s with seed {seed:d}')
 def step_soak(context, seconds, seed):
-    pid = os.getpid()
     size = soak.Size(seconds=seconds, instances=3, workers=4, callers=6)
     with tempfile.TemporaryDirectory() as folder:
         context.report = soak.play(
             seed,
             size=size,
             folder=pathlib.Path(folder),
-            net=f'127.{1 + (pid >> 8) % 250}.{pid % 256}',
         )
 
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -22,12 +22,10 @@
     size = soak.Size(
         seconds=args.seconds, instances=args.instances, workers=args.workers
     )
-    pid = os.getpid()
-    net = f'127.{1 + (pid >> 8) % 250}.{pid % 256}'
     failed = 0
     for seed in range(args.seed, args.seed + args.seeds):
-        folder = _FOLDER / f'{seed}-{pid}'
-        report = soak.play(seed, size=size, folder=folder, net=net)
+        folder = _FOLDER / f'{seed}-{os.getpid()}'
+        report = soak.play(seed, size=size, folder=folder)
         print(
             f'seed {seed}: {report.jobs} jobs, {report.runs} runs, '
             f'{len(report.faults)} faults, answers {report.answers}, '
