--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
@@ -48,6 +48,7 @@
     :ivar slowed_s: since when the pace is low.
     :ivar resumed: the run did not begin at 0 percent under this leader.
     :ivar reported: a report has listed the run.
+    :ivar listed_s: when the newest report that lists the run was taken.
     """
 
     task: 'TaskRun'
@@ -65,6 +66,7 @@
     slowed_s: float = 0.0
     resumed: bool = False
     reported: bool = False
+    listed_s: float | None = None
 
     @property
     def tail_share(self) -> float:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/journal.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/journal.py
@@ -16,6 +16,10 @@
 
 # Changes gather this long, so that calls to the store stay few.
 _GATHER_S = 0.02
+# Pause after a write as a multiple of its time; under load more changes of a
+# job share one record.
+_PAUSE = 2.0
+_MOST_GATHER_S = 0.06  # a fifth of the time that holds wait for records
 _RETRY_S = 0.15
 # Attempts carry one number, so that the store takes only the first of them.
 _LEAST_S = 0.12
@@ -64,12 +68,15 @@
 
     async def run(self) -> None:
         """Writes until cancelled. Raises Conflict once shut out."""
+        took_s = 0.0
         while True:
             if not self._core.dirty and not self._waiting:
                 self._wake.clear()
                 await self._wake.wait()
-            await asyncio.sleep(_GATHER_S)
+            await asyncio.sleep(_gather_s(took_s))
+            begun_s = time.monotonic()
             await self._write()
+            took_s = time.monotonic() - begun_s
 
     async def _write(self) -> None:
         waiting, self._waiting = self._waiting, []
@@ -122,6 +129,11 @@
             logs.event('progress_stalled', items=items, error=str(exc))
 
 
+def _gather_s(took_s: float) -> float:
+    """Returns how long changes gather after a write that took so long."""
+    return min(_MOST_GATHER_S, max(_GATHER_S, _PAUSE * took_s))
+
+
 def _chunks(
     items: list[tuple[bytes, bytes]],
 ) -> t.Iterator[list[tuple[bytes, bytes]]]:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -664,8 +664,10 @@
     async def _tick_loop(self) -> None:
         while True:
             await asyncio.sleep(_TICK_S)
-            self.core.tick(self._clock.monotonic(), self._clock.wall_ms())
+            self.core.tick(self._clock.monotonic())
             self._dispatch()
+            # Pauses end and occurrences come due.
+            self._replan.set()
 
     async def _plan_loop(self) -> None:
         took_s = 0.0
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -309,10 +309,8 @@
         self.workers[entry.id] = worker
         return worker
 
-    def usable(
-        self, worker: workers.Worker, now_s: float, *, service: bool = False
-    ) -> bool:
-        """Tells whether a worker may get a new run, or one of a service.
+    def in_use(self, worker: workers.Worker, now_s: float) -> bool:
+        """Tells whether a worker may get new runs unless it is shunned.
 
         An unlisted one may not: a next leader would not know of it, and
         starts may be unrecorded.
@@ -322,7 +320,13 @@
         if worker.unlisted_s is not None:
             return False
         answered_s = worker.answered_s
-        if answered_s is None or now_s - answered_s > _CONTACT_S:
+        return answered_s is not None and now_s - answered_s <= _CONTACT_S
+
+    def usable(
+        self, worker: workers.Worker, now_s: float, *, service: bool = False
+    ) -> bool:
+        """Tells whether a worker may get a new run, or one of a service."""
+        if not self.in_use(worker, now_s):
             return False
         return not worker.shunned(now_s, by_services=service)
 
@@ -353,8 +357,7 @@
             self._new_life(worker, report.born_ms)
         worker.sync_clock(report.clock_ms, now_s)
         worker.answered_s = now_s
-        listed = {(row.task, row.run) for row in report.running}
-        listed.update((end.task, end.run) for end in report.ended)
+        listed = {(end.task, end.run) for end in report.ended}
         for end in sorted(report.ended, key=lambda end: end.number):
             if end.number <= worker.processed:
                 continue
@@ -364,7 +367,7 @@
         for row in report.running:
             self._on_running(worker, row, sent_s, now_s)
         if len(report.ended) < _MOST_ENDS:
-            self._drop_unlisted(worker, listed, sent_s)
+            self._drop_unlisted(worker, listed, sent_s, now_s)
         self._tails.observe(worker, now_s, now_ms)
         self._pace(worker, now_s)
         worker.runs_changed()
@@ -396,13 +399,19 @@
         worker.pace_factor = 1.0
 
     def _drop_unlisted(
-        self, worker: workers.Worker, listed: set, sent_s: float
+        self,
+        worker: workers.Worker,
+        ended: set[tuple[model.TaskKey, model.Run]],
+        sent_s: float,
+        now_s: float,
     ) -> None:
         for copy in list(worker.copies):
             settled_s = copy.settled_s
+            if copy.listed_s == now_s:
+                continue
             if settled_s is None or settled_s > sent_s:
                 continue
-            if (copy.task.key, copy.run) not in listed:
+            if (copy.task.key, copy.run) not in ended:
                 self._remove(copy, 'not-listed')
 
     def _on_end(
@@ -594,6 +603,7 @@
             copy.percent = row.percent
             copy.moved_s = now_s
         copy.gauge = row.gauge
+        copy.listed_s = now_s
         if row.saved:
             copy.saved = row.saved
             copy.task.checkpoint = row.saved
@@ -738,8 +748,8 @@
         taken, self._orders = self._orders, []
         return taken
 
-    def tick(self, now_s: float, now_ms: int) -> None:
-        """Finds lapsed runs and stragglers, opens what is due, plans."""
+    def tick(self, now_s: float) -> None:
+        """Finds lapsed runs and stragglers, moves slowed runs."""
         for worker in list(self.workers.values()):
             if worker.copies and now_s > worker.lapsed_s:
                 for copy in list(worker.copies):
@@ -750,7 +760,6 @@
                 self._evacuate(worker, now_s)
         self._judge_runs(now_s)
         self._move_slowed(now_s)
-        self.plan(now_s, now_ms)
 
     def _may_outlive(self, copy: execution.Copy, now_s: float) -> bool:
         """A start on its way may still begin until it is void."""
@@ -769,12 +778,11 @@
             if _ago(worker.answered_s, now_s) > _CONTACT_S:
                 self._back_up_silent(worker, now_s)
                 continue
-            for copy in list(worker.copies):
-                step = copy.task.step_run.step
+            if not worker.passing_count:
+                continue
+            for copy in worker.passing_runs():
                 running = copy.state is execution.CopyState.RUNNING
-                if not running or step.service or step.gang:
-                    continue
-                if step.opportunistic:
+                if not running or copy.task.step_run.step.gang:
                     continue
                 verdict = stragglers.judge(copy, now_s)
                 if verdict is not stragglers.Verdict.FINE:
@@ -831,24 +839,29 @@
         """Places waiting tasks while there is room."""
         if self._held_back:
             self._release_held(now_s)
-        wanting = []
-        for job_run in self._active.values():
-            if job_run.ended or job_run.job.id in self._held_back:
-                continue
-            job_run.open_due(now_ms)
-            if job_run.wanting_steps():
-                wanting.append(job_run)
+        wanting = self._wanting_steps(now_ms)
         if not wanting:
             self._reservations.clear()
             return
-        wanting.sort(key=lambda job_run: order.rank(job_run, now_ms))
         rooms = self._rooms(now_s)
         self._reserve(wanting, rooms, now_s)
         full = placement.Full()
-        for job_run in wanting:
-            pool = rooms[self.queue_of(job_run.job).service]
-            for step_run in job_run.wanting_steps():
-                self._plan_step(step_run, pool.of(step_run), full, now_s)
+        for step_run in wanting:
+            pool = rooms[self.queue_of(step_run.job_run.job).service]
+            self._plan_step(step_run, pool.of(step_run), full, now_s)
+
+    def _wanting_steps(self, now_ms: int) -> list[execution.StepRun]:
+        """Returns the steps with tasks that wait, in the order of jobs."""
+        found = []
+        for job_run in self._active.values():
+            if job_run.ended or job_run.job.id in self._held_back:
+                continue
+            job_run.open_due(now_ms)
+            steps = job_run.wanting_steps()
+            if steps:
+                found.append((order.rank(job_run, now_ms), steps))
+        found.sort(key=lambda entry: entry[0])
+        return [step_run for _, steps in found for step_run in steps]
 
     def _rooms(
         self, now_s: float
@@ -857,11 +870,14 @@
         for_tasks = collections.defaultdict(list)
         for_services = collections.defaultdict(list)
         for worker in self.workers.values():
-            if self.usable(worker, now_s, service=True):
-                pool = worker.entry.service
-                for_services[pool].append(worker)
-                if not worker.shunned(now_s, by_services=False):
-                    for_tasks[pool].append(worker)
+            if not self.in_use(worker, now_s):
+                continue
+            pool = worker.entry.service
+            if now_s >= worker.shunned_until_s:
+                for_tasks[pool].append(worker)
+            elif worker.shunned(now_s, by_services=True):
+                continue
+            for_services[pool].append(worker)
         found = collections.defaultdict(
             lambda: _Pool(placement.Rooms([]), placement.Rooms([]))
         )
@@ -873,7 +889,7 @@
 
     def _reserve(
         self,
-        wanting: list[execution.JobRun],
+        wanting: list[execution.StepRun],
         rooms: t.Mapping[ids.ServiceId, _Pool],
         now_s: float,
     ) -> None:
@@ -882,11 +898,10 @@
             (
                 step_run,
                 rooms[
-                    self.queue_of(job_run.job).service
+                    self.queue_of(step_run.job_run.job).service
                 ].for_services.workers,
             )
-            for job_run in wanting
-            for step_run in job_run.wanting_steps()
+            for step_run in wanting
             if step_run.step.service
         ]
         self._reservations.update(waiting, now_s)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
@@ -49,6 +49,7 @@
     :ivar shunned_until_s: end of that pause.
     :ivar paced_s: when paces were last changed.
     :ivar moves_tried_s: when slowed runs were last tried elsewhere.
+    :ivar passing_count: number of ``passing_runs``.
     :ivar used: what runs take; opportunistic ones take no processor.
     :ivar unlisted_s: when the worker's entry went, None while it is there.
     """
@@ -67,6 +68,7 @@
     opportunistic_cpu: int = 0
     opportunistic_count: int = 0
     service_count: int = 0
+    passing_count: int = 0
     service_cpu: int = 0
     service_images: dict[str, int] = dataclasses.field(default_factory=dict)
     tails: dict[ids.TaskClass, float] = dataclasses.field(default_factory=dict)
@@ -152,7 +154,9 @@
         )
         if step.opportunistic:
             self.opportunistic_count += sign
-        elif step.tail_target_ms:
+        elif not step.service:
+            self.passing_count += sign
+        if step.tail_target_ms and not step.opportunistic:
             self.service_count += sign
             self.service_cpu += sign * need.cpu
             images = self.service_images
