--- a/tests/amaranthflow_scheduler/decisions.feature
+++ b/tests/amaranthflow_scheduler/decisions.feature
@@ -225,6 +225,33 @@
     When 200 jobs of different size wait for a full fleet
     Then a plan looks at fewer than 300 workers
 
+  Scenario: Steps that find no unused processors look at no worker
+    Given a scheduler with 50 workers that answer
+    When 30 opportunistic jobs of different images wait for a full fleet
+    Then a plan looks at fewer than 1 workers
+
+  Scenario: A plan looks at no task of the services that run
+    Given a scheduler with 50 workers that answer
+    When 50 service tasks are planned there
+    Then the next plan looks at no task
+
+  Scenario: The number of waiting tasks is kept as runs come and go
+    When runs of 40 tasks come, go and end at random
+    Then the number of waiting tasks was right all the time
+
+  Scenario: Workers in the order of their rooms are those with enough
+    When steps of random sizes look for rooms among 40 random workers
+    Then each finds the workers that have enough, and no other
+
+  Scenario Outline: Changes gather longer while writing them takes long
+    Then changes gather for <gather> s after a write of <took> s
+
+    Examples:
+      | took  | gather |
+      | 0.004 | 0.02   |
+      | 0.02  | 0.04   |
+      | 0.3   | 0.06   |
+
   Scenario: Workers ranked once for a step are those chosen one by one
     When 60 random steps are placed on like workers in both ways
     Then both ways have placed all runs on the same workers
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -11,6 +11,7 @@
 from amaranthflow_scheduler import elections
 from amaranthflow_scheduler import execution
 from amaranthflow_scheduler import jobrecord
+from amaranthflow_scheduler import journal
 from amaranthflow_scheduler import model
 from amaranthflow_scheduler import order
 from amaranthflow_scheduler import orders
@@ -894,6 +895,100 @@
         core.add_job(_job(f'j{number}', _step(resources=resources)))
 
 
+@behave.when(
+    '{count:d} opportunistic jobs of different images wait for a full fleet'
+)
+def step_images_wait(context, count):
+    core = context.core
+    whole = _opportunistic(8, 'whole')
+    core.add_job(
+        _job('fill', dataclasses.replace(whole, count=len(core.workers)))
+    )
+    core.plan(0.2, 0)
+    assert len(core.take_orders()) == len(core.workers)
+    for number in range(count):
+        core.add_job(_job(f'j{number}', _opportunistic(1, f'i{number}')))
+
+
+@behave.when('{count:d} service tasks are planned there')
+def step_services_planned(context, count):
+    core = context.core
+    core.add_job(_job('s', _step(count, service=True, tail_target_ms=50)))
+    core.plan(0.2, 0)
+    assert len(core.take_orders()) == count
+
+
+@behave.then('the next plan looks at no task')
+def step_no_task(context):
+    with mock.patch.object(
+        execution.TaskRun, 'waiting', new_callable=mock.PropertyMock
+    ) as waiting:
+        context.core.plan(0.3, 0)
+    assert not waiting.called
+
+
+@behave.when('runs of {count:d} tasks come, go and end at random')
+def step_come_and_go(context, count):
+    rng = random.Random(11)
+    worker = _worker('w1', 1_000_000)
+    (step_run,) = _job_run('j', _step(count)).opened[0]
+    context.counts = []
+    for _ in range(2_000):
+        task = rng.choice(step_run.tasks)
+        act = rng.random()
+        if act < 0.5:
+            _copy(task, worker)
+        elif act < 0.95 and task.copies:
+            task.drop_copy(rng.choice(task.copies))
+        elif act > 0.99:
+            step_run.mark_done(task)
+        plain = sum(task.waiting for task in step_run.tasks)
+        context.counts.append((step_run.waiting, plain))
+
+
+@behave.then('the number of waiting tasks was right all the time')
+def step_counts_right(context):
+    assert all(kept == plain for kept, plain in context.counts)
+    assert len({kept for kept, _ in context.counts}) > 10
+
+
+@behave.when(
+    'steps of random sizes look for rooms among {count:d} random workers'
+)
+def step_look_for_rooms(context, count):
+    rng = random.Random(5)
+    found = []
+    for number in range(count):
+        worker = _worker(f'w{number}', rng.choice((8_000, 12_000)))
+        for _ in range(rng.randrange(6)):
+            step = _random_step(rng)
+            _copy(_first_task('j', step), worker, gauge=50.0)
+        found.append(worker)
+    rooms = placement.Rooms(found)
+    context.rooms = []
+    for _ in range(200):
+        step = _random_step(rng)
+        if step.opportunistic:
+            least = 0.7 * step.resources.cpu
+            enough = {w.id for w in found if w.unused_cpu() >= least}
+        else:
+            least = step.resources.cpu
+            enough = {w.id for w in found if w.room().cpu >= least}
+        context.rooms.append((rooms.for_step(step), enough))
+
+
+@behave.then('each finds the workers that have enough, and no other')
+def step_rooms_right(context):
+    for found, enough in context.rooms:
+        assert {worker.id for worker in found} == enough
+    assert any(enough for _, enough in context.rooms)
+
+
+@behave.then('changes gather for {gather:g} s after a write of {took:g} s')
+def step_gather(context, gather, took):
+    assert journal._gather_s(took) == gather
+
+
 @behave.then('a plan looks at fewer than {most:d} workers')
 def step_few_looks(context, most):
     looks = 0
