Runs that stand still beside a service start anew elsewhere

Change: a run at 15 percent of its pace or less moves whatever its percentage; one that cannot be resumed starts anew elsewhere after 0.8 s of that. Adopted runs, whose pace is not known yet, do not count as slowed.

Ruled out: waiting for the first task (most steps start within 0.1 s).

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
@@ -448,6 +448,7 @@
             state=CopyState.RUNNING,
             settled_s=now_s,
             pace=0,
+            slowed_s=now_s,
             resumed=True,
         )
         task.add_copy(copy)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -47,10 +47,16 @@
 # Weight of the newest observation in a worker's relative speed.
 _PACE_WEIGHT = 0.4
 # A resumable run whose pace stays below this percentage for so long moves,
-# unless it is nearly done.
+# unless it is nearly done and still works.
 _SLOWED = 60
 _SLOWED_S = 0.4
 _NEARLY = 85
+# At this pace a run as good as stands still: the rest of it takes longer than
+# a move.
+_STANDS = 15
+# A run that cannot be resumed loses its work; services that make it wait do so
+# for 2 to 7 s (log of large quiet-1), and a task takes about 2 s.
+_RESTART_S = 0.8
 # Each try looks at all workers, whose tails change within half a second.
 _MOVES_EVERY_S = 0.5
 # Pause for each worker that a try looks at: leaves most of a processor.
@@ -567,6 +573,7 @@
             state=execution.CopyState.RUNNING,
             settled_s=sent_s,
             pace=0,
+            slowed_s=now_s,
             resumed=True,
         )
         task.add_copy(copy)
@@ -625,7 +632,7 @@
             self._orders.append(orders.Pace(copy, change.percent))
 
     def _move_slowed(self, now_s: float) -> None:
-        """Moves resumable runs that are slowed and would not be elsewhere."""
+        """Moves runs that are slowed here and would not be elsewhere."""
         pause_s = min(_MOVES_EVERY_S, _MOVES_COST_S * len(self.workers))
         slowed = []
         for worker in self.workers.values():
@@ -1160,16 +1167,23 @@
 def _slowed_runs(
     worker: workers.Worker, now_s: float
 ) -> t.Iterator[execution.Copy]:
-    """Yields the resumable runs that have been slowed for a while."""
+    """Yields the runs that have been slowed here for too long."""
     for copy in worker.opportunistic():
         if copy.state is not execution.CopyState.RUNNING:
             continue
-        if copy.pace >= _SLOWED or not copy.task.step_run.step.checkpoints:
-            continue
-        if now_s - copy.slowed_s >= _SLOWED_S and copy.percent <= _NEARLY:
+        if copy.pace < _SLOWED and _ends_sooner_elsewhere(copy, now_s):
             yield copy
 
 
+def _ends_sooner_elsewhere(copy: execution.Copy, now_s: float) -> bool:
+    """Tells whether a slowed run is worth a new start on another worker."""
+    slowed_s = now_s - copy.slowed_s
+    stands = copy.pace <= _STANDS
+    if copy.task.step_run.step.checkpoints:
+        return slowed_s >= _SLOWED_S and (stands or copy.percent <= _NEARLY)
+    return stands and slowed_s >= _RESTART_S
+
+
 def step_key(step_run: execution.StepRun) -> advice.StepKey:
     """Returns the name of a step's occurrence."""
     job_id = step_run.job_run.job.id
--- a/tests/amaranthflow_scheduler/decisions.feature
+++ b/tests/amaranthflow_scheduler/decisions.feature
@@ -247,6 +247,27 @@
     Then changes gather for <gather> s after a write of <took> s
 
     Examples:
+  Scenario Outline: Runs that are slowed beside a service move if they gain by it
+    Given a scheduler with 2 workers that answer
+    When a run <kind> at <percent> percent is slowed to <pace> percent for <seconds> s
+    Then the slowed run <verdict>
+
+    Examples:
+      | kind                  | percent | pace | seconds | verdict |
+      | that can be resumed   | 50      | 45   | 0.5     | moves   |
+      | that can be resumed   | 50      | 45   | 0.3     | stays   |
+      | that can be resumed   | 90      | 45   | 0.5     | stays   |
+      | that can be resumed   | 90      | 0    | 0.5     | moves   |
+      | that can be resumed   | 50      | 80   | 5.0     | stays   |
+      | that starts from zero | 50      | 0    | 0.5     | stays   |
+      | that starts from zero | 50      | 0    | 0.9     | moves   |
+      | that starts from zero | 50      | 30   | 5.0     | stays   |
+
+  Scenario: A new leader does not take adopted runs for slowed ones
+    Given a scheduler with 2 workers that answer
+    When a report lists an unrecorded run beside a service
+    Then the slowed run stays
+
       | took  | gather |
       | 0.004 | 0.02   |
       | 0.02  | 0.04   |
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -917,6 +917,46 @@
     core.plan(0.2, 0)
     assert len(core.take_orders()) == count
 
+def _beside_service(context, **traits):
+    """Adds a service to the first worker and a job for a run beside it."""
+    core = context.core
+    worker = core.workers[ids.WorkerId('w1')]
+    _copy(_first_task('s', _step(service=True, tail_target_ms=20)), worker)
+    core.add_job(_job('o', _step(opportunistic=True, image='a', **traits)))
+    core.jobs[ids.JobId('o')].open_due(0)
+    return worker, core.jobs[ids.JobId('o')].opened[0][0].tasks[0]
+
+
+@behave.when(
+    'a run {kind} at {percent:d} percent is slowed to {pace:d} percent '
+    'for {seconds:g} s'
+)
+def step_slowed_for(context, kind, percent, pace, seconds):
+    worker, task = _beside_service(
+        context, checkpoints=kind == 'that can be resumed'
+    )
+    _copy(task, worker, percent=percent, pace=pace, slowed_s=0.3 - seconds)
+    context.core.tick(0.3)
+
+
+@behave.when('a report lists an unrecorded run beside a service')
+def step_adopted(context):
+    worker, task = _beside_service(context, checkpoints=True)
+    row = ports.Progress(task.key, model.Run(1), '', 50.0, 1_000.0)
+    context.core._adopt(worker, task, row, 0.3, 0.3)
+    context.core.tick(0.3)
+
+
+@behave.then('the slowed run {verdict}')
+def step_moves_or_stays(context, verdict):
+    stops = [
+        one
+        for one in context.core.take_orders()
+        if isinstance(one, orders.Stop)
+    ]
+    assert bool(stops) is (verdict == 'moves'), stops
+
+
 
 @behave.then('the next plan looks at no task')
 def step_no_task(context):
