What a leader learns of neighbours outlives it

Cause: strengths of pairs of images were learned by each leader anew.

A record that cannot be read is logged and set aside. The record is a hint: a late one of an earlier leader does no harm, and nothing waits for it.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -42,6 +42,8 @@
 _PLAN_PAUSE = 3.0
 # A next leader reads the steps of jobs that ended since.
 _FORGET_EVERY_S = 2.0
+# In the table of progress, where all other keys are ids of jobs.
+_TAILS_KEY = b'tails'
 _RESIGN_S = 0.6
 # Leases last 4.5 s; another instance may recover before they lapse.
 _RECOVERY_STALL_S = 2.5
@@ -285,6 +287,7 @@
         self, jobs: ports.Batch, progress: ports.Batch, now_s: float
     ) -> None:
         known = {record.key: record.value for record in progress.records}
+        self._restore_tails(known.pop(_TAILS_KEY, b''))
         for record in jobs.records:
             job = self._decode_job(record)
             if job is None:
@@ -303,6 +306,16 @@
             except exceptions.InvalidRecord as exc:
                 logs.event('record_set_aside', id=job_id, error=str(exc))
 
+    def _restore_tails(self, value: bytes) -> None:
+        if not value:
+            return
+        try:
+            pairs = self.core.tails.restore(value)
+        except exceptions.InvalidRecord as exc:
+            logs.event('record_set_aside', id='tails', error=str(exc))
+            return
+        logs.event('tails_restored', pairs=pairs)
+
     def _decode_job(self, record: ports.Record) -> model.Job | None:
         if not record.value:
             return None
@@ -722,6 +735,7 @@
             counts = self.core.counts()
             for name, value in counts._asdict().items():
                 self._tools.meters.gauge(name, value)
+            await self._record_tails()
             unneeded.update(self.core.retire())
             old = self.core.forgettable(self._clock.wall_ms())
             unneeded.update(old)
@@ -730,6 +744,14 @@
                 if await self._drop(ports.Table.PROGRESS, old):
                     self.core.forget(old)
 
+    async def _record_tails(self) -> None:
+        """Records what was learned; a next leader may do without it."""
+        items = [(_TAILS_KEY, self.core.tails.encode())]
+        try:
+            await self._tools.store.append(ports.Table.PROGRESS, items)
+        except exceptions.AmaranthflowError as exc:
+            logs.event('tails_not_recorded', error=str(exc))
+
     async def _drop(
         self, table: ports.Table, job_ids: t.Collection[ids.JobId]
     ) -> bool:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -110,7 +110,7 @@
         self._active: dict[ids.JobId, execution.JobRun] = {}
         self._queues: dict[model.QueueId, model.Queue] = {}
         self._orders: list[orders.Order] = []
-        self._tails = tails.Tails()
+        self.tails = tails.Tails()
         self._reservations = reservations.Reservations()
         self.advice = advice.Advice()
         self._held_back: set[ids.JobId] = set()
@@ -374,7 +374,7 @@
             self._on_running(worker, row, sent_s, now_s)
         if len(report.ended) < _MOST_ENDS:
             self._drop_unlisted(worker, listed, sent_s, now_s)
-        self._tails.observe(worker, now_s, now_ms)
+        self.tails.observe(worker, now_s, now_ms)
         self._pace(worker, now_s)
         worker.runs_changed()
 
@@ -617,7 +617,7 @@
         copy.task.step_run.job_run.started = True
 
     def _pace(self, worker: workers.Worker, now_s: float) -> None:
-        for change in pacing.plan(worker, self._tails, now_s):
+        for change in pacing.plan(worker, self.tails, now_s):
             copy = change.copy
             _log(
                 'run_paced',
@@ -653,12 +653,12 @@
                 found = rooms[queue.service].for_tasks.for_step(step_run.step)
                 if queue.advised:
                     found = self._advised(step_run, found, now_s)
-                ranking = placement.Ranking(step_run, found, self._tails)
+                ranking = placement.Ranking(step_run, found, self.tails)
                 rankings[step_run] = ranking
             other = ranking.best(copy.task)
             if other is not None and other.id != copy.worker:
                 # Counted as placed, so that not all choose the same worker.
-                self._tails.add(other, step_run.step)
+                self.tails.add(other, step_run.step)
                 ranking.placed(other)
                 self._stop(copy, 'slowed-beside-service')
 
@@ -837,7 +837,7 @@
         if task.done or len(task.copies) > 1 or task.step_run.job_run.ended:
             return
         worker = placement.choose(
-            task, self._candidates(task, now_s), self._tails
+            task, self._candidates(task, now_s), self.tails
         )
         if worker is not None:
             self._place(task, worker, now_s, why)
@@ -937,7 +937,7 @@
             step_run
         )
         ranking = placement.Ranking(
-            step_run, () if hopeless else candidates, self._tails
+            step_run, () if hopeless else candidates, self.tails
         )
         for task in step_run.tasks:
             if not task.waiting:
@@ -991,7 +991,7 @@
             beside = {
                 'unused_cpu': [round(w.unused_cpu()) for w in candidates],
                 'tails': [
-                    round(self._tails.expected(w, step), 2) for w in candidates
+                    round(self.tails.expected(w, step), 2) for w in candidates
                 ],
             }
         logs.event(
@@ -1024,7 +1024,7 @@
         for task in step_run.tasks:
             task.next_run = run
             task.checkpoint = saved
-            worker = placement.choose(task, candidates, self._tails)
+            worker = placement.choose(task, candidates, self.tails)
             if worker is None:
                 for copy in placed:
                     self._detach(copy)
@@ -1073,7 +1073,7 @@
         task.add_copy(copy)
         worker.attach(copy)
         if task.step_run.step.opportunistic:
-            self._tails.add(worker, task.step_run.step)
+            self.tails.add(worker, task.step_run.step)
         return copy
 
     def _announce(self, copy: execution.Copy, why: str) -> None:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/tails.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/tails.py
@@ -8,6 +8,9 @@
 import math
 import typing as t
 
+import msgspec
+
+from amaranthflow import exceptions
 from amaranthflow import ids
 from amaranthflow import interference
 
@@ -28,12 +31,20 @@
 # Runs that add less than this to a tail, as a logarithm, leave it as it is:
 # the spread of what is learned of a pair without any effect.
 _HARMLESS = 0.04
+_FORMAT = 1  # layout of the record; raise it when a field changes its meaning
+_DIGITS = 3  # a strength is hardly known to a tenth
+# About 50 bytes each; keeps the record well under the store's limit.
+_MOST_RECORDED = 2_000
 # Own load may raise a low tail while a run lasts.
 _FLOOR = math.log(0.4)
 
 
 class Tails:
-    """Learns strengths and predicts tails."""
+    """Learns strengths and predicts tails.
+
+    What is learned outlives a leader by a record, so that the next one does
+    not have to hurt services to learn it anew.
+    """
 
     def __init__(self):
         self._model = interference.InterferenceModel(
@@ -59,6 +70,37 @@
         worker.sample = sample
         self._refresh(worker)
 
+    def encode(self) -> bytes:
+        """Returns a record of the strengths that are known best."""
+        found = sorted(
+            self._model.estimates(), key=lambda pair: pair.deviation
+        )
+        rows = [
+            [
+                pair.victim,
+                pair.neighbour,
+                round(pair.excess, _DIGITS),
+                round(pair.deviation, _DIGITS),
+                pair.updated_at_ms,
+            ]
+            for pair in found[:_MOST_RECORDED]
+        ]
+        return msgspec.json.encode([_FORMAT, rows])
+
+    def restore(self, value: bytes) -> int:
+        """Takes the strengths that an earlier leader recorded.
+
+        Returns their number. Raises InvalidRecord and takes none then.
+        """
+        try:
+            fields = msgspec.json.decode(value, type=tuple[int, list[_Row]])
+        except (msgspec.MsgspecError, ValueError) as exc:
+            raise exceptions.InvalidRecord(f'strengths: {exc}') from exc
+        if fields[0] != _FORMAT:
+            raise exceptions.InvalidRecord(f'format {fields[0]} of strengths')
+        self._model.adopt(_estimate(row) for row in fields[1])
+        return len(fields[1])
+
     def _learn(
         self, before: workers.Sample, sample: workers.Sample, now_ms: int
     ) -> None:
@@ -119,6 +161,26 @@
         return math.exp(worst)
 
 
+class _Row(t.NamedTuple):
+    """One pair in a record."""
+
+    victim: str
+    neighbour: str
+    excess: float
+    deviation: t.Annotated[float, msgspec.Meta(gt=0)]
+    updated_at_ms: int
+
+
+def _estimate(row: _Row) -> interference.Estimate:
+    return interference.Estimate(
+        victim=ids.TaskClass(row.victim),
+        neighbour=ids.TaskClass(row.neighbour),
+        excess=row.excess,
+        deviation=row.deviation,
+        updated_at_ms=row.updated_at_ms,
+    )
+
+
 def _sample(worker: workers.Worker, now_s: float) -> workers.Sample:
     capacity = max(1, worker.entry.capacity.cpu)
     tails = {}
--- a/packages/amaranthflow/src/amaranthflow/interference.py
+++ b/packages/amaranthflow/src/amaranthflow/interference.py
@@ -155,6 +155,15 @@
             for (victim, neighbour), pair in self._pairs.items()
         )
 
+    def adopt(self, estimates: t.Iterable[Estimate]) -> None:
+        """Takes what another model has learned; own evidence is kept."""
+        for found in estimates:
+            self._pairs.setdefault(
+                (found.victim, found.neighbour),
+                _Pair(found.excess, found.deviation**2, found.updated_at_ms),
+            )
+        self._bound()
+
     def _touch(
         self, victim: ids.TaskClass, neighbour: ids.TaskClass, at_ms: int
     ) -> _Pair:
--- a/tests/amaranthflow_scheduler/decisions.feature
+++ b/tests/amaranthflow_scheduler/decisions.feature
@@ -55,6 +55,28 @@
     And a task of image "loud" is placed
     Then it is placed beside "calm"
 
+  Scenario: What was learned of neighbours is read back from its record
+    Given 2 decision workers with services of images "calm" and "shy"
+    When tails rise with image "loud" beside "shy" only
+    And what was learned of neighbours is recorded and read back
+    And a task of image "loud" is placed
+    Then it is placed beside "calm"
+
+  Scenario Outline: A record of neighbours that cannot be read is refused
+    When the record of neighbours "<record>" is read back
+    Then it is refused as an invalid record of strengths
+
+    Examples:
+      | record                     |
+      | []                         |
+      | {}                         |
+      | [9,[]]                     |
+      | [1,[["a","b",1.0,0.5]]]    |
+      | [1,[["a","b",1.0,0.0,7]]]  |
+      | [1,[["a","b","c",0.5,7]]]  |
+      | [1,[["a","b",NaN,0.5,7]]]  |
+      | nothing                    |
+
   Scenario: Only the cause of a high tail is slowed
     Given 1 decision workers with services of images "shy"
     When tails rise with image "loud" beside "shy" only
@@ -225,6 +247,27 @@
     When 200 jobs of different size wait for a full fleet
     Then a plan looks at fewer than 300 workers
 
+  Scenario Outline: Runs that are slowed beside a service move if they gain by it
+    Given a scheduler with 2 workers that answer
+    When a run <kind> at <percent> percent is slowed to <pace> percent for <seconds> s
+    Then the slowed run <verdict>
+
+    Examples:
+      | kind                  | percent | pace | seconds | verdict |
+      | that can be resumed   | 50      | 45   | 0.5     | moves   |
+      | that can be resumed   | 50      | 45   | 0.3     | stays   |
+      | that can be resumed   | 90      | 45   | 0.5     | stays   |
+      | that can be resumed   | 90      | 0    | 0.5     | moves   |
+      | that can be resumed   | 50      | 80   | 5.0     | stays   |
+      | that starts from zero | 50      | 0    | 0.5     | stays   |
+      | that starts from zero | 50      | 0    | 0.9     | moves   |
+      | that starts from zero | 50      | 30   | 5.0     | stays   |
+
+  Scenario: A new leader does not take adopted runs for slowed ones
+    Given a scheduler with 2 workers that answer
+    When a report lists an unrecorded run beside a service
+    Then the slowed run stays
+
   Scenario: Steps that find no unused processors look at no worker
     Given a scheduler with 50 workers that answer
     When 30 opportunistic jobs of different images wait for a full fleet
@@ -247,27 +290,6 @@
     Then changes gather for <gather> s after a write of <took> s
 
     Examples:
-  Scenario Outline: Runs that are slowed beside a service move if they gain by it
-    Given a scheduler with 2 workers that answer
-    When a run <kind> at <percent> percent is slowed to <pace> percent for <seconds> s
-    Then the slowed run <verdict>
-
-    Examples:
-      | kind                  | percent | pace | seconds | verdict |
-      | that can be resumed   | 50      | 45   | 0.5     | moves   |
-      | that can be resumed   | 50      | 45   | 0.3     | stays   |
-      | that can be resumed   | 90      | 45   | 0.5     | stays   |
-      | that can be resumed   | 90      | 0    | 0.5     | moves   |
-      | that can be resumed   | 50      | 80   | 5.0     | stays   |
-      | that starts from zero | 50      | 0    | 0.5     | stays   |
-      | that starts from zero | 50      | 0    | 0.9     | moves   |
-      | that starts from zero | 50      | 30   | 5.0     | stays   |
-
-  Scenario: A new leader does not take adopted runs for slowed ones
-    Given a scheduler with 2 workers that answer
-    When a report lists an unrecorded run beside a service
-    Then the slowed run stays
-
       | took  | gather |
       | 0.004 | 0.02   |
       | 0.02  | 0.04   |
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -22,6 +22,20 @@
     And 4 task runs were started
     And the task fleet broke no promise
 
+  Scenario: A new leader knows what the one before has learned of neighbours
+    Given the task fleet's leader has learned that "loud" disturbs "shy"
+    And 3 s pass in the task fleet
+    When the task fleet's leader is killed
+    Then another task instance leads within 4 s
+    And it knows that "loud" disturbs "shy"
+
+  Scenario: An unreadable record of neighbours is set aside
+    Given a record of neighbours that cannot be read
+    And task job "a1" with steps "4x3.0" is accepted
+    When the task fleet's leader is killed
+    Then another task instance leads within 4 s
+    And task job "a1" is completed within 6 s
+
   Scenario: A leader that loses the store is followed, its orders are refused
     Given task job "a1" with steps "8x3.0" is accepted
     And 1 s pass in the task fleet
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -152,6 +152,11 @@
     assert 'j1' in str(context.error) or 'format' in str(context.error)
 
 
+@behave.then('it is refused as an invalid record of strengths')
+def step_strengths_refused(context):
+    assert 'strengths' in str(context.error), context.error
+
+
 @behave.when('a job with every field set is recorded and read')
 def step_job_record(context):
     step = model.Step(
@@ -338,6 +343,23 @@
     context.now_s = now_s
 
 
+@behave.when('what was learned of neighbours is recorded and read back')
+def step_learned_again(context):
+    value = context.tails.encode()
+    context.tails = tails.Tails()
+    assert context.tails.restore(value) > 0
+
+
+@behave.when('the record of neighbours "{record}" is read back')
+def step_restore_tails(context, record):
+    value = b'' if record == 'nothing' else record.encode()
+    context.error = None
+    try:
+        tails.Tails().restore(value)
+    except exceptions.InvalidRecord as exc:
+        context.error = exc
+
+
 @behave.when('a task of image "{image}" is placed')
 def step_place_image(context, image):
     step = _step(opportunistic=True, image=image)
@@ -895,28 +917,6 @@
         core.add_job(_job(f'j{number}', _step(resources=resources)))
 
 
-@behave.when(
-    '{count:d} opportunistic jobs of different images wait for a full fleet'
-)
-def step_images_wait(context, count):
-    core = context.core
-    whole = _opportunistic(8, 'whole')
-    core.add_job(
-        _job('fill', dataclasses.replace(whole, count=len(core.workers)))
-    )
-    core.plan(0.2, 0)
-    assert len(core.take_orders()) == len(core.workers)
-    for number in range(count):
-        core.add_job(_job(f'j{number}', _opportunistic(1, f'i{number}')))
-
-
-@behave.when('{count:d} service tasks are planned there')
-def step_services_planned(context, count):
-    core = context.core
-    core.add_job(_job('s', _step(count, service=True, tail_target_ms=50)))
-    core.plan(0.2, 0)
-    assert len(core.take_orders()) == count
-
 def _beside_service(context, **traits):
     """Adds a service to the first worker and a job for a run beside it."""
     core = context.core
@@ -957,6 +957,28 @@
     assert bool(stops) is (verdict == 'moves'), stops
 
 
+@behave.when(
+    '{count:d} opportunistic jobs of different images wait for a full fleet'
+)
+def step_images_wait(context, count):
+    core = context.core
+    whole = _opportunistic(8, 'whole')
+    core.add_job(
+        _job('fill', dataclasses.replace(whole, count=len(core.workers)))
+    )
+    core.plan(0.2, 0)
+    assert len(core.take_orders()) == len(core.workers)
+    for number in range(count):
+        core.add_job(_job(f'j{number}', _opportunistic(1, f'i{number}')))
+
+
+@behave.when('{count:d} service tasks are planned there')
+def step_services_planned(context, count):
+    core = context.core
+    core.add_job(_job('s', _step(count, service=True, tail_target_ms=50)))
+    core.plan(0.2, 0)
+    assert len(core.take_orders()) == count
+
 
 @behave.then('the next plan looks at no task')
 def step_no_task(context):
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -124,6 +124,34 @@
     _run(context, context.fleet.kill(context.before))
 
 
+def _leading(context):
+    return context.fleet.nodes[context.fleet.leader()].leader
+
+
+@behave.given(
+    'the task fleet\'s leader has learned that "{image}" disturbs "{service}"'
+)
+def step_learned(context, image, service):
+    model_ = _leading(context).core.tails._model
+    for _ in range(20):
+        model_.observe_change(service, {image: 0.2}, 0.8, 1)
+
+
+@behave.then('it knows that "{image}" disturbs "{service}"')
+def step_knows_neighbours(context, image, service):
+    _run(context, asyncio.sleep(1.0))
+    step = model.Step(
+        count=1, resources=model.Resources(_CPU, 100, 0), image=image
+    )
+    effect = _leading(context).core.tails.effect(service, step, _CPU)
+    assert effect > 2.0, effect
+
+
+@behave.given('a record of neighbours that cannot be read')
+def step_bad_neighbours(context):
+    context.fleet.store.put(ports.Table.PROGRESS, b'tails', b'{')
+
+
 @behave.when("the task fleet's leader steps down")
 def step_down(context):
     context.before = context.fleet.leader()
