Unknown pairs count as harmful, runs start lower and are slowed later

Change: an unknown pair counts twice as much as before; a run starts where 0.6 is expected; runs are slowed from 0.9 on, to 0.75.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/pacing.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/pacing.py
@@ -15,8 +15,8 @@
 # Tails as shares of their targets: over HIGH callers of the service will
 # soon notice; paces are set so that AIM is expected.
 _OVER = 1.0
-_HIGH = 0.8
-_AIM = 0.65
+_HIGH = 0.9
+_AIM = 0.75
 # Runs that add less than this to a tail, as a logarithm, are no cause of it.
 _NO_CAUSE = 0.02
 _PACES = (0, 15, 30, 45, 60, 80, 100)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
@@ -24,8 +24,9 @@
 # An opportunistic run starts where this share of its demand is unused.
 _LEAST_LEFT = 0.7
 # No run starts where it is expected to raise a tail beyond this share of its
-# target.
-_MOST_TAIL = 0.7
+# target. Far enough below the share at which runs are slowed that the swing of
+# the service's own load does not slow it soon.
+_MOST_TAIL = 0.6
 # Cost of a worker that has services of other images only.
 _MIXED = 1.0
 # Cost of a rack without the step's data, or with none of its other tasks.
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/tails.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/tails.py
@@ -18,9 +18,10 @@
 from . import model
 from . import workers
 
-# Unknown pairs count as somewhat harmful: a neighbour that takes a fifth of
-# the worker then raises the tail by a fifth.
-_PRIOR = 1.0
+# Unknown pairs count as harmful: a neighbour that takes a fifth of the worker
+# then raises the tail by half. A service that is hurt loses more than a run
+# that starts elsewhere.
+_PRIOR = 2.0
 _PRIOR_DEVIATION = 2.5
 # Spread of a tail between two reports when nothing changes beside it.
 _NOISE = 0.22
--- a/tests/amaranthflow_scheduler/decisions.feature
+++ b/tests/amaranthflow_scheduler/decisions.feature
@@ -83,6 +83,28 @@
     And images "loud" and "quiet" run beside a tail of 1.2 targets
     Then "loud" is slowed and "quiet" is not
 
+  Scenario Outline: Runs are slowed shortly before a service's target
+    Given 1 decision workers with services of images "shy"
+    When tails rise with image "loud" beside "shy" only
+    And images "loud" and "quiet" run beside a tail of <tail> targets
+    Then "loud" is slowed: <slowed>
+
+    Examples:
+      | tail | slowed |
+      | 0.85 | no     |
+      | 0.95 | yes    |
+
+  Scenario Outline: Images that nobody knows start beside low tails only
+    Given 1 decision workers with services of images "shy"
+    When tails rise with image "loud" beside "shy" only
+    And the tail of "shy" is <tail> targets
+    Then a task of image "new" has a worker: <placed>
+
+    Examples:
+      | tail | placed |
+      | 0.40 | yes    |
+      | 0.55 | no     |
+
   Scenario: Slowed runs are sped up again when tails are low
     Given 1 decision workers with services of images "shy"
     When tails rise with image "loud" beside "shy" only
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -435,6 +435,18 @@
     _paces(context, tail)
 
 
+@behave.then('"{loud}" is slowed: {slowed}')
+def step_slowed_or_not(context, loud, slowed):
+    assert (context.paces.get(loud, 100) < 100) is (slowed == 'yes')
+
+
+@behave.then('a task of image "{image}" has a worker: {placed}')
+def step_placed_or_not(context, image, placed):
+    step = _step(opportunistic=True, image=image)
+    worker = _place(context, _first_task('j', step))
+    assert (worker is not None) is (placed == 'yes'), worker
+
+
 @behave.then('"{loud}" is slowed and "{quiet}" is not')
 def step_slowed(context, loud, quiet):
     assert context.paces.get(loud, 100) < 100, context.paces
