Scenarios of a leader whose time of day jumps

Left: runs at due times follow the time of day, so a jump of more than 5 s forward would start them too early; no deployment has any.

--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
@@ -81,6 +81,24 @@
         raise exceptions.PlatformError('there is no adviser here')
 
 
+class _Clock:
+    """An instance's clock; its time of day may be off."""
+
+    def __init__(self, fleet: 'TaskFleet', instance: str):
+        self._fleet = fleet
+        self._instance = instance
+
+    def monotonic(self) -> float:
+        return self._fleet.loop.monotonic()
+
+    def wall_ms(self) -> int:
+        off_ms = self._fleet.wall_off_ms.get(self._instance, 0)
+        return self._fleet.loop.wall_ms() + off_ms
+
+    async def sleep(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+
+
 class _Caller:
     def __init__(self, fleet: 'TaskFleet', instance: str):
         self._fleet = fleet
@@ -158,6 +176,7 @@
         self.workers: dict[ids.WorkerId, task_worker.TaskWorker] = {}
         self.nodes: dict[str, node_lib.Node] = {}
         self.frozen: set[str] = set()
+        self.wall_off_ms: dict[str, int] = {}
         self._plan = plan
         self._beats: list[asyncio.Task] = []
         self._version = 0
@@ -202,7 +221,7 @@
             decoder=_Decoder(),
             adviser=_NoAdviser(),
             caller=_Caller(self, name),
-            clock=self.loop,
+            clock=_Clock(self, name),
             limits=LIMITS,
             meters=metrics.Metrics(),
         )
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -29,6 +29,24 @@
     Then another task instance leads within 4 s
     And it knows that "loud" disturbs "shy"
 
+  Scenario Outline: A leader whose time of day jumps ends no run and doubles none
+    Given 12 s pass in the task fleet
+    And task job "a1" with steps "4x6.0" is accepted
+    And 1 s pass in the task fleet
+    When the time of day of the task fleet's leader jumps by <seconds> s
+    And 1 s pass in the task fleet
+    And task job "b1" with steps "2x1.0 2x1.0" is accepted
+    Then task job "b1" is completed within 4 s
+    And task job "a1" is completed within 6 s
+    And 8 task runs were started
+    And the task fleet has had 1 term
+    And the task fleet broke no promise
+
+    Examples:
+      | seconds |
+      | 9       |
+      | -9      |
+
   Scenario: An unreadable record of neighbours is set aside
     Given a record of neighbours that cannot be read
     And task job "a1" with steps "4x3.0" is accepted
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -147,6 +147,14 @@
     assert effect > 2.0, effect
 
 
+@behave.when(
+    "the time of day of the task fleet's leader jumps by {seconds:d} s"
+)
+def step_clock_jumps(context, seconds):
+    context.before = context.fleet.leader()
+    context.fleet.wall_off_ms[context.before] = seconds * 1000
+
+
 @behave.given('a record of neighbours that cannot be read')
 def step_bad_neighbours(context):
     context.fleet.store.put(ports.Table.PROGRESS, b'tails', b'{')
