--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
@@ -196,19 +196,16 @@
         task.next_run = run + 1
         return model.Run(run)
 
-    def open_due(self, now_ms: int) -> bool:
-        """Opens the occurrences that are due; tells whether any was."""
-        opened = False
+    def open_due(self, now_ms: int) -> None:
+        """Opens the occurrences that are due."""
         if len(self.opened) + len(self.closed) == self.job.runs_of_steps:
-            return opened
+            return
         for occurrence in range(self.job.runs_of_steps):
             if occurrence in self.opened or occurrence in self.closed:
                 continue
             if self.job.due_ms(occurrence) > now_ms:
                 break
             self.open(occurrence)
-            opened = True
-        return opened
 
     def close_complete(self) -> None:
         """Forgets the tasks of occurrences that are complete."""
@@ -235,13 +232,6 @@
         tasks = step_runs[key.step].tasks
         return tasks[key.index] if 0 <= key.index < len(tasks) else None
 
-    def ready_steps(self) -> t.Iterator[StepRun]:
-        """Yields steps with tasks left whose earlier steps are complete."""
-        for step_runs in self.opened.values():
-            for step_run in step_runs:
-                if step_run.left and _may_begin(step_run, step_runs):
-                    yield step_run
-
     def wanting_steps(self) -> list[StepRun]:
         """Returns the steps with tasks that may start and have no run."""
         return [
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
@@ -71,7 +71,7 @@
         amount: t.Callable[[workers.Worker], float],
     ):
         rows = sorted(
-            ((-amount(worker), number, worker))
+            (-amount(worker), number, worker)
             for number, worker in enumerate(found)
         )
         self._amounts = [row[0] for row in rows]
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -274,7 +274,7 @@
         waiting = sum(
             step_run.waiting
             for job_run in self._active.values()
-            for step_run in job_run.ready_steps()
+            for step_run in job_run.wanting_steps()
         )
         return Counts(len(self.jobs), waiting, copies, len(self.workers))
 
@@ -363,7 +363,7 @@
             self._new_life(worker, report.born_ms)
         worker.sync_clock(report.clock_ms, now_s)
         worker.answered_s = now_s
-        listed = {(end.task, end.run) for end in report.ended}
+        ended = {(end.task, end.run) for end in report.ended}
         for end in sorted(report.ended, key=lambda end: end.number):
             if end.number <= worker.processed:
                 continue
@@ -373,7 +373,7 @@
         for row in report.running:
             self._on_running(worker, row, sent_s, now_s)
         if len(report.ended) < _MOST_ENDS:
-            self._drop_unlisted(worker, listed, sent_s, now_s)
+            self._drop_unlisted(worker, ended, sent_s, now_s)
         self.tails.observe(worker, now_s, now_ms)
         self._pace(worker, now_s)
         worker.runs_changed()
