A record of neighbours with strengths beyond reason is set aside

What a leader learned outlives it since, so a damaged record would meet every leader: a strength of 1e300 makes the power of it overflow, and the plan loop fails in each new term. Such a record is now refused as unreadable. Two rows of the scenario on unreadable records fail before.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/tails.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/tails.py
@@ -33,6 +33,9 @@
 # the spread of what is learned of a pair without any effect.
 _HARMLESS = 0.04
 _FORMAT = 1  # layout of the record; raise it when a field changes its meaning
+# A neighbour on the whole worker would raise a tail by e to this power; beyond
+# it a record is damaged, and the power of it overflows.
+_MOST_EXCESS = 100.0
 _DIGITS = 3  # a strength is hardly known to a tenth
 # About 50 bytes each; keeps the record well under the store's limit.
 _MOST_RECORDED = 2_000
@@ -167,8 +170,8 @@
 
     victim: str
     neighbour: str
-    excess: float
-    deviation: t.Annotated[float, msgspec.Meta(gt=0)]
+    excess: t.Annotated[float, msgspec.Meta(ge=-_MOST_EXCESS, le=_MOST_EXCESS)]
+    deviation: t.Annotated[float, msgspec.Meta(gt=0, le=_MOST_EXCESS)]
     updated_at_ms: int
 
 
--- a/tests/amaranthflow_scheduler/decisions.feature
+++ b/tests/amaranthflow_scheduler/decisions.feature
@@ -75,6 +75,8 @@
       | [1,[["a","b",1.0,0.0,7]]]  |
       | [1,[["a","b","c",0.5,7]]]  |
       | [1,[["a","b",NaN,0.5,7]]]  |
+      | [1,[["a","b",1e300,0.5,7]]] |
+      | [1,[["a","b",1.0,1e300,7]]] |
       | nothing                    |
 
   Scenario: Only the cause of a high tail is slowed
