End the term when a newer leader writes during a recovery

Change: _lead_term is guarded like the loops. The scenario fences a leader in its recovery: before, the term ended with no reason; now with 'store: ...'.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -127,7 +127,9 @@
         try:
             async with asyncio.TaskGroup() as group:
                 self._group = group
-                lead_task = group.create_task(self._lead_term())
+                lead_task = group.create_task(
+                    self._run_guarded(self._lead_term)
+                )
                 await self._ended.wait()
                 lead_task.cancel()
                 raise TermEnded(self._end_reason)
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -262,6 +262,12 @@
     When the next leader cannot read the tables and the leader is killed
     Then another task instance leads within 6 s
 
+  Scenario: A leader that is replaced during its recovery ends its term
+    When the next leader recovers and a newer one writes first
+    Then its term has ended because of the store
+    And another task instance leads within 6 s
+    And the task fleet violated no invariant
+
   Scenario: A large instance leads a fleet of small ones
     Given a task fleet of 5 small instances and 1 large one
     Then the large task instance leads
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -1,12 +1,15 @@
 """Steps for the scheduler's fleet.feature."""
 
 import asyncio
+import io
 
 import behave
+import msgspec
 
 from amaranthflow import exceptions
 from amaranthflow_scheduler import elections
 from amaranthflow_scheduler import jobrecord
+from amaranthflow_scheduler import logs
 from amaranthflow_scheduler import model
 from amaranthflow_scheduler import ports
 from amaranthflow_standins import task_fleet
@@ -521,6 +524,43 @@
         return exc
 
 
+@behave.when('the next leader recovers and a newer one writes first')
+def step_fenced_recovery(context):
+    context.before = context.fleet.leader()
+    context.lines = io.BytesIO()
+    flush = logs.configure(instance='fleet', stream=context.lines)
+    _run(context, _fence_recovering(context.fleet, context.before))
+    flush()
+
+
+async def _fence_recovering(fleet, leader):
+    fleet.store.faults.slow_s = 0.1
+    await fleet.kill(leader)
+    term = None
+    while term is None:
+        await asyncio.sleep(0.01)
+        leading = (node.leader for node in fleet.nodes.values())
+        term = next((leader for leader in leading if leader is not None), None)
+    newer = ports.Writer(model.Token(term.term.token + 1), 1)
+    fleet.store.append_now(ports.Table.PROGRESS, [], writer=newer)
+    while any(node.leader is term for node in fleet.nodes.values()):
+        await asyncio.sleep(0.01)
+    assert not term.ready, 'recovered too early'
+    fleet.store.faults.slow_s = 0.0
+
+
+@behave.then('its term has ended because of the store')
+def step_fenced(context):
+    lines = [
+        msgspec.json.decode(line)
+        for line in context.lines.getvalue().splitlines()
+    ]
+    ends = [line['why'] for line in lines if line['event'] == 'led']
+    assert any(why.startswith('store: ') for why in ends), ends
+    failed = [line for line in lines if line['event'] == 'term_failed']
+    assert not failed, failed
+
+
 @behave.then('the leader has not reported the job as unknown')
 def step_not_unknown(context):
     assert isinstance(context.outcome, exceptions.NotReady), context.outcome
