Refuse a service that a nearly full pool cannot hold

Refused at once, with the time to come back, its caller knows, and all accepted work is served better.

Change: the leader admits a service if all its tasks have room now, after the tasks of other services that wait; batch runs that use up to 15% of the pool are not displaced for it (admission.py, no network). A worker with a late report counts; a new leader refuses nothing for 2 s; a record that is stored already, or that may be, is not refused. The caller gets 503 and Retry-After 5 s. relocation.py is moved out of scheduler.py unchanged.

Tests: a fleet that services nearly fill, with jobs at a steady rate: refused within 0.1 s, 95% of the jobs on time, and held once another service ends; failed before. A service whose record is stored already is not refused. The existing scenario of a large service on a fleet full of batch holds.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/job_api.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/job_api.py
@@ -36,6 +36,8 @@
 _CLIENT_TIMEOUT_SHARE = 0.45
 # For callers that do not specify a timeout.
 _DEFAULT_CLIENT_TIMEOUT_S = 4.0
+# An append without a response may still take effect within this time.
+_LATE_APPEND_S = 10.0
 _QUERY_RETRY_S = 0.1
 # How long a query waits for a leader before the caller has to retry.
 _MAX_QUERY_S = 1.2
@@ -65,12 +67,14 @@
     :ivar way: the way that stored the job, empty if none did.
     :ivar certain: if no way stored the job, True means that it was not and
         will not be stored, False that it may be.
+    :ivar overloaded: the refusal, if there is no room for the job.
     :ivar reasons: the failures, one for each way.
     """
 
     def __init__(self):
         self.way = ''
         self.certain = True
+        self.overloaded: exceptions.Overloaded | None = None
         self.reasons: list[str] = []
 
     def record(self, way: str, task: asyncio.Task) -> None:
@@ -82,6 +86,8 @@
         self.reasons.append(f'{way}: {exc}')
         if not isinstance(exc, exceptions.AmaranthflowError):
             raise exc
+        if isinstance(exc, exceptions.Overloaded):
+            self.overloaded = exc
         if isinstance(exc, exceptions.PlatformUncertain):
             self.certain = False
 
@@ -112,6 +118,7 @@
         self._leader_access = leader_access
         self._clock = clock
         self._meters = meters
+        self._maybe_stored: dict[ids.JobId, float] = {}
 
     async def submit(
         self,
@@ -124,9 +131,9 @@
         :param client_timeout_s: how long the caller waits for a
             response, which comes early enough to allow a retry.
 
-        Raises NotReady if the job was not and will not be stored, and
-        RequestUncertain if it may be. The caller may submit the same job
-        again in both cases.
+        Raises NotReady or Overloaded if the job was not and will not be
+        stored, and RequestUncertain if it may be. The caller may submit the
+        same job again in all cases.
         """
         value = jobrecord.encode(job)
         started_s = self._clock.monotonic()
@@ -155,6 +162,8 @@
             ms=round(took_s * 1000),
         )
         reason = '; '.join(outcome.reasons)
+        if certain and outcome.overloaded is not None:
+            raise outcome.overloaded
         if certain:
             raise exceptions.NotReady(reason, retry_after_ms=RETRY_AFTER_MS)
         raise exceptions.RequestUncertain(reason)
@@ -193,6 +202,8 @@
                 outcome.record(pending.pop(task), task)
             if outcome.way:
                 break
+            if outcome.overloaded is not None:
+                ways.clear()
             if loop.time() - started_s > _MAX_HEDGE_START_S:
                 ways.clear()
             if not done and loop.time() >= end_s:
@@ -205,11 +216,28 @@
     async def _store_here(self, job: model.Job, value: bytes) -> None:
         if self._leader_access.store_unavailable():
             raise exceptions.PlatformError('the store is unavailable')
-        await self._submissions.append(job.id.encode(), value)
+        local = self._leader_access.local_leader()
+        if local is not None and not self._may_be_stored(job.id):
+            await local.admit(job)
+        try:
+            await self._submissions.append(job.id.encode(), value)
+        except exceptions.PlatformUncertain:
+            self._maybe_stored[job.id] = self._clock.monotonic()
+            raise
         local = self._leader_access.local_leader()
         if local is not None:
             local.add_stored_job(job)
 
+    def _may_be_stored(self, job_id: ids.JobId) -> bool:
+        """Returns whether an earlier append of a job may still take effect."""
+        now_s = self._clock.monotonic()
+        self._maybe_stored = {
+            key: failed_s
+            for key, failed_s in self._maybe_stored.items()
+            if now_s - failed_s < _LATE_APPEND_S
+        }
+        return job_id in self._maybe_stored
+
     async def _store_by_leader(self, job: model.Job, value: bytes) -> None:
         message = {'id': job.id, 'record': value.decode()}
         try:
@@ -221,6 +249,10 @@
         if response.get('stored'):
             return
         reason = f'the leader did not store it: {response.get("reason")}'
+        if response.get('retry_after_ms'):
+            raise exceptions.Overloaded(
+                reason, retry_after_ms=int(response['retry_after_ms'])
+            )
         if response.get('certain'):
             raise exceptions.PlatformError(reason)
         raise exceptions.PlatformUncertain(reason)
@@ -234,7 +266,11 @@
             await self._store_here(job, value)
         except exceptions.AmaranthflowError as exc:
             certain = not isinstance(exc, exceptions.PlatformUncertain)
-            return {'stored': False, 'certain': certain, 'reason': str(exc)}
+            response = {'stored': False, 'certain': certain}
+            response['reason'] = str(exc)
+            if isinstance(exc, exceptions.Overloaded):
+                response['retry_after_ms'] = exc.retry_after_ms
+            return response
         logs.event('job_accepted', id=job.id, way='for_peer')
         return {'stored': True}
 
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -12,6 +12,7 @@
 
 from amaranthflow import ids
 
+from . import admission
 from . import advice
 from . import commands
 from . import execution
@@ -21,6 +22,7 @@
 from . import pacing
 from . import placement
 from . import ports
+from . import relocation
 from . import reservations
 from . import stragglers
 from . import tail_latency
@@ -49,16 +51,6 @@
 _HUNG_BACKOFF_S = 4.0
 # Weight of the newest observation in a worker's slowness.
 _SLOWNESS_WEIGHT = 0.4
-# A resumable run moves once its pace has been below this percentage for this
-# long, unless it is nearly done and still makes progress.
-_LOW_PACE_PERCENT = 60
-_RESUMABLE_MOVE_DELAY_S = 0.4
-_NEARLY_DONE_PERCENT = 85
-# At this pace or below, the rest of a run takes longer than a move.
-_STALLED_PACE_PERCENT = 15
-# A run that cannot be resumed loses its work when it moves. Services slow such
-# runs for 2 to 7 s, and a task takes about 2 s.
-_RESTART_MOVE_DELAY_S = 0.8
 # Each check looks at all workers, whose tail latencies change within half a
 # second.
 _MAX_MOVE_CHECK_INTERVAL_S = 0.5
@@ -161,6 +153,43 @@
         self._active[job.id] = job_run
         return True
 
+    def admits(self, job: model.Job, now_s: float) -> bool:
+        """Returns whether a new job may be accepted.
+
+        Only services may not. A worker counts although its report is late,
+        and a new leader does not know all runs yet.
+        """
+        if not any(step.service for step in job.steps):
+            return True
+        if now_s - self._elected_s <= _JOB_DISCOVERY_S or self.knows(job.id):
+            return True
+        pool = self.queue_of(job).service
+        candidates = [
+            worker
+            for worker in self.workers.values()
+            if worker.entry.service == pool
+            and worker.entry.state is model.WorkerState.READY
+        ]
+        waiting = [
+            admission.Demand(step_run.step, step_run.waiting)
+            for job_run in self._active.values()
+            if not job_run.ended and self.queue_of(job_run.job).service == pool
+            for step_run in job_run.runnable_steps()
+            if step_run.step.service
+        ]
+        if not candidates or admission.has_room(job, candidates, waiting):
+            return True
+        logs.event(
+            'service_refused',
+            id=job.id,
+            tasks=sum(step.count for step in job.steps),
+            cpu=max(step.resources.cpu for step in job.steps),
+            waiting=sum(demand.tasks for demand in waiting),
+            workers=len(candidates),
+            free_cpu=sum(worker.free().cpu for worker in candidates),
+        )
+        return False
+
     def restore_job(
         self, job: model.Job, progress: bytes | None, now_s: float
     ) -> None:
@@ -687,7 +716,7 @@
                 percent=change.percent,
                 pressure=round(pacing.worst_tail_ratio(worker), 2),
             )
-            if attempt.pace >= _LOW_PACE_PERCENT > change.percent:
+            if attempt.pace >= relocation.LOW_PACE_PERCENT > change.percent:
                 attempt.slowed_since_s = now_s
             attempt.pace = change.percent
             self._commands.append(commands.SetPace(attempt, change.percent))
@@ -704,7 +733,7 @@
                 continue
             if now_s - worker.last_move_check_s >= interval_s:
                 worker.last_move_check_s = now_s
-                slowed.extend(_slowed_runs(worker, now_s))
+                slowed.extend(relocation.slowed_runs(worker, now_s))
         if not slowed:
             return
         pools = self._pool_indexes(now_s)
@@ -1263,30 +1292,6 @@
     )
 
 
-def _slowed_runs(
-    worker: workers.Worker, now_s: float
-) -> t.Iterator[execution.Attempt]:
-    """Yields the runs of a worker that have been slowed for too long."""
-    for attempt in worker.opportunistic_attempts():
-        if attempt.state is not execution.AttemptState.RUNNING:
-            continue
-        if attempt.pace < _LOW_PACE_PERCENT and _ends_sooner_elsewhere(
-            attempt, now_s
-        ):
-            yield attempt
-
-
-def _ends_sooner_elsewhere(attempt: execution.Attempt, now_s: float) -> bool:
-    """Returns whether a slowed run would end sooner on another worker."""
-    slowed_s = now_s - attempt.slowed_since_s
-    stalled = attempt.pace <= _STALLED_PACE_PERCENT
-    if attempt.task.step_run.step.checkpoints:
-        return slowed_s >= _RESUMABLE_MOVE_DELAY_S and (
-            stalled or attempt.percent <= _NEARLY_DONE_PERCENT
-        )
-    return stalled and slowed_s >= _RESTART_MOVE_DELAY_S
-
-
 def step_key(step_run: execution.StepRun) -> advice.StepKey:
     """Returns the key of a step's occurrence."""
     job_id = step_run.job_run.job.id
--- a/tests/amaranthflow_scheduler/decisions.feature
+++ b/tests/amaranthflow_scheduler/decisions.feature
@@ -340,6 +340,23 @@
       | 1    | 4     |
       | 2    | 4     |
 
+  Scenario Outline: A service is admitted if a pool has room beside some batch work
+    Given <workers> workers of 8 cores, each with <service> cores of services and <batch> of batch runs
+    And <waiting> tasks of other services, of 2 cores each, wait
+    When <tasks> tasks of 2 cores of a new service ask for room, <limit> a worker
+    Then room for them is <room>
+
+    Examples: 0 for no limit per worker
+      | workers | service | batch | waiting | tasks | limit | room  |
+      | 4       | 0       | 0     | 0       | 16    | 0     | True  |
+      | 4       | 0       | 0     | 0       | 17    | 0     | False |
+      | 4       | 0       | 0     | 0       | 5     | 1     | False |
+      | 4       | 6       | 0     | 0       | 4     | 0     | True  |
+      | 4       | 6       | 0     | 1       | 4     | 0     | False |
+      | 4       | 6       | 1     | 0       | 1     | 0     | False |
+      | 4       | 0       | 8     | 0       | 12    | 0     | True  |
+      | 4       | 0       | 8     | 0       | 13    | 0     | False |
+
   Scenario Outline: Slowed runs are considered for moves less often in large pools
     Given a scheduler with <workers> workers that answer
     When other workers are considered for a slowed run for 2 s
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -293,6 +293,25 @@
       | 0.8     |
       | 9       |
 
+  Scenario: A service that a full fleet cannot hold is refused, and jobs stay on time
+    Given a task service "s1" of 4 tasks of 6 cores is accepted
+    And 4 small task jobs of 1 s arrive each second
+    And 3 s pass in the task fleet
+    When task service "s2" of 4 tasks of 2 cores is submitted as often as its refusals permit
+    And 12 s pass in the task fleet
+    Then each refusal of "s2" came within 0.1 s
+    And 95% of the small task jobs were completed within 2.5 s
+    When task job "s1" is cancelled
+    And 6 s pass in the task fleet
+    Then 4 tasks of "s2" are running
+    And the task fleet violated no invariant
+
+  Scenario: A service whose record is stored already is not refused
+    Given a task service "s1" of 4 tasks of 8 cores is accepted
+    And 1 s pass in the task fleet
+    When a record of task service "s2" is stored just before the leader gets it again
+    Then it is accepted within 0.1 s
+
   Scenario Outline: Random failures violate no invariant
     Given only a seed
     When the fleet fuzzer runs seed <seed>
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -8,6 +8,7 @@
 
 from amaranthflow import exceptions
 from amaranthflow import ids
+from amaranthflow_scheduler import admission
 from amaranthflow_scheduler import commands
 from amaranthflow_scheduler import elections
 from amaranthflow_scheduler import execution
@@ -36,6 +37,7 @@
     target_ms=500,
 )
 _CORE = model.Resources(1_000, 100, 0)
+_TWO_CORES = model.Resources(2_000, 100, 0)
 
 
 def _job(job_id, *steps, accepted_ms=0):
@@ -1241,3 +1243,49 @@
 @behave.then('they are considered {count:d} times')
 def step_considered(context, count):
     assert context.checks == count, context.checks
+
+
+# admission
+
+
+@behave.given(
+    '{count:d} workers of 8 cores, each with {service:d} cores of services '
+    'and {batch:d} of batch runs'
+)
+def step_partly_used(context, count, service, batch):
+    context.workers = []
+    for number in range(count):
+        worker = _worker(f'w{number}')
+        for cores, is_service in ((service, True), (batch, False)):
+            need = model.Resources(cores * 1_000, 100, 0)
+            step = _step(resources=need, service=is_service)
+            if cores:
+                _attempt(_first_task(f'j{number}', step), worker)
+        context.workers.append(worker)
+
+
+@behave.given('{count:d} tasks of other services, of 2 cores each, wait')
+def step_waiting_services(context, count):
+    step = _step(count=max(1, count), resources=_TWO_CORES, service=True)
+    context.waiting = [admission.Demand(step, count)]
+
+
+@behave.when(
+    '{count:d} tasks of 2 cores of a new service ask for room, {limit:d} a '
+    'worker'
+)
+def step_ask_room(context, count, limit):
+    step = _step(
+        count=count,
+        resources=_TWO_CORES,
+        service=True,
+        max_per_worker=limit,
+    )
+    context.room = admission.has_room(
+        _job('new', step), context.workers, context.waiting
+    )
+
+
+@behave.then('room for them is {room}')
+def step_room(context, room):
+    assert str(context.room) == room, context.room
