Predict tails by headroom, and learn from a service's other tasks

Hypothesis: the effect of runs on a tail does not add up in its logarithm.

Change: tail_latency.py and pacing.py count in headroom; coefficients are also learned from the differences between a service's tasks on different workers, which share its load. Runs start up to an expected ratio of 0.7 (0.6 before), as the prediction is better. The record of coefficients has a new format; one of the old format is set aside with a log line.

Tests: tail_latency.feature.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/pacing.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/pacing.py
@@ -5,7 +5,6 @@
 again once the tail latency expected afterwards is low enough.
 """
 
-import math
 import typing as t
 
 from . import execution
@@ -17,8 +16,10 @@
 _TARGET_RATIO = 1.0
 _HIGH_RATIO = 0.9
 _DESIRED_RATIO = 0.75
-# Runs that add less than this to the logarithm of a tail are not slowed.
-_MIN_LOG_EFFECT = 0.02
+_HIGH_HEADROOM = 1.0 / _HIGH_RATIO
+_DESIRED_HEADROOM = 1.0 / _DESIRED_RATIO
+# Runs that take less headroom are not slowed.
+_MIN_EFFECT = 0.02
 _PACES_PERCENT = (0, 15, 30, 45, 60, 80, 100)
 # Tail latencies cover the last half second, after which a change is visible.
 _MIN_CHANGE_INTERVAL_S = 0.45
@@ -80,10 +81,10 @@
     runs are slowed to half their pace.
     """
     capacity = worker.entry.capacity.cpu
-    for image, tail in _log_tail_ratios(worker).items():
-        excess = tail - math.log(_DESIRED_RATIO)
-        if tail < math.log(_HIGH_RATIO):
+    for image, headroom in _least_headroom(worker).items():
+        if headroom > _HIGH_HEADROOM:
             continue
+        excess = _DESIRED_HEADROOM - headroom
         causes = sorted(
             (
                 (tail_model.effect(image, _step(attempt), capacity), attempt)
@@ -92,7 +93,7 @@
             key=lambda cause: -cause[0],
         )
         for effect, attempt in causes:
-            if excess <= 0 or effect < _MIN_LOG_EFFECT:
+            if excess <= 0 or effect < _MIN_EFFECT:
                 break
             before = paces[attempt]
             desired = before - 100 * excess / effect
@@ -115,33 +116,33 @@
     Runs that are nearly done go first.
     """
     capacity = worker.entry.capacity.cpu
-    expected = _log_tail_ratios(worker)
+    expected = _least_headroom(worker)
     for attempt in sorted(paces, key=lambda attempt: -attempt.percent):
         for pace in reversed(_PACES_PERCENT):
             if pace <= paces[attempt]:
                 break
             increase = (pace - paces[attempt]) / 100
             after = {
-                image: tail
-                + increase * tail_model.effect(image, _step(attempt), capacity)
-                for image, tail in expected.items()
+                image: headroom
+                - increase * tail_model.effect(image, _step(attempt), capacity)
+                for image, headroom in expected.items()
             }
             if all(
-                tail <= math.log(_DESIRED_RATIO) for tail in after.values()
+                headroom >= _DESIRED_HEADROOM for headroom in after.values()
             ):
                 paces[attempt] = pace
                 expected = after
                 break
 
 
-def _log_tail_ratios(worker: workers.Worker) -> dict:
-    """Returns the logarithm of the highest tail ratio of each image."""
+def _least_headroom(worker: workers.Worker) -> dict:
+    """Returns the least headroom of each service image."""
     found: dict = {}
     for attempt in worker.service_attempts():
         image = _step(attempt).image
         if attempt.gauge > 0:
-            tail = math.log(attempt.tail_ratio)
-            found[image] = max(tail, found.get(image, tail))
+            headroom = 1.0 / attempt.tail_ratio
+            found[image] = min(headroom, found.get(image, headroom))
     return found
 
 
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
@@ -26,7 +26,7 @@
 # No run starts where it is expected to raise a tail ratio above this value.
 # The distance from the ratio at which runs are slowed keeps changes of the
 # service's own load from slowing the run soon.
-_MAX_TAIL_RATIO = 0.6
+_MAX_TAIL_RATIO = 0.7
 # Cost of a worker that has services of other images only.
 _OTHER_IMAGES_COST = 1.0
 # Cost of a rack without the step's data, or without its other tasks.
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/tail_latency.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/tail_latency.py
@@ -1,12 +1,15 @@
 """Effect of opportunistic runs on the tail latency of services beside them.
 
-Each pair of a service image and an opportunistic image has an interference
-coefficient. It is learned from the change of tail latencies when opportunistic
-runs start, end or change their pace. Tail latencies are handled as logarithms
-of their ratio to the target, since the effects of several runs multiply.
+The headroom of a service's task is the ratio of its target to its tail
+latency. Queues make a tail latency inversely proportional to the processor
+time left to the task, so each run beside it takes away an amount of headroom
+that hardly depends on the other runs or on the service's own load.
+
+What a run takes depends on its image and on the service's, and is learned for
+each pair of images: from tasks of one service, which share its load, on
+workers with different runs beside them, and from changes of these runs.
 """
 
-import math
 import typing as t
 
 import msgspec
@@ -19,32 +22,43 @@
 from . import model
 from . import workers
 
-# Unknown pairs are assumed to interfere: with this coefficient, a run that
-# uses a fifth of a worker raises the tail latency by half. A service with a
-# high tail latency costs more than a run that starts elsewhere.
-_PRIOR_EXCESS = 2.0
+# Unknown pairs are assumed to interfere: a run that uses a tenth of a worker
+# takes a headroom of 0.32. A service with a high tail latency costs more than
+# a run that starts elsewhere.
+_PRIOR_EXCESS = 3.2
 _PRIOR_DEVIATION = 2.5
-# Standard deviation of a tail's logarithm between two reports while the runs
-# beside it do not change.
-_NOISE_DEVIATION = 0.22
+# Standard deviation of the headroom between two reports, while the runs beside
+# a task do not change.
+_NOISE_DEVIATION = 0.3
 # Closer reports overlap in time; reports further apart may differ by more than
 # one change.
 _MIN_SAMPLE_INTERVAL_S = 0.4
 _MAX_SAMPLE_INTERVAL_S = 0.8
 _MIN_LOAD_CHANGE = 0.01
-# Smaller effects on the logarithm of a tail count as none: estimates for pairs
-# without interference vary by as much.
-_MIN_LOG_EFFECT = 0.04
-_FORMAT = 1  # increase it when the meaning of a field changes
-# A larger coefficient can only come from a damaged record, and its exponential
-# overflows.
+# Smaller effects on the headroom count as none: estimates for pairs without
+# interference vary by as much.
+_MIN_EFFECT = 0.05
+_FORMAT = 2  # increase it when the meaning of a field changes
+# A larger coefficient can only come from a damaged record.
 _MAX_EXCESS = 100.0
 _RECORDED_DIGITS = 3  # estimates are hardly accurate to one decimal place
 # A pair takes about 50 bytes; keeps the record well below the store's limit.
 _MAX_RECORDED_PAIRS = 2_000
-# Lower tails count as this high, as the service's own load may raise them
-# while a run lasts.
-_MIN_LOG_RATIO = math.log(0.4)
+# Headroom above this does not count, as the service's own load may rise while
+# a run lasts.
+_MAX_HEADROOM = 2.5
+_MIN_HEADROOM = 0.1  # keeps expected ratios finite
+# Reports of a service's other tasks that are older are not compared.
+_MAX_SIBLING_AGE_S = 0.6
+
+
+class _Sibling(t.NamedTuple):
+    """The least disturbed task of a service in recent reports."""
+
+    at_s: float
+    task: model.TaskKey
+    headroom: float
+    loads: dict[ids.TaskClass, float]
 
 
 class TailModel:
@@ -60,13 +74,14 @@
             prior_deviation=_PRIOR_DEVIATION,
             noise_deviation=_NOISE_DEVIATION,
         )
+        self._siblings: dict[ids.JobId, _Sibling] = {}
 
     def observe(
         self, worker: workers.Worker, now_s: float, now_ms: int
     ) -> None:
         """Learns from a worker's newest report and updates its tails."""
         if not worker.service_count:
-            worker.expected_tails = {}
+            worker.expected_headroom = {}
             worker.sample = None
             return
         before = worker.sample
@@ -74,7 +89,8 @@
             return
         sample = _sample(worker, now_s)
         if before is not None and now_s - before.at_s < _MAX_SAMPLE_INTERVAL_S:
-            self._learn(before, sample, now_ms)
+            self._learn_from_change(before, sample, now_ms)
+        self._learn_from_siblings(sample, now_ms)
         worker.sample = sample
         self._update_expected(worker)
 
@@ -114,33 +130,56 @@
         self._model.adopt(_estimate(row) for row in fields[1])
         return len(fields[1])
 
-    def _learn(
+    def _learn_from_change(
         self, before: workers.Sample, sample: workers.Sample, now_ms: int
     ) -> None:
         """Learns from the differences between two samples of a worker."""
-        changes = {
-            image: change
-            for image in before.loads.keys() | sample.loads.keys()
-            if abs(
-                change := sample.loads.get(image, 0.0)
-                - before.loads.get(image, 0.0)
-            )
-            > _MIN_LOAD_CHANGE
-        }
+        changes = _differences(before.loads, sample.loads)
         if not changes:
             return
-        for key, (image, tail) in sample.tails.items():
-            if key in before.tails:
-                change = tail - before.tails[key][1]
-                self._model.observe_change(image, changes, change, now_ms)
+        for key, (image, headroom) in sample.headroom.items():
+            if key in before.headroom:
+                lost = before.headroom[key][1] - headroom
+                self._model.observe_change(image, changes, lost, now_ms)
+
+    def _learn_from_siblings(
+        self, sample: workers.Sample, now_ms: int
+    ) -> None:
+        """Learns from the tasks of one service on different workers."""
+        for key, (image, headroom) in sample.headroom.items():
+            sibling = self._siblings.get(key.job)
+            if sibling is None:
+                self._forget_old_siblings(sample.at_s)
+            if (
+                sibling is None
+                or sample.at_s - sibling.at_s > _MAX_SIBLING_AGE_S
+                or key == sibling.task
+                or headroom >= sibling.headroom
+            ):
+                self._siblings[key.job] = _Sibling(
+                    sample.at_s, key, headroom, sample.loads
+                )
+                continue
+            changes = _differences(sibling.loads, sample.loads)
+            if changes:
+                lost = sibling.headroom - headroom
+                self._model.observe_change(image, changes, lost, now_ms)
+
+    def _forget_old_siblings(self, now_s: float) -> None:
+        """Forgets the tasks of services that do not report any more."""
+        self._siblings = {
+            job: sibling
+            for job, sibling in self._siblings.items()
+            if now_s - sibling.at_s <= _MAX_SIBLING_AGE_S
+        }
 
     def _update_expected(self, worker: workers.Worker) -> None:
-        """Sets the expected tails of a worker's services from its sample."""
+        """Sets the expected headroom of a worker's services."""
         assert worker.sample is not None
-        tails: dict[ids.TaskClass, float] = {}
-        for image, tail in worker.sample.tails.values():
-            tails[image] = max(tail, tails.get(image, _MIN_LOG_RATIO))
-        worker.expected_tails = tails
+        found: dict[ids.TaskClass, float] = {}
+        for image, headroom in worker.sample.headroom.values():
+            found[image] = min(headroom, found.get(image, _MAX_HEADROOM))
+        worker.expected_headroom = found
         for attempt in worker.opportunistic_attempts():
             if not attempt.reported:
                 self.add(worker, attempt.task.step_run.step)
@@ -148,7 +187,7 @@
     def effect(
         self, service: ids.TaskClass, step: model.Step, capacity: int
     ) -> float:
-        """Returns what a run of a step adds to the logarithm of a tail.
+        """Returns the headroom that a run of a step takes from a service.
 
         :param service: image of the service.
         :param capacity: processors of the worker, in thousandths of a core.
@@ -160,8 +199,10 @@
     def add(self, worker: workers.Worker, step: model.Step) -> None:
         """Adds the effect of a run that is not yet in a report."""
         capacity = worker.entry.capacity.cpu
-        for image in worker.expected_tails:
-            worker.expected_tails[image] += self.effect(image, step, capacity)
+        for image in worker.expected_headroom:
+            worker.expected_headroom[image] -= self.effect(
+                image, step, capacity
+            )
 
     def expected_ratio(
         self, worker: workers.Worker, step: model.Step
@@ -173,12 +214,25 @@
         """
         share = step.resources.cpu / max(1, worker.entry.capacity.cpu)
         image = ids.TaskClass(step.image)
-        worst = _MIN_LOG_RATIO
-        for service, tail in worker.expected_tails.items():
+        least = _MAX_HEADROOM
+        for service, headroom in worker.expected_headroom.items():
             effect = self._model.excess(service, image) * share
-            if effect > _MIN_LOG_EFFECT and tail + effect > worst:
-                worst = tail + effect
-        return math.exp(worst)
+            if effect > _MIN_EFFECT and headroom - effect < least:
+                least = headroom - effect
+        return 1.0 / max(_MIN_HEADROOM, least)
+
+
+def _differences(
+    before: t.Mapping[ids.TaskClass, float],
+    after: t.Mapping[ids.TaskClass, float],
+) -> dict[ids.TaskClass, float]:
+    """Returns the differences of loads, without negligible ones."""
+    return {
+        image: change
+        for image in before.keys() | after.keys()
+        if abs(change := after.get(image, 0.0) - before.get(image, 0.0))
+        > _MIN_LOAD_CHANGE
+    }
 
 
 class _Row(t.NamedTuple):
@@ -203,17 +257,17 @@
 
 def _sample(worker: workers.Worker, now_s: float) -> workers.Sample:
     capacity = max(1, worker.entry.capacity.cpu)
-    tails = {}
+    headroom = {}
     for attempt in worker.service_attempts():
         step = attempt.task.step_run.step
         if attempt.gauge > 0:
             image = ids.TaskClass(step.image)
-            tails[attempt.task.key] = (image, math.log(attempt.tail_ratio))
+            headroom[attempt.task.key] = (image, 1.0 / attempt.tail_ratio)
     loads: dict[ids.TaskClass, float] = {}
     for attempt in worker.opportunistic_attempts():
         image = ids.TaskClass(attempt.task.step_run.step.image)
         loads[image] = loads.get(image, 0.0) + attempt.gauge / capacity
-    return workers.Sample(now_s, tails, loads)
+    return workers.Sample(now_s, headroom, loads)
 
 
 def running_opportunistic(
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
@@ -25,15 +25,15 @@
 
 
 class Sample(t.NamedTuple):
-    """Tail latencies and loads of one report.
+    """Headroom and loads of one report.
 
-    :ivar tails: image and logarithm of the tail ratio of each service's task.
+    :ivar headroom: image and headroom of each service's task.
     :ivar loads: share of the worker's processors that the opportunistic runs
         of each image use.
     """
 
     at_s: float
-    tails: dict[model.TaskKey, tuple[ids.TaskClass, float]]
+    headroom: dict[model.TaskKey, tuple[ids.TaskClass, float]]
     loads: dict[ids.TaskClass, float]
 
 
@@ -59,8 +59,7 @@
     :ivar service_cpu: processors of these runs.
     :ivar service_images: number of these runs by image.
     :ivar batch_count: number of ``batch_attempts``.
-    :ivar expected_tails: expected logarithm of the highest tail ratio of each
-        service image.
+    :ivar expected_headroom: least headroom expected of each service image.
     :ivar sample: the last report that was used for learning.
     :ivar last_pace_change_s: when paces were last changed.
     :ivar last_move_check_s: when slowed runs were last compared with other
@@ -91,7 +90,7 @@
     batch_count: int = 0
     service_cpu: int = 0
     service_images: dict[str, int] = dataclasses.field(default_factory=dict)
-    expected_tails: dict[ids.TaskClass, float] = dataclasses.field(
+    expected_headroom: dict[ids.TaskClass, float] = dataclasses.field(
         default_factory=dict
     )
     sample: Sample | None = None
--- /dev/null
+++ b/tests/amaranthflow_scheduler/tail_latency.feature
@@ -0,0 +1,32 @@
+Feature: What opportunistic runs do to services beside them
+
+  Each run beside a service's task takes a part of its headroom, the ratio of
+  the target to the tail latency.
+
+  Scenario: The same run does more harm while a service's load is high
+    Given two workers with a task of one service each, image "s"
+    When both have a headroom of 3.0 and image "o" takes 0.6 of it on one worker
+    Then one more run of "o" is expected to raise a tail ratio of 0.6 to 0.94
+
+  Scenario: A service's tasks show that a run beside one of them is harmless
+    Given two workers with a task of one service each, image "s"
+    When both have a headroom of 3.0 and image "o" takes 0.0 of it on one worker
+    Then one more run of "o" is expected to raise a tail ratio of 0.6 to 0.6
+
+  Scenario: A service that leaves no longer counts
+    Given two workers with a task of one service each, image "s"
+    When both have a headroom of 3.0 and image "o" takes 0.6 of it on one worker
+    And the service has ended for 60 s
+    Then nothing is kept of its tasks
+
+  Scenario Outline: Opportunistic runs use what services with a changing load leave
+    Given 6 workers on which services with a changing load use half of the processors
+    When opportunistic tasks of six images wait all the time for 60 s, with seed <seed>
+    Then they use at least a quarter of the unused processor time
+    And the services are within their targets for at least 98% of the time
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
