--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -48,7 +48,7 @@
 # Key in the progress table, whose other keys are job ids.
 _TAILS_KEY = b'tails'
 _RESIGN_TIMEOUT_S = 0.6
-# A service of a pool with some dozens of them ends about this often.
+# In a pool with some dozens of services, one ends about this often.
 _FULL_POOL_RETRY_AFTER_MS = 5_000
 # Leases last 4.5 s, so another instance can recover before they expire.
 _RECOVERY_STALL_S = 2.5
@@ -377,7 +377,7 @@
         now_s = self._clock.monotonic()
         if not self.ready or self.core.admits(job, now_s):
             return
-        # The caller may repeat a request of which the response was lost.
+        # The caller may repeat a request whose response was lost.
         await self._read_latest_jobs()
         if not self.core.knows(job.id):
             raise exceptions.Overloaded(
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -156,8 +156,8 @@
     def admits(self, job: model.Job, now_s: float) -> bool:
         """Returns whether a new job may be accepted.
 
-        Only services may not. A worker counts although its report is late,
-        and a new leader does not know all runs yet.
+        Only services are ever refused. Workers with a late report count as
+        well. A new leader refuses nothing, as it does not know all runs yet.
         """
         if not any(step.service for step in job.steps):
             return True
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/tail_latency.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/tail_latency.py
@@ -44,8 +44,8 @@
 _RECORDED_DIGITS = 3  # estimates are hardly accurate to one decimal place
 # A pair takes about 50 bytes; keeps the record well below the store's limit.
 _MAX_RECORDED_PAIRS = 2_000
-# Headroom above this does not count, as the service's own load may rise while
-# a run lasts.
+# A higher headroom counts as this one: the service's own load may rise while a
+# run lasts.
 _MAX_HEADROOM = 2.5
 _MIN_HEADROOM = 0.1  # keeps expected ratios finite
 
