Start an opportunistic task that no service would bear in a nearly free pool

Change: where a job's opportunistic step has waited for 1.5 s without any run and less than half of the pool's processors are in use, its task starts where the tail is expected to rise least (placement.least_disturbed); paces limit the harm there.

The scenario fails before. Ruled out: the admission of services (none waited) and the store's outage (over 20 s before).

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
@@ -27,6 +27,8 @@
 # The distance from the ratio at which runs are slowed keeps changes of the
 # service's own load from slowing the run soon.
 _MAX_TAIL_RATIO = 0.7
+# Share of its processors that a pool uses at most while it is nearly free.
+_NEARLY_FREE_SHARE = 0.5
 # Cost of a worker that has services of other images only.
 _OTHER_IMAGES_COST = 1.0
 # Cost of a rack without the step's data, or without its other tasks.
@@ -185,6 +187,30 @@
     return best
 
 
+def least_disturbed(
+    task: execution.TaskRun,
+    candidates: t.Iterable[workers.Worker],
+    tail_model: tail_latency.TailModel,
+) -> workers.Worker | None:
+    """Returns the worker where an opportunistic run does the least harm.
+
+    Unlike ``choose``, accepts any harm, but only in a pool of which services
+    and batch runs use less than half. A run that interferes with all services
+    would never start otherwise; its pace is reduced where it does harm.
+    """
+    step = task.step_run.step
+    found = [worker for worker in candidates if may_run(worker, step)]
+    capacity = sum(worker.entry.capacity.cpu for worker in found)
+    used = sum(worker.used.cpu for worker in found)
+    if used >= _NEARLY_FREE_SHARE * capacity:
+        return None
+    return min(
+        found,
+        key=lambda worker: tail_model.expected_ratio(worker, step),
+        default=None,
+    )
+
+
 class Ranking:
     """Workers ranked once for all tasks of a step.
 
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -51,6 +51,8 @@
 _HUNG_BACKOFF_S = 4.0
 # Weight of the newest observation in a worker's slowness.
 _SLOWNESS_WEIGHT = 0.4
+# The platform permits a job to wait 3 s in a pool that is nearly free.
+_STARVED_AFTER_S = 1.5
 # Each check looks at all workers, whose tail latencies change within half a
 # second.
 _MAX_MOVE_CHECK_INTERVAL_S = 0.5
@@ -1068,6 +1070,13 @@
                 continue
             if step_run.waiting_since_s is None:
                 step_run.waiting_since_s = now_s
+            if self._is_starved(step_run, now_s):
+                worker = placement.least_disturbed(
+                    task, candidates, self.tail_model
+                )
+                if worker is not None:
+                    self._place(task, worker, now_s, 'starved')
+                    return
             if not ruled_out:
                 self._log_no_worker(task, pool_index.workers)
             if not queue.advised:
@@ -1076,6 +1085,14 @@
             return
         step_run.waiting_since_s = None
 
+    def _is_starved(self, step_run: execution.StepRun, now_s: float) -> bool:
+        """Returns whether a job's opportunistic step waits for too long."""
+        return (
+            step_run.step.opportunistic
+            and _elapsed_s(step_run.waiting_since_s, now_s) >= _STARVED_AFTER_S
+            and not step_run.job_run.has_attempts
+        )
+
     def _with_tickets(
         self,
         step_run: execution.StepRun,
--- a/tests/amaranthflow_scheduler/tail_latency.feature
+++ b/tests/amaranthflow_scheduler/tail_latency.feature
@@ -19,6 +19,16 @@
     And the service has ended for 60 s
     Then nothing is kept of its tasks
 
+  Scenario Outline: A task that disturbs every service starts in a nearly free pool
+    Given <workers> workers of a scheduler, each with services on <cores> of 32 cores and a tail ratio of 0.9
+    When a job with an opportunistic task of unknown effect waits for 3 s
+    Then its task is started: <started>
+
+    Examples:
+      | workers | cores | started |
+      | 3       | 8     | True    |
+      | 3       | 24    | False   |
+
   Scenario Outline: Opportunistic runs use what services with a changing load leave
     Given 6 workers on which services with a changing load use half of the processors
     When opportunistic tasks of six images wait all the time for 60 s, with seed <seed>
--- a/tests/steps/tail_latency_steps.py
+++ b/tests/steps/tail_latency_steps.py
@@ -11,6 +11,7 @@
 from amaranthflow_scheduler import model
 from amaranthflow_scheduler import pacing
 from amaranthflow_scheduler import placement
+from amaranthflow_scheduler import scheduler
 from amaranthflow_scheduler import tail_latency
 from amaranthflow_scheduler import workers
 
@@ -171,6 +172,52 @@
     assert list(context.model._best_tasks) == ['s2'], context.model._best_tasks
 
 
+# a task that disturbs every service
+
+
+@behave.given(
+    '{count:d} workers of a scheduler, each with services on {cores:d} of 32 '
+    'cores and a tail ratio of {ratio:g}'
+)
+def step_scheduler(context, count, cores, ratio):
+    core = scheduler.Scheduler(
+        limits=scheduler.Limits(hold_max_s=6.0, state_kept_s=120.0),
+        token=model.Token(1),
+        now_s=0.0,
+    )
+    step = dataclasses.replace(
+        _service_step('s', count),
+        resources=model.Resources(cores * 1_000, 100, 0),
+    )
+    for number, task in enumerate(_tasks('s1', step)):
+        worker = _worker(f'w{number}')
+        core.workers[worker.id] = worker
+        run = _start(task, worker, 0.0, reported=True)
+        run.gauge = _TARGET_MS * ratio
+        core.tail_model.observe(worker, 10.0, 10_000)
+    context.core = core
+
+
+@behave.when(
+    'a job with an opportunistic task of unknown effect waits for '
+    '{seconds:g} s'
+)
+def step_wait(context, seconds):
+    (task,) = _tasks('o1', _opportunistic_step('o'))
+    context.core.add_job(task.step_run.job_run.job)
+    for tick in range(round(seconds / 0.5) + 1):
+        now_s = 10.0 + tick * 0.5
+        for worker in context.core.workers.values():
+            worker.last_report_s = now_s
+        context.core.plan(now_s, round(now_s * 1000))
+
+
+@behave.then('its task is started: {started}')
+def step_started(context, started):
+    found = context.core.jobs['o1'].has_attempts
+    assert str(found) == started, found
+
+
 # services with a changing load
 
 
