Log the leader's load each second and how long jobs waited for workers

leader_load has the longest delay of the event loop, the time spent on plans, and the processors held and waited for by kind of task; job_ended has no_worker_ms. Gauges loop_lag_ms and plan_ms carry the same.

The new scenario fails without the two fields.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
@@ -185,6 +185,12 @@
         """True while an attempt may still run."""
         return any(True for _ in self.attempts())
 
+    def end_wait(self, now_s: float) -> None:
+        """Notes that a worker was found for each task."""
+        if self.waiting_since_s is not None:
+            self.job_run.no_worker_s += now_s - self.waiting_since_s
+            self.waiting_since_s = None
+
     def mark_done(self, task: TaskRun) -> None:
         """Marks a task as done; does nothing if it is done already."""
         if not task.done:
@@ -202,6 +208,8 @@
     :ivar first_run_number: lowest number of a run that this leader starts.
     :ivar open_occurrences: the steps of the occurrences that are due.
     :ivar closed_occurrences: occurrences that are complete.
+    :ivar no_worker_s: how long steps have waited because no worker was found
+        for a task, in seconds.
     """
 
     def __init__(self, *, job: model.Job, first_run_number: int = 1):
@@ -213,6 +221,7 @@
         self.first_run_number = first_run_number
         self.open_occurrences: dict[int, list[StepRun]] = {}
         self.closed_occurrences: set[int] = set()
+        self.no_worker_s = 0.0
 
     @property
     def ended(self) -> bool:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -12,6 +12,7 @@
 from . import elections
 from . import execution
 from . import jobrecord
+from . import load_monitor
 from . import logs
 from . import metrics
 from . import model
@@ -36,6 +37,7 @@
 _JOBS_WAIT_MS = 1_000
 _STORE_RETRY_S = 0.2
 _TICK_S = 0.1
+_LOAD_INTERVAL_S = 1.0
 _ADVICE_POLL_S = 0.02
 _ADVICE_RETRY_S = 0.1
 _PLAN_DELAY_S = 0.004
@@ -110,6 +112,7 @@
             token=term.token,
             meters=deps.meters,
         )
+        self._load = load_monitor.LoadMonitor(meters=deps.meters)
         self._links: dict[ids.WorkerId, tuple[str, ports.WorkerLink]] = {}
         self._replan = asyncio.Event()
         self._jobs_end = 0
@@ -179,6 +182,7 @@
             self._workers_loop,
             self._tick_loop,
             self._plan_loop,
+            self._load_loop,
             self._advice_loop,
             self._cleanup_loop,
         ]
@@ -719,8 +723,11 @@
 
     async def _tick_loop(self) -> None:
         while True:
+            due_s = self._clock.monotonic() + _TICK_S
             await asyncio.sleep(_TICK_S)
-            self.core.tick(self._clock.monotonic())
+            now_s = self._clock.monotonic()
+            self._load.on_timer(now_s - due_s)
+            self.core.tick(now_s)
             self._dispatch()
             # Backoffs of workers end and occurrences of jobs come due.
             self._replan.set()
@@ -735,8 +742,16 @@
             self.core.plan(started_s, self._clock.wall_ms())
             took_s = self._clock.monotonic() - started_s
             self._deps.meters.observe('plan', took_s)
+            self._load.on_plan(took_s)
             self._dispatch()
 
+    async def _load_loop(self) -> None:
+        while True:
+            await asyncio.sleep(_LOAD_INTERVAL_S)
+            self._load.report(
+                self.core.workers.values(), self.core.waiting_steps()
+            )
+
     async def _advice_loop(self) -> None:
         """Sends the queries for the adviser, one at a time."""
         while True:
--- /dev/null
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/load_monitor.py
@@ -0,0 +1,88 @@
+"""Load of a leader: delays of its event loop, and what waits for capacity.
+
+Late jobs have two kinds of causes: the leader acts late, or no worker has
+room. A line of the log each second tells them apart.
+"""
+
+import collections
+import enum
+import typing as t
+
+from . import execution
+from . import logs
+from . import metrics
+from . import model
+from . import workers
+
+
+class Kind(enum.Enum):
+    """Kinds of tasks, which compete for different resources."""
+
+    SERVICE = 'service'
+    OPPORTUNISTIC = 'opportunistic'
+    BATCH = 'batch'
+
+
+def kind_of(step: model.Step) -> Kind:
+    """Returns the kind of a step's tasks."""
+    if step.service:
+        return Kind.SERVICE
+    return Kind.OPPORTUNISTIC if step.opportunistic else Kind.BATCH
+
+
+class LoadMonitor:
+    """Collects durations between two log lines.
+
+    :param meters: gets the gauges ``loop_lag_ms`` and ``plan_ms``.
+    """
+
+    def __init__(self, *, meters: metrics.Metrics):
+        self._meters = meters
+        self._lag_s = 0.0
+        self._plan_s = 0.0
+        self._plans = 0
+
+    def on_timer(self, late_s: float) -> None:
+        """Notes by how much a timer of the event loop was late."""
+        self._lag_s = max(self._lag_s, late_s)
+
+    def on_plan(self, seconds: float) -> None:
+        """Notes the duration of a planning pass."""
+        self._plan_s += seconds
+        self._plans += 1
+
+    def report(
+        self,
+        fleet: t.Iterable[workers.Worker],
+        waiting: t.Iterable[execution.StepRun],
+    ) -> None:
+        """Logs the load since the last report.
+
+        :param waiting: steps with tasks that may start and have no attempt.
+        """
+        lag_ms = round(self._lag_s * 1000)
+        plan_ms = round(self._plan_s * 1000)
+        self._meters.gauge('loop_lag_ms', lag_ms)
+        self._meters.gauge('plan_ms', plan_ms)
+        wanted: collections.Counter[Kind] = collections.Counter()
+        for step_run in waiting:
+            need = step_run.waiting * step_run.step.resources.cpu
+            wanted[kind_of(step_run.step)] += need
+        held: collections.Counter[Kind] = collections.Counter()
+        capacity = 0
+        for worker in fleet:
+            capacity += worker.entry.capacity.cpu
+            held[Kind.SERVICE] += worker.service_cpu
+            held[Kind.BATCH] += worker.used.cpu - worker.service_cpu
+            held[Kind.OPPORTUNISTIC] += worker.opportunistic_cpu
+        logs.event(
+            'leader_load',
+            lag_ms=lag_ms,
+            plans=self._plans,
+            plan_ms=plan_ms,
+            capacity=capacity,
+            held={kind.value: held[kind] for kind in Kind},
+            waiting={kind.value: wanted[kind] for kind in Kind},
+        )
+        self._lag_s = self._plan_s = 0.0
+        self._plans = 0
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -328,13 +328,15 @@
     def counts(self) -> Counts:
         """Returns the numbers of jobs, waiting tasks, attempts and workers."""
         attempts = sum(len(w.attempts) for w in self.workers.values())
-        waiting = sum(
-            step_run.waiting
-            for job_run in self._active.values()
-            for step_run in job_run.runnable_steps()
-        )
+        waiting = sum(step_run.waiting for step_run in self.waiting_steps())
         return Counts(len(self.jobs), waiting, attempts, len(self.workers))
 
+    def waiting_steps(self) -> t.Iterator[execution.StepRun]:
+        """Yields the steps with tasks that may start and have no attempt."""
+        for job_run in self._active.values():
+            if not job_run.ended:
+                yield from job_run.runnable_steps()
+
     # workers
 
     def on_entry_changed(self, entry: model.WorkerEntry, now_s: float) -> None:
@@ -1083,7 +1085,7 @@
                 # Other steps may have tickets for other workers.
                 failed.add(pool, step)
             return
-        step_run.waiting_since_s = None
+        step_run.end_wait(now_s)
 
     def _is_starved(self, step_run: execution.StepRun, now_s: float) -> bool:
         """Returns whether a job's opportunistic step waits for too long."""
@@ -1283,6 +1285,7 @@
             state=state.value,
             after_ms=now_ms - job_run.job.accepted_ms,
             objective_ms=round(job_ranking.objective_ms(job_run)),
+            no_worker_ms=round(job_run.no_worker_s * 1000),
         )
         for attempt in list(job_run.attempts()):
             self._stop(attempt, state.value)
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -293,6 +293,15 @@
       | 0.8     |
       | 9       |
 
+  Scenario: The log tells how much waits for workers and for how long
+    Given the task fleet's log is collected
+    When task job "a1" with steps "64x1.0" is accepted
+    And 6 s pass in the task fleet
+    And the task fleet's log is complete
+    Then a line "leader_load" has 8000 to 32000 under "waiting" of "batch"
+    And each line "leader_load" has at most 1 as "lag_ms"
+    And a line "job_ended" has 800 to 2000 as "no_worker_ms"
+
   Scenario: A service that a full fleet cannot hold is refused, and jobs stay on time
     Given a task service "s1" of 4 tasks of 6 cores is accepted
     And 4 small task jobs of 1 s arrive each second
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -1,6 +1,7 @@
 """Steps for the scheduler's fleet.feature."""
 
 import asyncio
+import contextlib
 import io
 
 import behave
@@ -534,6 +535,51 @@
     flush()
 
 
+def _collect_log(context):
+    context.lines = io.BytesIO()
+    context.add_cleanup(logs.configure(instance='fleet', stream=context.lines))
+
+
+def _lines(context, event):
+    """Returns the lines of an event that were collected so far."""
+    found = map(msgspec.json.decode, context.lines.getvalue().splitlines())
+    return [line for line in found if line['event'] == event]
+
+
+@behave.given("the task fleet's log is collected")
+def step_collect_log(context):
+    context.lines = io.BytesIO()
+    stop = logs.configure(instance='fleet', stream=context.lines)
+    context.stop_log = contextlib.ExitStack()
+    context.stop_log.callback(stop)
+    context.add_cleanup(context.stop_log.close)
+
+
+@behave.when("the task fleet's log is complete")
+def step_complete_log(context):
+    context.stop_log.close()
+
+
+@behave.then(
+    'a line "{event}" has {low:d} to {high:d} under "{field}" of "{kind}"'
+)
+def step_line_by_kind(context, event, low, high, field, kind):
+    found = [line[field][kind] for line in _lines(context, event)]
+    assert any(low <= value <= high for value in found), found
+
+
+@behave.then('a line "{event}" has {low:d} to {high:d} as "{field}"')
+def step_line(context, event, low, high, field):
+    found = [line[field] for line in _lines(context, event)]
+    assert any(low <= value <= high for value in found), found
+
+
+@behave.then('each line "{event}" has at most {high:d} as "{field}"')
+def step_each_line(context, event, high, field):
+    found = [line[field] for line in _lines(context, event)]
+    assert found and all(value <= high for value in found), found
+
+
 async def _fence_recovering(fleet, leader):
     fleet.store.faults.slow_s = 0.1
     await fleet.kill(leader)
@@ -554,13 +600,9 @@
 
 @behave.then('its term has ended because of the store')
 def step_fenced(context):
-    lines = [
-        msgspec.json.decode(line)
-        for line in context.lines.getvalue().splitlines()
-    ]
-    ends = [line['why'] for line in lines if line['event'] == 'led']
+    ends = [line['why'] for line in _lines(context, 'led')]
     assert any(why.startswith('store: ') for why in ends), ends
-    failed = [line for line in lines if line['event'] == 'term_failed']
+    failed = _lines(context, 'term_failed')
     assert not failed, failed
 
 
