Plan opportunistic tasks apart from services and batch tasks

Cause: one planning pass served all kinds of tasks, followed by a pause of three times its duration. The class of fault is head-of-line blocking: urgent work waits for work that cannot be done.

Change: services and batch tasks have their own pass and pause; opportunistic tasks are planned by a second loop.

The new scenario lets each look at a worker for an opportunistic run take half a millisecond; batch tasks then started up to 0.64 s after they were accepted, now within 0.25 s. Steps that plan opportunistic jobs call the new method.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -115,6 +115,7 @@
         self._load = load_monitor.LoadMonitor(meters=deps.meters)
         self._links: dict[ids.WorkerId, tuple[str, ports.WorkerLink]] = {}
         self._replan = asyncio.Event()
+        self._replan_opportunistic = asyncio.Event()
         self._jobs_end = 0
         self._workers_end = 0
         self._group: asyncio.TaskGroup | None = None
@@ -182,6 +183,7 @@
             self._workers_loop,
             self._tick_loop,
             self._plan_loop,
+            self._plan_opportunistic_loop,
             self._load_loop,
             self._advice_loop,
             self._cleanup_loop,
@@ -405,7 +407,7 @@
             tasks=sum(step.count for step in job.steps),
             age_ms=self._clock.wall_ms() - job.accepted_ms,
         )
-        self._replan.set()
+        self._request_plans()
 
     async def _workers_loop(self) -> None:
         while True:
@@ -478,7 +480,7 @@
                     return
                 if exc.refusal is ports.Refusal.OTHER_INCARNATION:
                     self.core.on_worker_replaced(worker)
-                    self._replan.set()
+                    self._request_plans()
                 await asyncio.sleep(_RENEWAL_PAUSE_S)
             except exceptions.AmaranthflowError as exc:
                 if not lost:
@@ -524,12 +526,12 @@
         )
         self._dispatch()
         if worker.stored_end != worker.processed_end:
-            self._replan.set()
+            self._request_plans()
             await self._flush_briefly()
             if worker.stored_end != worker.processed_end:
                 await asyncio.sleep(_RENEWAL_PAUSE_S)
         elif before[0] != worker.born_ms:
-            self._replan.set()
+            self._request_plans()
 
     async def _flush_briefly(self) -> bool:
         """Waits a short time until all changes are stored.
@@ -629,7 +631,7 @@
             self.core.on_start_uncertain(attempt, void_s, now_s)
         except exceptions.PlatformError:
             self.core.on_start_failed(attempt, self._clock.monotonic())
-        self._replan.set()
+        self._request_plans()
         self._dispatch()
 
     def _log_start_unanswered(
@@ -730,21 +732,41 @@
             self.core.tick(now_s)
             self._dispatch()
             # Backoffs of workers end and occurrences of jobs come due.
-            self._replan.set()
+            self._request_plans()
 
     async def _plan_loop(self) -> None:
+        await self._plan_repeatedly(self._replan, self.core.plan, 'plan')
+
+    async def _plan_opportunistic_loop(self) -> None:
+        """Plans apart from other work, which must not wait for it."""
+        await self._plan_repeatedly(
+            self._replan_opportunistic,
+            self.core.plan_opportunistic,
+            'plan_opportunistic',
+        )
+
+    async def _plan_repeatedly(
+        self,
+        wanted: asyncio.Event,
+        plan: t.Callable[[float, int], None],
+        name: str,
+    ) -> None:
         took_s = 0.0
         while True:
-            await self._replan.wait()
+            await wanted.wait()
             await asyncio.sleep(max(_PLAN_DELAY_S, _PLAN_PAUSE_RATIO * took_s))
-            self._replan.clear()
+            wanted.clear()
             started_s = self._clock.monotonic()
-            self.core.plan(started_s, self._clock.wall_ms())
+            plan(started_s, self._clock.wall_ms())
             took_s = self._clock.monotonic() - started_s
-            self._deps.meters.observe('plan', took_s)
-            self._load.on_plan(took_s)
+            self._deps.meters.observe(name, took_s)
+            self._load.on_plan(name, took_s)
             self._dispatch()
 
+    def _request_plans(self) -> None:
+        self._replan.set()
+        self._replan_opportunistic.set()
+
     async def _load_loop(self) -> None:
         while True:
             await asyncio.sleep(_LOAD_INTERVAL_S)
@@ -784,7 +806,7 @@
             )
             until_s = asked_s + valid_ms / 1000
             self.core.advice.on_response(query, tickets, until_s, incarnations)
-            self._replan.set()
+            self._request_plans()
 
     async def _cleanup_loop(self) -> None:
         obsolete: set[ids.JobId] = set()
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/load_monitor.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/load_monitor.py
@@ -33,23 +33,21 @@
 class LoadMonitor:
     """Collects durations between two log lines.
 
-    :param meters: gets the gauges ``loop_lag_ms`` and ``plan_ms``.
+    :param meters: gets the gauge ``loop_lag_ms``.
     """
 
     def __init__(self, *, meters: metrics.Metrics):
         self._meters = meters
         self._lag_s = 0.0
-        self._plan_s = 0.0
-        self._plans = 0
+        self._plans: dict[str, list[float]] = {}
 
     def on_timer(self, late_s: float) -> None:
         """Notes by how much a timer of the event loop was late."""
         self._lag_s = max(self._lag_s, late_s)
 
-    def on_plan(self, seconds: float) -> None:
-        """Notes the duration of a planning pass."""
-        self._plan_s += seconds
-        self._plans += 1
+    def on_plan(self, name: str, seconds: float) -> None:
+        """Notes the duration of a planning pass of one kind."""
+        self._plans.setdefault(name, []).append(seconds)
 
     def report(
         self,
@@ -61,9 +59,7 @@
         :param waiting: steps with tasks that may start and have no attempt.
         """
         lag_ms = round(self._lag_s * 1000)
-        plan_ms = round(self._plan_s * 1000)
         self._meters.gauge('loop_lag_ms', lag_ms)
-        self._meters.gauge('plan_ms', plan_ms)
         wanted: collections.Counter[Kind] = collections.Counter()
         for step_run in waiting:
             need = step_run.waiting * step_run.step.resources.cpu
@@ -78,11 +74,14 @@
         logs.event(
             'leader_load',
             lag_ms=lag_ms,
-            plans=self._plans,
-            plan_ms=plan_ms,
+            plans={name: len(took) for name, took in self._plans.items()},
+            plan_ms={
+                name: round(sum(took) * 1000)
+                for name, took in self._plans.items()
+            },
             capacity=capacity,
             held={kind.value: held[kind] for kind in Kind},
             waiting={kind.value: wanted[kind] for kind in Kind},
         )
-        self._lag_s = self._plan_s = 0.0
-        self._plans = 0
+        self._lag_s = 0.0
+        self._plans.clear()
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -960,15 +960,35 @@
             self._place(task, worker, now_s, why)
 
     def plan(self, now_s: float, now_ms: int) -> None:
-        """Starts waiting tasks on workers with free capacity."""
+        """Starts waiting tasks of services and batch jobs.
+
+        ``plan_opportunistic`` starts the others.
+        """
         if self._held_jobs:
             self._release_held_jobs(now_s)
-        runnable = self._runnable_steps(now_ms)
+        runnable = self._runnable_steps(now_ms, opportunistic=False)
         if not runnable:
             self._reservations.clear()
             return
         pools = self._pool_indexes(now_s)
         self._reserve(runnable, pools, now_s)
+        self._plan_steps(runnable, pools, now_s)
+
+    def plan_opportunistic(self, now_s: float, now_ms: int) -> None:
+        """Starts waiting opportunistic tasks.
+
+        While many wait this takes long, as each step looks at all workers.
+        """
+        runnable = self._runnable_steps(now_ms, opportunistic=True)
+        if runnable:
+            self._plan_steps(runnable, self._pool_indexes(now_s), now_s)
+
+    def _plan_steps(
+        self,
+        runnable: list[execution.StepRun],
+        pools: t.Mapping[ids.ServiceId, _PoolIndexes],
+        now_s: float,
+    ) -> None:
         failed = placement.FailedSearches()
         for step_run in runnable:
             pool = pools[self.queue_of(step_run.job_run.job).service]
@@ -976,14 +996,23 @@
                 step_run, pool.for_step_run(step_run), failed, now_s
             )
 
-    def _runnable_steps(self, now_ms: int) -> list[execution.StepRun]:
-        """Returns the steps with waiting tasks, in the order of their jobs."""
+    def _runnable_steps(
+        self, now_ms: int, *, opportunistic: bool
+    ) -> list[execution.StepRun]:
+        """Returns the steps with waiting tasks, in the order of their jobs.
+
+        :param opportunistic: selects opportunistic steps or all others.
+        """
         found = []
         for job_run in self._active.values():
             if job_run.ended or job_run.job.id in self._held_jobs:
                 continue
             job_run.open_due_occurrences(now_ms)
-            steps = job_run.runnable_steps()
+            steps = [
+                step_run
+                for step_run in job_run.runnable_steps()
+                if step_run.step.opportunistic is opportunistic
+            ]
             if steps:
                 found.append((job_ranking.rank(job_run, now_ms), steps))
         found.sort(key=lambda entry: entry[0])
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/virtual_time.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/virtual_time.py
@@ -49,6 +49,10 @@
         """Virtual ms since the loop was created."""
         return int(self.time() * _MS_PER_S)
 
+    def spend(self, seconds: float) -> None:
+        """Advances time by a computation, during which no task runs."""
+        self._selector.now_s += seconds
+
     async def sleep(self, seconds: float) -> None:
         """Suspends the calling task in virtual time."""
         await asyncio.sleep(seconds)
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -293,6 +293,11 @@
       | 0.8     |
       | 9       |
 
+  Scenario: Batch tasks do not wait for plans of opportunistic tasks that find no worker
+    Given 40 opportunistic task jobs wait, and each look at a worker for them takes 0.5 ms
+    When 20 task jobs of 0.1 s are accepted one after the other
+    Then each of their tasks started within 0.25 s
+
   Scenario: The log tells how much waits for workers and for how long
     Given the task fleet's log is collected
     When task job "a1" with steps "64x1.0" is accepted
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -796,6 +796,7 @@
 
 def _plan(context, now_s):
     context.core.plan(now_s, 0)
+    context.core.plan_opportunistic(now_s, 0)
     context.attempts = [
         one.attempt
         for one in context.core.take_commands()
@@ -996,7 +997,7 @@
     core.add_job(
         _job('fill', dataclasses.replace(whole, count=len(core.workers)))
     )
-    core.plan(0.2, 0)
+    core.plan_opportunistic(0.2, 0)
     assert len(core.take_commands()) == len(core.workers)
     for number in range(count):
         core.add_job(_job(f'j{number}', _opportunistic(1, f'i{number}')))
@@ -1016,6 +1017,7 @@
         execution.TaskRun, 'waiting', new_callable=mock.PropertyMock
     ) as waiting:
         context.core.plan(0.3, 0)
+        context.core.plan_opportunistic(0.3, 0)
     assert not waiting.called
 
 
@@ -1095,6 +1097,7 @@
 
     with mock.patch.object(placement, 'may_run', count):
         context.core.plan(0.3, 0)
+        context.core.plan_opportunistic(0.3, 0)
     assert checks < limit, checks
 
 
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import io
+from unittest import mock
 
 import behave
 import msgspec
@@ -12,6 +13,7 @@
 from amaranthflow_scheduler import jobrecord
 from amaranthflow_scheduler import logs
 from amaranthflow_scheduler import model
+from amaranthflow_scheduler import placement
 from amaranthflow_scheduler import ports
 from amaranthflow_standins import task_fleet
 from amaranthflow_standins import task_fuzz
@@ -546,6 +548,57 @@
     return [line for line in found if line['event'] == event]
 
 
+@behave.given(
+    '{count:d} opportunistic task jobs wait, and each look at a worker for '
+    'them takes {ms:g} ms'
+)
+def step_opportunistic_wait(context, count, ms):
+    may_run = placement.may_run
+
+    def look(worker, step):
+        if step.opportunistic:
+            context.loop.spend(ms / 1000)
+        return may_run(worker, step)
+
+    patch = mock.patch.object(placement, 'may_run', look)
+    patch.start()
+    context.add_cleanup(patch.stop)
+    too_much = model.Resources(_CPU, 10**6, 0)
+    for number in range(count):
+        step = model.Step(
+            count=1,
+            resources=too_much,
+            opportunistic=True,
+            image=f'i{number}',
+        )
+        _submit(context, f'o{number}', [step])
+
+
+@behave.when(
+    '{count:d} task jobs of {seconds:g} s are accepted one after the other'
+)
+def step_in_series(context, count, seconds):
+    for number in range(count):
+        _submit(context, f'b{number}', _steps(f'1x{seconds}'))
+        _run(context, asyncio.sleep(2 * seconds))
+    _run(context, asyncio.sleep(_SETTLE_S))
+
+
+@behave.then('each of their tasks started within {seconds:g} s')
+def step_started_within(context, seconds):
+    started = {
+        run.task.job: run.started_s
+        for _, run in context.fleet.runs
+        if run.task.job.startswith('b')
+    }
+    delays = {
+        job_id: round(started[job_id] - accepted.accepted_s, 3)
+        for job_id, accepted in context.fleet.jobs.items()
+        if job_id.startswith('b')
+    }
+    assert delays and max(delays.values()) <= seconds, delays
+
+
 @behave.given("the task fleet's log is collected")
 def step_collect_log(context):
     context.lines = io.BytesIO()
