Predict the tail of a worker once for each of its states

Change: a worker keeps the ratios that were predicted for it until its report, its opportunistic runs or its capacity change. A ranking adds what a task's own failures cost to the costs that it has, instead of computing them again. A coefficient that is learned on another worker takes effect with the next report, half a second later at most.

The new scenario counts predictions; the example in which nothing happens failed before.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
@@ -181,8 +181,11 @@
             continue
         if any(attempt.worker == worker.id for attempt in task.attempts):
             continue
-        cost = _cost(task, step, worker, racks, tail_model)
-        if cost is not None and (best is None or cost < best_cost):
+        cost = _cost(step, worker, racks, tail_model)
+        if cost is None:
+            continue
+        cost += _failure_cost(task, worker)
+        if best is None or cost < best_cost:
             best, best_cost = worker, cost
     return best
 
@@ -227,31 +230,50 @@
         self._step_run = step_run
         self._candidates = candidates
         self._tail_model = tail_model
-        self._heap: list[tuple[float, int]] | None = None
-        self._task = step_run.tasks[0]
+        self._costs: list[float | None] | None = None
+        self._heap: list[tuple[float, int]] = []
         self._runs: collections.Counter[ids.WorkerId] = collections.Counter()
+        self._best: int | None = None
 
     def best(self, task: execution.TaskRun) -> workers.Worker | None:
         """Returns the best worker for a waiting task, or None."""
-        if task.failed_runs or self._step_run.step.same_rack:
-            self._heap = None
+        if self._step_run.step.same_rack:
             return choose(task, self._candidates, self._tail_model)
-        if self._heap is None:
-            self._task = task
+        if self._costs is None:
             self._runs = runs_by_worker(self._step_run)
-            self._heap = self._rank()
-        if not self._heap:
-            return None
-        return self._candidates[self._heap[0][1]]
-
-    def _rank(self) -> list[tuple[float, int]]:
-        costs = (
-            (self._cost(worker), number)
-            for number, worker in enumerate(self._candidates)
-        )
-        heap = [entry for entry in costs if entry[0] is not None]
-        heapq.heapify(heap)
-        return heap
+            self._costs = [self._cost(worker) for worker in self._candidates]
+            self._heap = [
+                (cost, number)
+                for number, cost in enumerate(self._costs)
+                if cost is not None
+            ]
+            heapq.heapify(self._heap)
+        if task.failed_runs:
+            self._best = self._best_after_failure(task, self._costs)
+        else:
+            self._best = self._lowest(self._costs)
+        return None if self._best is None else self._candidates[self._best]
+
+    def _lowest(self, costs: list[float | None]) -> int | None:
+        heap = self._heap
+        while heap and heap[0][0] != costs[heap[0][1]]:
+            heapq.heappop(heap)
+        return heap[0][1] if heap else None
+
+    def _best_after_failure(
+        self, task: execution.TaskRun, costs: list[float | None]
+    ) -> int | None:
+        own = {attempt.worker for attempt in task.attempts}
+        return min(
+            (
+                (cost + _failure_cost(task, worker), number)
+                for number, (cost, worker) in enumerate(
+                    zip(costs, self._candidates, strict=True)
+                )
+                if cost is not None and worker.id not in own
+            ),
+            default=(0.0, None),
+        )[1]
 
     def _cost(self, worker: workers.Worker) -> float | None:
         step = self._step_run.step
@@ -259,22 +281,19 @@
             return None
         if not count_permits(worker, step, self._runs):
             return None
-        return _cost(self._task, step, worker, set(), self._tail_model)
+        return _cost(step, worker, set(), self._tail_model)
 
     def placed(self, worker: workers.Worker) -> None:
         """Updates the ranking after a run was placed.
 
         :param worker: the worker that ``best`` returned last.
         """
-        if not self._heap:
+        if self._costs is None or self._best is None:
             return
-        number = self._heap[0][1]
         self._runs[worker.id] += 1
-        cost = self._cost(worker)
-        if cost is None:
-            heapq.heappop(self._heap)
-        else:
-            heapq.heapreplace(self._heap, (cost, number))
+        cost = self._costs[self._best] = self._cost(worker)
+        if cost is not None:
+            heapq.heappush(self._heap, (cost, self._best))
 
 
 def _racks(
@@ -286,13 +305,12 @@
 
 
 def _cost(
-    task: execution.TaskRun,
     step: model.Step,
     worker: workers.Worker,
     racks: set[str],
     tail_model: tail_latency.TailModel,
 ) -> float | None:
-    """Returns the cost of a run on a worker, None if it may not start."""
+    """Returns the cost of a run of a step, None if it may not start."""
     cost = _contention_cost(step, worker, tail_model)
     if cost is None:
         return None
@@ -300,12 +318,18 @@
         cost += _OTHER_RACK_COST
     if racks and worker.entry.rack not in racks:
         cost += _OTHER_RACK_COST
+    cost += _UNRELIABLE_COST * worker.consecutive_failures
+    cost += _SLOWNESS_COST * max(0.0, worker.slowness - 1.0)
+    return cost
+
+
+def _failure_cost(task: execution.TaskRun, worker: workers.Worker) -> float:
+    """Returns the cost that follows from earlier failures of a task."""
+    cost = 0.0
     if worker.id in task.failed_on:
         cost += _TASK_FAILED_COST
     if task.failed_runs and not worker.successes:
         cost += _UNRELIABLE_COST
-    cost += _UNRELIABLE_COST * worker.consecutive_failures
-    cost += _SLOWNESS_COST * max(0.0, worker.slowness - 1.0)
     return cost
 
 
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -346,6 +346,7 @@
             worker = self._add_worker(entry)
         before = worker.entry
         worker.entry = entry
+        worker.expected_ratios.clear()
         worker.unlisted_since_s = None
         if before.state is not entry.state or before is entry:
             logs.event(
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/tail_latency.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/tail_latency.py
@@ -80,6 +80,7 @@
         """Learns from a worker's newest report and updates its tails."""
         if not worker.service_count:
             worker.expected_headroom = {}
+            worker.expected_ratios.clear()
             worker.sample = None
             return
         before = worker.sample
@@ -166,6 +167,7 @@
         for image, headroom in worker.sample.headroom.values():
             found[image] = min(headroom, found.get(image, _MAX_HEADROOM))
         worker.expected_headroom = found
+        worker.expected_ratios.clear()
         for attempt in worker.opportunistic_attempts():
             if not attempt.reported:
                 self.add(worker, attempt.task.step_run.step)
@@ -185,6 +187,7 @@
     def add(self, worker: workers.Worker, step: model.Step) -> None:
         """Adds the effect of a run that is not yet in a report."""
         capacity = worker.entry.capacity.cpu
+        worker.expected_ratios.clear()
         for image in worker.expected_headroom:
             worker.expected_headroom[image] -= self.effect(
                 image, step, capacity
@@ -198,6 +201,16 @@
         Services on which the run has no effect do not count, however high
         their tail latency is.
         """
+        key = (step.image, step.resources.cpu)
+        ratio = worker.expected_ratios.get(key)
+        if ratio is None:
+            ratio = self._compute_expected_ratio(worker, step)
+            worker.expected_ratios[key] = ratio
+        return ratio
+
+    def _compute_expected_ratio(
+        self, worker: workers.Worker, step: model.Step
+    ) -> float:
         share = step.resources.cpu / max(1, worker.entry.capacity.cpu)
         image = ids.TaskClass(step.image)
         least = _MAX_HEADROOM
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
@@ -56,6 +56,8 @@
     :ivar service_images: number of these runs by image.
     :ivar batch_count: number of ``batch_attempts``.
     :ivar expected_headroom: least headroom expected of each service image.
+    :ivar expected_ratios: highest tail ratios expected with another run, by
+        its image and processors; cleared when one of them changes.
     :ivar sample: the last report that was used for learning.
     :ivar last_pace_change_s: when paces were last changed.
     :ivar last_move_check_s: when slowed runs were last compared with other
@@ -89,6 +91,9 @@
     expected_headroom: dict[ids.TaskClass, float] = dataclasses.field(
         default_factory=dict
     )
+    expected_ratios: dict[tuple[str, int], float] = dataclasses.field(
+        default_factory=dict
+    )
     sample: Sample | None = None
     last_pace_change_s: float = 0.0
     last_move_check_s: float = 0.0
--- a/tests/amaranthflow_scheduler/decisions.feature
+++ b/tests/amaranthflow_scheduler/decisions.feature
@@ -55,6 +55,19 @@
     And a task of image "noisy" is placed
     Then it is placed beside "robust"
 
+  Scenario Outline: A tail is predicted again only after something has changed
+    Given 1 placement workers with services of images "sensitive"
+    When tails rise with image "noisy" beside "sensitive" only
+    And a task of image "noisy" is ranked twice, and <event> in between
+    Then the second ranking predicts <count> tails
+
+    Examples:
+      | event                | count |
+      | nothing happens      | 0     |
+      | a report arrives     | 1     |
+      | a run is placed      | 1     |
+      | the capacity shrinks | 1     |
+
   Scenario: Learned interference is restored from its record
     Given 2 placement workers with services of images "robust" and "sensitive"
     When tails rise with image "noisy" beside "sensitive" only
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -8,6 +8,7 @@
 
 from amaranthflow import exceptions
 from amaranthflow import ids
+from amaranthflow import interference
 from amaranthflow_scheduler import admission
 from amaranthflow_scheduler import commands
 from amaranthflow_scheduler import elections
@@ -353,6 +354,47 @@
     context.now_s = now_s
 
 
+@behave.when(
+    'a task of image "{image}" is ranked twice, and {event} in between'
+)
+def step_rank_twice(context, image, event):
+    (worker,) = context.workers
+    step = _step(opportunistic=True, image=image)
+    service = worker.service_attempts()[0]
+    service.gauge = 15.0
+
+    def rank():
+        ranking = placement.Ranking(
+            _first_task('o', step).step_run, [worker], context.tail_model
+        )
+        ranking.best(ranking._step_run.tasks[0])
+
+    rank()
+    now_s = context.now_s + 1.0
+    if event == 'a report arrives':
+        context.tail_model.observe(worker, now_s, round(now_s * 1000))
+    elif event == 'a run is placed':
+        context.tail_model.add(worker, step)
+    elif event == 'the capacity shrinks':
+        core = _core()
+        core.workers[worker.id] = worker
+        capacity = model.Resources(4_000, 64_000, 0)
+        entry = dataclasses.replace(worker.entry, capacity=capacity)
+        core.on_entry_changed(entry, now_s)
+    excess = interference.InterferenceModel.excess
+    with mock.patch.object(
+        interference.InterferenceModel, 'excess', autospec=True
+    ) as predicted:
+        predicted.side_effect = excess
+        rank()
+    context.predictions = predicted.call_count
+
+
+@behave.then('the second ranking predicts {count:d} tails')
+def step_predictions(context, count):
+    assert context.predictions == count, context.predictions
+
+
 @behave.when('the learned interference is recorded and restored')
 def step_restore_interference(context):
     value = context.tail_model.encode()
