Give up a task that crashes the workers that start it

Cause: a run that ends with its worker left no trace in its task; only ends that a worker lists as failed are counted. The class of fault is a retry without a limit.

A crash makes the tasks suspects whose runs were younger than a second there; their further runs are isolated; two crashes of isolated runs convict the task. Losses of a rack or zone convict nobody. The count is in the progress record. The same path serves gangs, later steps, occurrences, services and backups, workers that are back under their id, under another one, or after their leases.

Ruled out: give up after two crashes in whose company a task was (innocent neighbours), after four in any company (fuzz seed 7: an innocent job), isolated runs on workers that have just restarted (flapping workers convict).

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
@@ -62,6 +62,11 @@
     :ivar resumed: the run started from a checkpoint or under an earlier
         leader.
     :ivar reported: a report has listed the run.
+    :ivar born_ms: incarnation of the worker to which the run was sent; 0 if
+        unknown.
+    :ivar survived: it has run long enough not to be suspected of a crash.
+    :ivar isolated: no other run was or will be as young on its worker.
+    :ivar crash_counted: the task's crashes include that of its worker.
     :ivar last_listed_s: when the newest report that lists the run arrived.
     """
 
@@ -80,6 +85,10 @@
     slowed_since_s: float = 0.0
     resumed: bool = False
     reported: bool = False
+    born_ms: int = 0
+    survived: bool = False
+    isolated: bool = False
+    crash_counted: bool = False
     last_listed_s: float | None = None
 
     @property
@@ -97,6 +106,8 @@
     :ivar failed_on: workers on which these runs failed.
     :ivar checkpoint: newest known checkpoint, or empty.
     :ivar attempts: the attempts that may still run.
+    :ivar crashes: number of workers that it may have crashed.
+    :ivar isolated_crashes: number of them that no other job explains.
     """
 
     key: model.TaskKey
@@ -107,6 +118,8 @@
     failed_on: list[ids.WorkerId] = dataclasses.field(default_factory=list)
     checkpoint: str = ''
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
+    crashes: int = 0
+    isolated_crashes: int = 0
 
     @property
     def waiting(self) -> bool:
@@ -138,6 +151,7 @@
     :ivar speeds: speeds of the completed runs, in percent per second.
     :ivar waiting_since_s: since when no worker was found for a task, or None.
     :ivar wait_logged: the first time without a worker has been logged.
+    :ivar suspected: a task may have crashed a worker.
     """
 
     __slots__ = (
@@ -151,6 +165,7 @@
         'speeds',
         'waiting_since_s',
         'wait_logged',
+        'suspected',
     )
 
     def __init__(self, *, job_run: 'JobRun', occurrence: int, number: int):
@@ -162,6 +177,7 @@
         self.speeds: list[float] = []
         self.waiting_since_s: float | None = None
         self.wait_logged = False
+        self.suspected = False
         self.tasks = [
             TaskRun(
                 key=model.TaskKey(job_run.job.id, occurrence, number, index),
@@ -374,24 +390,48 @@
         closed=sorted(job_run.closed_occurrences),
         complete_steps=complete_steps,
         tasks=tasks,
+        suspects=[
+            _encode_suspect(task) for task in job_run.tasks() if task.crashes
+        ],
     )
 
 
 def _encode_fields(
-    job_run: JobRun, *, closed: list, complete_steps: list, tasks: list
+    job_run: JobRun,
+    *,
+    closed: list,
+    complete_steps: list,
+    tasks: list,
+    suspects: t.Sequence[list] = (),
 ) -> bytes:
-    return msgspec.json.encode(
+    fields = [
+        _FORMAT,
+        job_run.state.value,
+        int(job_run.started),
+        job_run.ended_ms,
+        job_run.first_run_number,
+        closed,
+        complete_steps,
+        tasks,
+    ]
+    if suspects:
+        # Earlier versions cannot read records with this field.
+        fields.append(suspects)
+    return msgspec.json.encode(fields)
+
+
+def _encode_suspect(task: TaskRun) -> list:
+    return [
+        task.key.occurrence,
+        task.key.step,
+        task.key.index,
+        task.crashes,
+        task.isolated_crashes,
         [
-            _FORMAT,
-            job_run.state.value,
-            int(job_run.started),
-            job_run.ended_ms,
-            job_run.first_run_number,
-            closed,
-            complete_steps,
-            tasks,
-        ]
-    )
+            [attempt.worker, attempt.run, attempt.born_ms, attempt.isolated]
+            for attempt in task.attempts
+        ],
+    ]
 
 
 def _encode_task(task: TaskRun) -> list:
@@ -439,6 +479,7 @@
             closed,
             complete_steps,
             tasks,
+            *optional,
         ) = _decode_fields(value)
         job_run.state = job_run.recorded_state = model.JobState(state)
         job_run.started = bool(started)
@@ -453,6 +494,8 @@
                 step_run.mark_done(task)
         for row in tasks:
             _restore_task(job_run, row, now_s)
+        for row in optional[0] if optional else ():
+            _restore_suspect(job_run, row)
 
 
 @contextlib.contextmanager
@@ -512,3 +555,17 @@
             resumed=True,
         )
         task.add_attempt(attempt)
+
+
+def _restore_suspect(job_run: JobRun, row: list) -> None:
+    occurrence, number, index, crashes, isolated_crashes, attempts = row
+    step_run = _find_or_open_step(job_run, occurrence, number)
+    step_run.suspected = True
+    task = step_run.tasks[index]
+    task.crashes = int(crashes)
+    task.isolated_crashes = int(isolated_crashes)
+    sent = {(worker, run): rest for worker, run, *rest in attempts}
+    for attempt in task.attempts:
+        born_ms, isolated = sent.get((attempt.worker, attempt.run), (0, False))
+        attempt.born_ms = int(born_ms)
+        attempt.isolated = bool(isolated)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -479,7 +479,9 @@
                     self.end_term(f'worker {worker.id} has a higher token')
                     return
                 if exc.refusal is ports.Refusal.OTHER_INCARNATION:
-                    self.core.on_worker_replaced(worker)
+                    self.core.on_worker_replaced(
+                        worker, self._clock.monotonic(), self._clock.wall_ms()
+                    )
                     self._request_plans()
                 await asyncio.sleep(_RENEWAL_PAUSE_S)
             except exceptions.AmaranthflowError as exc:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/model.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/model.py
@@ -26,6 +26,11 @@
     step: int
     index: int
 
+    @property
+    def name_in_job(self) -> str:
+        """Occurrence, step and index, as logs show them."""
+        return f'{self.occurrence}.{self.step}.{self.index}'
+
 
 class JobState(enum.Enum):
     """State of a job as reported to callers."""
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
@@ -154,7 +154,7 @@
 
 def may_run(worker: workers.Worker, step: model.Step) -> bool:
     """Returns whether a worker has the label and resources for a step."""
-    if not label_permits(worker, step):
+    if worker.probation is not None or not label_permits(worker, step):
         return False
     need, free = step.resources, worker.free()
     if step.opportunistic:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -25,6 +25,7 @@
 from . import relocation
 from . import reservations
 from . import stragglers
+from . import suspects
 from . import tail_latency
 from . import workers
 
@@ -385,7 +386,7 @@
         """
         if worker.entry.state is not model.WorkerState.READY:
             return False
-        if worker.unlisted_since_s is not None:
+        if worker.unlisted_since_s is not None or worker.probation:
             return False
         last_report_s = worker.last_report_s
         return (
@@ -435,7 +436,13 @@
         :param sent_s: time at which the report was requested.
         """
         if report.born_ms != worker.born_ms:
+            known = {(row.task, row.run) for row in report.running}
+            known.update((end.task, end.run) for end in report.ended)
+            self._on_crash(worker, report.born_ms, now_s, now_ms, known)
+            if now_s - self._elected_s > _JOB_DISCOVERY_S:
+                worker.up_since_s = now_s
             self._reset_restarted(worker, report.born_ms)
+        worker.lapsed.clear()
         worker.sync_clock(report.clock_ms, now_s)
         worker.last_report_s = now_s
         ended = {(end.task, end.run) for end in report.ended}
@@ -452,16 +459,73 @@
         self.tail_model.observe(worker, now_s, now_ms)
         self._adjust_paces(worker, now_s)
 
-    def on_worker_replaced(self, worker: workers.Worker) -> None:
+    def on_worker_replaced(
+        self, worker: workers.Worker, now_s: float, now_ms: int
+    ) -> None:
         """Handles that another worker answers at a worker's address.
 
         The process of the worker and all its runs have ended.
         """
+        self._on_crash(worker, 0, now_s, now_ms)
         worker.last_report_s = None
         worker.lease_end_s = float('-inf')
         for attempt in list(worker.attempts):
             self._remove(attempt, 'worker-replaced')
 
+    def _on_crash(
+        self,
+        worker: workers.Worker,
+        born_ms: int,
+        now_s: float,
+        now_ms: int,
+        known: t.Container[tuple[model.TaskKey, model.RunNumber]] = (),
+    ) -> None:
+        """Counts the end of a worker's last incarnation for its young runs.
+
+        :param born_ms: the present incarnation, 0 if it is another worker's.
+        :param known: runs that the present one reports.
+        """
+        ended = [
+            attempt
+            for attempt in (*worker.attempts, *worker.lapsed)
+            if suspects.ran_before(attempt, worker, born_ms)
+            and (attempt.task.key, attempt.run) not in known
+        ]
+        is_outage = suspects.is_outage(
+            worker, self.workers.values(), now_s - _MAX_REPORT_AGE_S
+        )
+        worker.crashed_s = worker.last_report_s
+        if not ended:
+            return
+        crash = suspects.examine(ended)
+        logs.event(
+            'worker_crashed',
+            worker=worker.id,
+            runs=len(ended),
+            suspects=len(crash.suspects),
+            outage=is_outage,
+        )
+        suspects.count(crash, worker.id, confirmed=True, outage=is_outage)
+        for attempt in crash.suspects:
+            task = attempt.task
+            job_run = task.step_run.job_run
+            self.dirty.add(task.key.job)
+            if suspects.is_convicted(task) and not job_run.ended:
+                _log('task_given_up', attempt, crashes=task.crashes)
+                self._end_job(job_run, model.JobState.FAILED, now_ms)
+
+    def _suspect_lapsed(self, worker: workers.Worker, now_s: float) -> None:
+        """Suspects the young runs of a silent worker, which may be back."""
+        young = suspects.examine(worker.attempts).suspects
+        silent_from_s = now_s - _MAX_REPORT_AGE_S
+        if not young or suspects.is_outage(
+            worker, self.workers.values(), silent_from_s
+        ):
+            return
+        worker.lapsed.extend(young)
+        crash = suspects.Crash(young, convicts=False)
+        suspects.count(crash, worker.id, confirmed=False, outage=False)
+
     def _reset_restarted(self, worker: workers.Worker, born_ms: int) -> None:
         """Resets what is known about the previous incarnation of a worker."""
         if worker.born_ms:
@@ -523,7 +587,7 @@
         logs.event(
             'run_ended',
             id=end.task.job,
-            task=_task_name(end.task),
+            task=end.task.name_in_job,
             run=end.run,
             worker=worker.id,
             ending=end.ending.value,
@@ -668,6 +732,7 @@
             pace=0,
             slowed_since_s=now_s,
             resumed=True,
+            born_ms=worker.born_ms,
         )
         task.add_attempt(attempt)
         worker.attach(attempt)
@@ -676,7 +741,7 @@
         logs.event(
             'run_adopted',
             id=row.task.job,
-            task=_task_name(row.task),
+            task=row.task.name_in_job,
             run=row.run,
             worker=worker.id,
             unwanted=unwanted,
@@ -700,6 +765,8 @@
             if attempt.resumed or not attempt.running_since_s:
                 attempt.running_since_s = attempt.progressed_s = now_s
                 attempt.first_percent = attempt.percent = row.percent
+        if not attempt.survived:
+            self._check_survival(attempt, now_s)
         if row.percent > attempt.percent:
             attempt.percent = row.percent
             attempt.progressed_s = now_s
@@ -710,6 +777,19 @@
             attempt.task.checkpoint = row.checkpoint
         attempt.task.step_run.job_run.started = True
 
+    def _check_survival(
+        self, attempt: execution.Attempt, now_s: float
+    ) -> None:
+        """Ends the probation of a run that has not crashed its worker."""
+        worker = self.workers[attempt.worker]
+        if not attempt.born_ms:
+            attempt.born_ms = worker.born_ms
+        if now_s - attempt.running_since_s < suspects.PROBATION_S:
+            return
+        attempt.survived = True
+        if worker.probation is attempt:
+            worker.probation = None
+
     def _adjust_paces(self, worker: workers.Worker, now_s: float) -> None:
         for change in pacing.plan(worker, self.tail_model, now_s):
             attempt = change.attempt
@@ -764,6 +844,7 @@
     def on_sent(self, attempt: execution.Attempt) -> None:
         """Notes that a start command is being sent."""
         attempt.state = execution.AttemptState.SENT
+        attempt.born_ms = self.workers[attempt.worker].born_ms
 
     def on_started(self, attempt: execution.Attempt, now_s: float) -> None:
         """Notes that a worker has started a run."""
@@ -872,6 +953,7 @@
         """
         for worker in list(self.workers.values()):
             if worker.attempts and now_s > worker.lease_end_s:
+                self._suspect_lapsed(worker, now_s)
                 for attempt in list(worker.attempts):
                     if self._may_still_start(attempt, now_s):
                         continue
@@ -915,7 +997,8 @@
         self, worker: workers.Worker, now_s: float
     ) -> None:
         for attempt in list(worker.attempts):
-            if attempt.task.step_run.step.backups:
+            # A young run may have crashed the worker.
+            if attempt.survived and attempt.task.step_run.step.backups:
                 self._start_backup(attempt, now_s, 'worker-silent')
 
     def _handle_straggler(
@@ -950,7 +1033,7 @@
         self, attempt: execution.Attempt, now_s: float, why: str
     ) -> None:
         task = attempt.task
-        if task.key.job in self._held_jobs:
+        if task.key.job in self._held_jobs or task.crashes:
             return
         if task.done or len(task.attempts) > 1 or task.step_run.job_run.ended:
             return
@@ -1085,6 +1168,9 @@
             self._plan_gang(step_run, candidates, now_s)
             return
         candidates = self._reservations.filter_candidates(step_run, candidates)
+        suspect_waits = step_run.suspected and not self._start_isolated(
+            step_run, candidates, now_s
+        )
         pool = queue.service
         ruled_out = failed.rules_out(
             pool, step
@@ -1093,7 +1179,7 @@
             step_run, () if ruled_out else candidates, self.tail_model
         )
         for task in step_run.tasks:
-            if not task.waiting:
+            if not task.waiting or suspects.needs_isolation(task, now_s):
                 continue
             worker = ranking.best(task)
             if worker is not None:
@@ -1115,7 +1201,29 @@
                 # Other steps may have tickets for other workers.
                 failed.add(pool, step)
             return
-        step_run.end_wait(now_s)
+        if not suspect_waits:
+            step_run.end_wait(now_s)
+
+    def _start_isolated(
+        self,
+        step_run: execution.StepRun,
+        candidates: list[workers.Worker],
+        now_s: float,
+    ) -> bool:
+        """Starts the waiting suspects of a step, each on its own worker.
+
+        Returns False if a worker is missing.
+        """
+        for task in step_run.tasks:
+            if not task.waiting or not task.crashes:
+                continue
+            worker = suspects.choose(task, candidates, now_s)
+            if worker is None:
+                if step_run.waiting_since_s is None:
+                    step_run.waiting_since_s = now_s
+                return False
+            self._place(task, worker, now_s, 'isolated')
+        return True
 
     def _is_starved(self, step_run: execution.StepRun, now_s: float) -> bool:
         """Returns whether a job's opportunistic step waits for too long."""
@@ -1169,7 +1277,7 @@
         logs.event(
             'step_waits',
             id=task.key.job,
-            task=_task_name(task.key),
+            task=task.key.name_in_job,
             cpu=step.resources.cpu,
             opportunistic=step.opportunistic,
             workers=len(candidates),
@@ -1190,6 +1298,11 @@
         """
         if step_run.has_attempts:
             return
+        isolated = any(
+            suspects.needs_isolation(task, now_s) for task in step_run.tasks
+        )
+        if isolated:
+            candidates = suspects.isolating(candidates, now_s)
         run = max(task.next_run for task in step_run.tasks)
         checkpoint = max(
             (task.checkpoint for task in step_run.tasks if task.checkpoint),
@@ -1204,9 +1317,15 @@
                 for attempt in placed:
                     self._detach(attempt)
                     attempt.task.next_run = run
+                if step_run.waiting_since_s is None:
+                    step_run.waiting_since_s = now_s
                 return
             placed.append(self._plan_attempt(task, worker, now_s))
+        step_run.end_wait(now_s)
         for attempt in placed:
+            if isolated:
+                attempt.isolated = True
+                self.workers[attempt.worker].probation = attempt
             self._submit_start(attempt, 'gang')
 
     def _candidates(
@@ -1231,16 +1350,22 @@
         now_s: float,
         why: str,
     ) -> None:
-        self._submit_start(self._plan_attempt(task, worker, now_s), why)
+        attempt = self._plan_attempt(
+            task, worker, now_s, isolated=why == 'isolated'
+        )
+        self._submit_start(attempt, why)
 
     def _plan_attempt(
         self,
         task: execution.TaskRun,
         worker: workers.Worker,
         now_s: float,
+        *,
+        isolated: bool = False,
     ) -> execution.Attempt:
         attempt = execution.Attempt(
             task=task,
+            isolated=isolated,
             worker=worker.id,
             run=task.step_run.job_run.allocate_run_number(task),
             state=execution.AttemptState.PLANNED,
@@ -1334,7 +1459,7 @@
     logs.event(
         event,
         id=attempt.task.key.job,
-        task=_task_name(attempt.task.key),
+        task=attempt.task.key.name_in_job,
         run=attempt.run,
         worker=attempt.worker,
         **fields,
@@ -1361,10 +1486,6 @@
     return float('inf') if then_s is None else now_s - then_s
 
 
-def _task_name(key: model.TaskKey) -> str:
-    return f'{key.occurrence}.{key.step}.{key.index}'
-
-
 def _placeholder_entry(worker_id: ids.WorkerId) -> model.WorkerEntry:
     """Returns an entry for a worker whose own entry is missing."""
     return model.WorkerEntry(
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
@@ -62,6 +62,12 @@
     :ivar last_pace_change_s: when paces were last changed.
     :ivar last_move_check_s: when slowed runs were last compared with other
         workers.
+    :ivar probation: an isolated run that may still crash the worker, on which
+        no other run starts meanwhile.
+    :ivar lapsed: young runs whose leases expired while the worker was silent.
+    :ivar crashed_s: time of the last report before the last crash, or None.
+    :ivar up_since_s: when this incarnation first reported; minus infinity if
+        the leader does not know.
     :ivar backoff_since_s: when the last backoff began.
     :ivar backoff_until_s: when it ends.
     :ivar unanswered_starts: number of consecutive unanswered starts.
@@ -97,6 +103,10 @@
     sample: Sample | None = None
     last_pace_change_s: float = 0.0
     last_move_check_s: float = 0.0
+    probation: execution.Attempt | None = None
+    lapsed: list[execution.Attempt] = dataclasses.field(default_factory=list)
+    crashed_s: float | None = None
+    up_since_s: float = float('-inf')
     backoff_since_s: float = 0.0
     backoff_until_s: float = 0.0
     unanswered_starts: int = 0
@@ -154,6 +164,8 @@
     def attach(self, attempt: execution.Attempt) -> None:
         """Adds an attempt and its resources."""
         self.attempts.append(attempt)
+        if attempt.isolated:
+            self.probation = attempt
         self._update_totals(attempt, 1)
 
     def detach(self, attempt: execution.Attempt) -> None:
@@ -161,6 +173,8 @@
         if attempt in self.attempts:
             self.attempts.remove(attempt)
             self._update_totals(attempt, -1)
+        if self.probation is attempt:
+            self.probation = None
 
     def _update_totals(self, attempt: execution.Attempt, sign: int) -> None:
         self._free = None
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_shapes.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_shapes.py
@@ -40,6 +40,7 @@
     :param fail_share: share of runs that fail for a reason of their own.
     :ivar steps: steps of each job, set before it is submitted.
     :ivar poisoned: jobs whose runs all fail.
+    :ivar deadly: tasks that crash their workers.
     """
 
     def __init__(self, *, rng: random.Random, fail_share: float):
@@ -47,6 +48,7 @@
         self._fail_share = fail_share
         self.steps: dict[ids.JobId, list[model.Step]] = {}
         self.poisoned: set[ids.JobId] = set()
+        self.deadly: set[model.TaskKey] = set()
 
     def duration_s(self, task: model.TaskKey) -> float:
         """Returns the run time in seconds; infinite for a service."""
@@ -61,3 +63,7 @@
         if task.job in self.poisoned:
             return True
         return self._rng.random() < self._fail_share
+
+    def crashes_worker(self, task: model.TaskKey) -> bool:
+        """Returns whether each run of a task crashes its worker."""
+        return task in self.deadly
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_worker.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_worker.py
@@ -19,6 +19,9 @@
 _MAX_REPORTED_ENDS = 500
 _HEARTBEAT_S = 1.1
 _MAX_MISSED_HEARTBEATS = 3
+# A task that crashes its worker does so this long after its start.
+_CRASH_DELAY_S = 0.01
+_RESTART_S = 3.3
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -46,7 +49,11 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class StandinRun:
-    """One run of a task on a worker. Times are in virtual seconds."""
+    """One run of a task on a worker. Times are in virtual seconds.
+
+    :ivar lost: it ended with a crash of its worker.
+    :ivar crashed_worker: it caused that crash.
+    """
 
     task: model.TaskKey
     run: int
@@ -55,6 +62,8 @@
     duration_s: float
     ended_s: float | None = None
     outcome: model.RunOutcome | None = None
+    lost: bool = False
+    crashed_worker: bool = False
 
 
 class Plan(t.Protocol):
@@ -66,6 +75,9 @@
     def fails(self, task: model.TaskKey, run: int) -> bool:
         """Returns whether a run fails for a reason of its own."""
 
+    def crashes_worker(self, task: model.TaskKey) -> bool:
+        """Returns whether each run of a task crashes its worker."""
+
 
 class TaskWorker:
     """One worker.
@@ -73,6 +85,7 @@
     :param history: list to which each run is added, for checks.
     :param clock_rate: seconds that its clock advances in one second.
     :ivar incarnation: number of starts of the worker's process.
+    :ivar capacities: each capacity and the time from which it was in effect.
     """
 
     def __init__(
@@ -89,6 +102,7 @@
         self.up = True
         self.replaced = False
         self.incarnation = 1
+        self.capacities = [(0.0, entry.capacity)]
         self._plan = plan
         self._rng = rng
         self._history = history
@@ -112,6 +126,12 @@
         """Id of the worker."""
         return self.entry.id
 
+    def resize(self, cpu: int) -> None:
+        """Changes the number of processors, in thousandths of a core."""
+        capacity = self.entry.capacity._replace(cpu=cpu)
+        self.entry = dataclasses.replace(self.entry, capacity=capacity)
+        self.capacities.append((self._loop.time(), capacity))
+
     def clock_ms(self) -> int:
         """Returns the time of the worker's own clock, 0 at its last start."""
         elapsed_s = self._loop.time() - self.started_s
@@ -121,13 +141,16 @@
         """Ends all runs and loses all state; heartbeats stop."""
         for run in list(self.running.values()):
             run.ended_s = self._loop.time()
+            run.lost = True
         self.up = False
         if self._lease_timer is not None:
             self._lease_timer.cancel()
         self._reset()
 
     def restart(self) -> None:
-        """Starts a new incarnation under the same id."""
+        """Starts a new incarnation under the same id, unless it is up."""
+        if self.up:
+            return
         self.incarnation += 1
         self.up = True
         self._reset()
@@ -166,6 +189,8 @@
         )
         self.running[command.task] = run
         self._history.append((self, run))
+        if self._plan.crashes_worker(command.task):
+            self._loop.call_later(_CRASH_DELAY_S, self._crash_by, run)
         if duration_s != float('inf') and not self.faults.hangs:
             self._loop.call_later(duration_s, self._finish, run)
         return self.clock_ms()
@@ -182,6 +207,12 @@
             self._end(active, model.RunOutcome.STOPPED)
         return self.clock_ms()
 
+    def _crash_by(self, run: StandinRun) -> None:
+        if self.running.get(run.task) is run:
+            run.crashed_worker = True
+            self.crash()
+            self._loop.call_later(_RESTART_S, self.restart)
+
     def _check(self, token: int) -> None:
         if token < self.token:
             raise ports.CommandRefused(ports.Refusal.STALE_TOKEN)
@@ -254,7 +285,7 @@
         now_s = self._loop.time()
         return ports.WorkerReport(
             clock_ms=self.clock_ms(),
-            born_ms=self.incarnation,
+            born_ms=int(self.started_s * 1000) + 1,
             running=[
                 ports.RunProgress(
                     run.task,
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -139,6 +139,79 @@
     Then task job "f1" is failed within 6 s
     And 2 task runs were started
 
+  Scenario Outline: A task that crashes its workers is given up, its neighbours are not
+    Given a task service "s1" of 4 tasks is accepted
+    And task job "a1" with steps "8x1.5 8x1.5" is accepted
+    When a task job "d1" of kind "<kind>" crashes its workers
+    And task job "b1" with steps "6x1.0 6x1.0" is accepted
+    Then task job "d1" is failed within 20 s
+    And at most 5 task workers were crashed by a task of "d1"
+    And task job "a1" is completed within 10 s
+    And task job "b1" is completed within 10 s
+    When 4 s pass in the task fleet
+    Then the task service "s1" has 4 running tasks
+    And the task fleet violated no invariant
+
+    Examples:
+      | kind        |
+      | batch       |
+      | backups     |
+      | gang        |
+      | later step  |
+      | service     |
+      | occurrences |
+
+  Scenario Outline: Crashes by a task are still counted after the leader was killed
+    Given task job "a1" with steps "8x1.5 8x1.5" is accepted
+    When a task job "d1" of kind "<kind>" crashes its workers
+    And <before> task workers were crashed by a task of "d1"
+    And <wait> s pass in the task fleet
+    And the task fleet's leader is killed
+    Then task job "d1" is failed within 30 s
+    And at most 5 task workers were crashed by a task of "d1"
+    And task job "a1" is completed within 10 s
+    And the task fleet violated no invariant
+
+    Examples: killed before and after the worker is back
+      | kind    | before | wait |
+      | batch   | 1      | 0    |
+      | batch   | 2      | 0    |
+      | batch   | 2      | 3.4  |
+      | gang    | 2      | 0    |
+      | service | 2      | 0    |
+      | batch   | 3      | 0    |
+
+  Scenario: Tasks of racks that go dark are not given up
+    Given 3 more racks of 4 task workers
+    And task job "a1" with steps "2x4.0" is accepted
+    When the task rack that runs "a1" goes dark for 2 s
+    And the task rack that runs "a1" goes dark for 2 s
+    And the task rack that runs "a1" goes dark for 2 s
+    And the task rack that runs "a1" goes dark for 2 s
+    Then task job "a1" is completed within 20 s
+    And the task fleet violated no invariant
+
+  Scenario Outline: Tasks on workers that go down and up are not given up
+    Given task job "a1" with steps "16x0.8 16x0.8" is accepted
+    When task workers "w1 w2" go down and up every <gap> s for 20 s
+    Then task job "a1" is completed within 10 s
+    And the task fleet violated no invariant
+
+    Examples:
+      | gap |
+      | 0.4 |
+      | 0.7 |
+      | 1.4 |
+      | 3   |
+
+  Scenario: The log tells why a job was given up
+    Given the task fleet's log is collected
+    When a task job "d1" of kind "batch" crashes its workers
+    Then task job "d1" is failed within 20 s
+    When the task fleet's log is complete
+    Then a line "task_given_up" has 3 to 5 as "crashes"
+    And a line "task_suspected" has 2 to 2 as "isolated_crashes"
+
   Scenario: The store discards its history while no instance leads
     Given task job "a1" with steps "4x2.0 4x2.0" is accepted
     And 1 s pass in the task fleet
@@ -307,6 +380,24 @@
     And each line "leader_load" has at most 1 as "lag_ms"
     And a line "job_ended" has 800 to 2000 as "no_worker_ms"
 
+  Scenario Outline: Workers that shrink get no run beyond their capacity
+    Given small task jobs of <seconds> s arrive faster than they can be run
+    And 3 s pass in the task fleet
+    When a task service "s1" of 1 task of 6 cores is accepted
+    And <before> s pass in the task fleet
+    And each task worker has 4 cores
+    And 10 s pass in the task fleet
+    And each task worker has 8 cores
+    Then a task of "s1" runs within 5 s
+    When 6 s pass in the task fleet
+    Then the task fleet violated no invariant
+
+    Examples: before and after a worker is reserved for the service, and later
+      | seconds | before |
+      | 0.8     | 0.1    |
+      | 9       | 0.9    |
+      | 9       | 4      |
+
   Scenario: A service that a full fleet cannot hold is refused, and jobs stay on time
     Given a task service "s1" of 4 tasks of 6 cores is accepted
     And 4 small task jobs of 1 s arrive each second
@@ -326,6 +417,17 @@
     When a record of task service "s2" is stored just before the leader gets it again
     Then it is accepted within 0.1 s
 
+  Scenario Outline: Random failures beside tasks that crash workers violate no invariant
+    Given only a seed
+    When the fleet fuzzer runs seed <seed> with tasks that crash workers
+    Then no invariant is violated
+
+    Examples:
+      | seed | cause                                                      |
+      | 1    | first seed                                                 |
+      | 7    | an innocent job was given up after four crashes beside it  |
+      | 203  | crashes of runs that the next leader did not know of       |
+
   Scenario Outline: Random failures violate no invariant
     Given only a seed
     When the fleet fuzzer runs seed <seed>
