Count the crash of a silent worker once

Runs are listed and counted once; the change of the count is stored. The new scenario failed before: 1 isolated crash counted as 10 and more.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -487,7 +487,7 @@
         """
         ended = [
             attempt
-            for attempt in (*worker.attempts, *worker.lapsed)
+            for attempt in dict.fromkeys((*worker.attempts, *worker.lapsed))
             if suspects.ran_before(attempt, worker, born_ms)
             and (attempt.task.key, attempt.run) not in known
         ]
@@ -516,13 +516,18 @@
 
     def _suspect_lapsed(self, worker: workers.Worker, now_s: float) -> None:
         """Suspects the young runs of a silent worker, which may be back."""
-        young = suspects.examine(worker.attempts).suspects
+        young = [
+            attempt
+            for attempt in suspects.examine(worker.attempts).suspects
+            if not attempt.crash_counted
+        ]
         silent_from_s = now_s - _MAX_REPORT_AGE_S
         if not young or suspects.is_outage(
             worker, self.workers.values(), silent_from_s
         ):
             return
         worker.lapsed.extend(young)
+        self.dirty.update(attempt.task.key.job for attempt in young)
         crash = suspects.Crash(young, convicts=False)
         suspects.count(crash, worker.id, confirmed=False, outage=False)
 
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/suspects.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/suspects.py
@@ -4,7 +4,7 @@
 has survived its first second there is an unlikely one; the others make their
 tasks suspects. Each further run of a suspect is isolated: it starts where no
 other run is that young, and none follows until it has survived. A crash then
-convicts it, and its survival clears it.
+has no other explanation.
 """
 
 import dataclasses
--- a/tests/amaranthflow_scheduler/decisions.feature
+++ b/tests/amaranthflow_scheduler/decisions.feature
@@ -336,6 +336,13 @@
     When 60 random steps are placed on equal workers by both methods
     Then both methods have placed all runs on the same workers
 
+  Scenario: A run on a worker that is silent and then restarts counts as one crash
+    Given a scheduler with 1 workers that answer
+    When an isolated start there is not answered and its lease expires
+    Then its task has 1 crashes, 0 of them isolated
+    When the worker reports a new incarnation
+    Then its task has 1 crashes, 1 of them isolated
+
   Scenario: A new leader stops the runs of a cancelled job
     Given a scheduler with 1 workers that answer
     When a job of 2 tasks is planned there
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -1290,6 +1290,38 @@
     assert context.checks == count, context.checks
 
 
+# crashes
+
+
+@behave.when('an isolated start there is not answered and its lease expires')
+def step_silent_start(context):
+    core = context.core
+    worker = core.workers[ids.WorkerId('w1')]
+    core.add_job(_job('d', _step()))
+    core.plan(0.2, 0)
+    (start,) = core.take_commands()
+    context.attempt = start.attempt
+    context.attempt.isolated = True
+    core.on_sent(context.attempt)
+    worker.lease_end_s = 4.0
+    for tenth in range(10):
+        core.tick(5.0 + tenth / 10)
+
+
+@behave.when('the worker reports a new incarnation')
+def step_new_incarnation(context):
+    report = ports.WorkerReport(clock_ms=0, born_ms=2, running=[], ended=[])
+    worker = context.core.workers[ids.WorkerId('w1')]
+    context.core.on_report(worker, report, 6.1, 6.1, 6100)
+
+
+@behave.then('its task has {crashes:d} crashes, {isolated:d} of them isolated')
+def step_crash_counts(context, crashes, isolated):
+    task = context.attempt.task
+    found = (task.crashes, task.isolated_crashes)
+    assert found == (crashes, isolated), found
+
+
 # admission
 
 
