Measure the progress writer's appends by the leader's clock

Cause: the pause between writes follows the duration of the last one, which was taken from the system's clock also in virtual time, so the machine's load moved virtual events.

Change: the writer gets the leader's clock.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -111,6 +111,7 @@
             core=self.core,
             token=term.token,
             meters=deps.meters,
+            clock=deps.clock,
         )
         self._load = load_monitor.LoadMonitor(meters=deps.meters)
         self._links: dict[ids.WorkerId, tuple[str, ports.WorkerLink]] = {}
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/progress_writer.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/progress_writer.py
@@ -1,9 +1,9 @@
 """Writes the progress records of jobs, batched into few appends."""
 
 import asyncio
-import time
 import typing as t
 
+from amaranthflow import clock as clock_lib
 from amaranthflow import exceptions
 
 from . import execution
@@ -40,8 +40,10 @@
         core: scheduler.Scheduler,
         token: model.Token,
         meters: metrics.Metrics,
+        clock: clock_lib.Clock,
     ):
         self._store = store
+        self._clock = clock
         self._core = core
         self._token = token
         self._meters = meters
@@ -75,9 +77,9 @@
                 self._wake.clear()
                 await self._wake.wait()
             await asyncio.sleep(_batch_delay_s(took_s))
-            started_s = time.monotonic()
+            started_s = self._clock.monotonic()
             await self._write()
-            took_s = time.monotonic() - started_s
+            took_s = self._clock.monotonic() - started_s
 
     async def _write(self) -> None:
         waiting, self._waiting = self._waiting, []
@@ -102,7 +104,7 @@
         """Repeats an append under one sequence number until confirmed."""
         writer = ports.Writer(self._token, self._sequence)
         while True:
-            started_s = time.monotonic()
+            started_s = self._clock.monotonic()
             try:
                 await hedging.first_success(
                     lambda: self._store.append(
@@ -118,7 +120,7 @@
                 continue
             self._sequence += 1
             self._meters.observe(
-                'progress_append', time.monotonic() - started_s
+                'progress_append', self._clock.monotonic() - started_s
             )
             if self.failing_since_s is not None:
                 logs.event('progress_resumed', items=len(items))
@@ -128,7 +130,7 @@
     def _log_failure(self, exc: Exception, items: int) -> None:
         self._meters.count('progress_append_failures')
         if self.failing_since_s is None:
-            self.failing_since_s = time.monotonic()
+            self.failing_since_s = self._clock.monotonic()
             logs.event('progress_stalled', items=items, error=str(exc))
 
 
