--- a/review/standins/scenario.py
+++ b/review/standins/scenario.py
@@ -36,6 +36,7 @@
     spec: str
     sent_s: float
     accepted_s: float | None = None
+    cancelled_s: float | None = None
     shown: list[tuple[float, str]] = dataclasses.field(default_factory=list)
 
 
@@ -212,6 +213,19 @@
             await asyncio.sleep(_RETRY_S)
         return job
 
+    async def cancel(self, job: Job, tries: int = 20) -> int:
+        """Cancels a job; returns the status that acknowledges it, or 0."""
+        for turn in range(tries):
+            response = await self._call(
+                'DELETE', PREFIX + job.id, b'', self.front(turn)
+            )
+            status = 0 if response is None else response.status
+            if 200 <= status < 300 or status == 410:
+                job.cancelled_s = self.fleet.now_s()
+                return status
+            await asyncio.sleep(_RETRY_S)
+        return 0
+
     async def state(self, job: Job, tries: int = 1) -> str:
         """Asks for a job's state; returns an empty text without an answer."""
         for turn in range(tries):
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import random
 import struct
 import typing as t
 
@@ -12,6 +13,7 @@
 OPERATOR = 'keyed.op'
 LEADERS = 'keyed.leaders'
 _APPEND_S = 0.004
+_LATE_RANGE_S = (1.0, 6.0)
 _PAGE_ITEMS = 500
 _KEPT_APPENDS = 5
 _RECORD_BYTES = 262_144
@@ -95,9 +97,15 @@
 
 
 class Store:
-    """All topics of the store."""
+    """All topics of the store.
+
+    :ivar late_share: share of the instances' appends that get no response
+        and are carried out some seconds later.
+    """
 
     def __init__(self):
+        self.late_share = 0.0
+        self._rng = random.Random(1)
         self._topics: dict[str, Topic] = {}
         self._locks: dict[str, asyncio.Lock] = {}
 
@@ -143,21 +151,34 @@
         sizes = [1 + len(key) + len(value) for key, value in items]
         if max(sizes, default=0) > _RECORD_BYTES or sum(sizes) > _CALL_BYTES:
             return http.json_response(400)
+        if self._rng.random() < self.late_share:
+            delay_s = self._rng.uniform(*_LATE_RANGE_S)
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, self._append_now, topic, req, items)
+            raise http.NoAnswer
         lock = self._locks.setdefault(name, asyncio.Lock())
         async with lock:
             await asyncio.sleep(_APPEND_S)
-            at = req.query.get('at')
-            if at is not None and int(at) != topic.end:
-                return http.json_response(412, end=topic.end)
-            producer = req.query.get('producer')
-            if producer is None:
-                offset = topic.append(items)
-            else:
-                epoch, seq = int(req.query['epoch']), int(req.query['seq'])
-                try:
-                    offset = topic.append_as(producer, epoch, seq, items)
-                except Refused as exc:
-                    return exc.response
+            return self._append_now(topic, req, items)
+
+    def _append_now(
+        self,
+        topic: Topic,
+        req: http.Request,
+        items: list[tuple[bytes, bytes]],
+    ) -> http.Response:
+        at = req.query.get('at')
+        if at is not None and int(at) != topic.end:
+            return http.json_response(412, end=topic.end)
+        producer = req.query.get('producer')
+        if producer is None:
+            offset = topic.append(items)
+        else:
+            epoch, seq = int(req.query['epoch']), int(req.query['seq'])
+            try:
+                offset = topic.append_as(producer, epoch, seq, items)
+            except Refused as exc:
+                return exc.response
         return http.json_response(200, offset=offset, end=topic.end)
 
     async def _read(
