Set aside worker entries with an unreadable address

Cause: the name's encoding raises UnicodeError, which Client.connect did not translate; the worker's loop ended the term, and each next leader read the same entry. A port of more than 4,300 digits did the same by ValueError.

An entry with another address is set aside; a client of one fails like that of a lost host.

Rows of the existing outline name a valid address now, so that each has one fault only.

Ruled out: catching the error in the worker's loop alone, which would retry a call that cannot succeed four times a second.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/httpclient.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/httpclient.py
@@ -13,6 +13,7 @@
 
 from amaranthflow import exceptions
 
+from . import addresses
 from . import ports
 
 # A host that does not accept a connection within this time counts as
@@ -142,9 +143,6 @@
 
     def __init__(self, *, address: str, max_conns: int):
         self.address = address
-        host, _, port = address.rpartition(':')
-        self._host = host
-        self._port = int(port) if port.isdigit() else 0
         self._idle: list[Connection] = []
         self._all: set[Connection] = set()
         self._slots = asyncio.Semaphore(max_conns)
@@ -154,11 +152,13 @@
     ) -> Connection:
         """Opens a connection. Raises PlatformError."""
         loop = asyncio.get_running_loop()
+        try:
+            host, port = addresses.split(self.address)
+        except ValueError as exc:
+            raise exceptions.PlatformError(f'invalid address: {exc}') from exc
         try:
             async with asyncio.timeout(timeout_s):
-                _, conn = await loop.create_connection(
-                    Connection, self._host, self._port
-                )
+                _, conn = await loop.create_connection(Connection, host, port)
         except ConnectionRefusedError as exc:
             reason = f'{self.address} refuses connections'
             raise ports.ConnectionRefused(reason) from exc
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -51,10 +51,40 @@
     Examples:
       | value                                                                             |
       | nonsense                                                                          |
-      | {"service":"s","address":"a:1","zone":"z","state":"odd","capacity":{"cpu":1,"mem_mb":1}} |
+      | {"service":"s","address":"10.2.0.7:80","zone":"z","state":"odd","capacity":{"cpu":1,"mem_mb":1}} |
       | {"service":"s","zone":"z","state":"ready","capacity":{"cpu":1,"mem_mb":1}}         |
-      | {"service":"s","address":"a:1","zone":"z","state":"ready"}                         |
-      | {"service":7,"address":"a:1","zone":"z","state":"ready","capacity":{"cpu":1,"mem_mb":1}} |
+      | {"service":"s","address":"10.2.0.7:80","zone":"z","state":"ready"}                         |
+      | {"service":7,"address":"10.2.0.7:80","zone":"z","state":"ready","capacity":{"cpu":1,"mem_mb":1}} |
+
+  # Such an entry ended the term of each leader, so that no job ever started.
+  Scenario Outline: A worker entry with an unreadable address is ignored
+    When worker entry '{"service":"s","address":"<address>","zone":"z","state":"ready","capacity":{"cpu":1,"mem_mb":1}}' is decoded
+    Then there is no worker entry
+
+    Examples:
+      | address                                                                |
+      |                                                                        |
+      | 127.0.0..9:8080                                                        |
+      | 10.2.0.7                                                               |
+      | worker-7.example:8080                                                  |
+      | aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa:80 |
+      | 10.2.0.7:                                                              |
+      | 10.2.0.7:0                                                             |
+      | 10.2.0.7:70000                                                         |
+      | 10.2.0.7:²                                                             |
+      | 10.2.0.7:9 x 5000                                                      |
+
+  # UnicodeError and ValueError of the address ended the caller's loop.
+  Scenario Outline: A call to an unreadable address has no effect
+    When "<address>" is called
+    Then the call ends as not done
+
+    Examples:
+      | address              |
+      | 127.0.0..9:8080      |
+      | 127.0.0.9:9 x 5000   |
+      | 127.0.0.9            |
+      | worker-7.example:80  |
 
   Scenario: A worker's report is decoded
     When report '{"clock_ms":5,"born":7,"running":[["5c0e7a21d94b36f8.0.1.17",2,"ab",41,12]],"finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"lapsed",""]]}' is decoded
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import pathlib
+import re
 import struct
 import subprocess
 import sys
@@ -19,6 +20,7 @@
 from amaranthflow_platform import store
 from amaranthflow_platform import wire
 from amaranthflow_platform import worker_links
+from amaranthflow_scheduler import httpclient
 from amaranthflow_scheduler import httpserver
 from amaranthflow_scheduler import model
 from amaranthflow_scheduler import ports
@@ -170,9 +172,29 @@
 
 @behave.when("worker entry '{value}' is decoded")
 def step_entry(context, value):
+    value = _expand(value)
     context.entry = wire.Decoder().worker(b'i-1', value.encode())
 
 
+def _expand(text):
+    """Writes out the repetition of a character, such as "9 x 5000"."""
+    return re.sub(r'(.) x (\d+)', lambda m: m[1] * int(m[2]), text)
+
+
+@behave.when('"{address}" is called')
+def step_call(context, address):
+    async def call():
+        client = httpclient.Client(address=_expand(address), max_conns=1)
+        try:
+            await client.call('GET', '/', timeout_s=0.5)
+        except exceptions.PlatformUncertain:
+            return 'uncertain'
+        except exceptions.PlatformError:
+            return 'not done'
+
+    context.outcome = asyncio.run(call())
+
+
 @behave.then('there is no worker entry')
 def step_no_entry(context):
     assert context.entry is None, context.entry
@@ -380,6 +402,7 @@
 @behave.then('the append ends as {outcome}')
 @behave.then('the start ends as {outcome}')
 @behave.then('the read ends as {outcome}')
+@behave.then('the call ends as {outcome}')
 def step_outcome(context, outcome):
     assert context.outcome == outcome, context.outcome
 
