Deny no job while an append of it may take effect

A caller whose submission got 504 could be told 410 for it a moment later, and a second submission that failed early was answered 503, which promises that the job never runs; the first append then took effect.

Change: an instance counts the appends under way and remembers those without an answer. A query of an unknown job answers 503 meanwhile, unless the job was withdrawn, and a second submission 504. The leader tells other instances.

Instances that know nothing of the append still answer 410 to a query: that it never happens is not claimed.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/job_api.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/job_api.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import typing as t
 
 from amaranthflow import clock as clock_lib
@@ -119,6 +120,7 @@
         self._clock = clock
         self._meters = meters
         self._maybe_stored: dict[ids.JobId, float] = {}
+        self._appending: collections.Counter[ids.JobId] = collections.Counter()
 
     async def submit(
         self,
@@ -152,7 +154,7 @@
                 ms=round(took_s * 1000),
             )
             return
-        certain = outcome.certain
+        certain = outcome.certain and not self._may_be_stored(job.id)
         self._meters.count('jobs_refused' if certain else 'jobs_uncertain')
         logs.event(
             'job_not_accepted',
@@ -219,24 +221,32 @@
         local = self._leader_access.local_leader()
         if local is not None and not self._may_be_stored(job.id):
             await local.admit(job)
-        try:
-            await self._submissions.append(job.id.encode(), value)
-        except exceptions.PlatformUncertain:
-            self._maybe_stored[job.id] = self._clock.monotonic()
-            raise
+        await self._append(job.id, value)
         local = self._leader_access.local_leader()
         if local is not None:
             local.add_stored_job(job)
 
+    async def _append(self, job_id: ids.JobId, value: bytes) -> None:
+        self._appending[job_id] += 1
+        try:
+            await self._submissions.append(job_id.encode(), value)
+        except exceptions.PlatformUncertain:
+            self._maybe_stored[job_id] = self._clock.monotonic()
+            raise
+        finally:
+            self._appending[job_id] -= 1
+            if not self._appending[job_id]:
+                del self._appending[job_id]
+
     def _may_be_stored(self, job_id: ids.JobId) -> bool:
-        """Returns whether an earlier append of a job may still take effect."""
+        """Returns whether an append of a job may still take effect."""
         now_s = self._clock.monotonic()
         self._maybe_stored = {
             key: failed_s
             for key, failed_s in self._maybe_stored.items()
             if now_s - failed_s < _LATE_APPEND_S
         }
-        return job_id in self._maybe_stored
+        return job_id in self._appending or job_id in self._maybe_stored
 
     async def _store_by_leader(self, job: model.Job, value: bytes) -> None:
         message = {'id': job.id, 'record': value.decode()}
@@ -266,6 +276,7 @@
             await self._store_here(job, value)
         except exceptions.AmaranthflowError as exc:
             certain = not isinstance(exc, exceptions.PlatformUncertain)
+            certain = certain and not self._may_be_stored(job_id)
             response = {'stored': False, 'certain': certain}
             response['reason'] = str(exc)
             if isinstance(exc, exceptions.Overloaded):
@@ -275,15 +286,41 @@
         return {'stored': True}
 
     async def state(self, job_id: ids.JobId) -> model.JobState | None:
-        """Returns a job's state, None if unknown. Raises NotReady."""
+        """Returns a job's state, None if unknown.
+
+        Raises NotReady, also for an unknown job that may still be stored.
+        """
 
         async def ask_local(local: leader_lib.Leader) -> dict:
-            state = await local.state(job_id)
-            return {'state': state.value if state is not None else None}
+            return await self.look_up(local, job_id)
 
         response = await self._query_leader('state', {'id': job_id}, ask_local)
-        state = response['state']
-        return model.JobState(state) if state else None
+        if response['state']:
+            return model.JobState(response['state'])
+        if not response.get('withdrawn') and (
+            response.get('may_be_stored') or self._may_be_stored(job_id)
+        ):
+            raise exceptions.NotReady(
+                f'job {job_id} may still be stored',
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+        return None
+
+    async def look_up(
+        self, leader: leader_lib.Leader, job_id: ids.JobId
+    ) -> dict:
+        """Returns what this instance, which leads, knows of a job.
+
+        Raises NotReady.
+        """
+        state = await leader.state(job_id)
+        if state is not None:
+            return {'state': state.value}
+        return {
+            'state': None,
+            'withdrawn': job_id in leader.core.withdrawals,
+            'may_be_stored': self._may_be_stored(job_id),
+        }
 
     async def cancel(self, job_id: ids.JobId) -> bool:
         """Cancels a job; returns False if unknown. Raises NotReady."""
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
@@ -469,8 +469,8 @@
         if name == 'hand_over':
             return await self._hand_over(message)
         if name == 'state':
-            state = await self.leader.state(ids.JobId(str(message['id'])))
-            return {'state': state.value if state is not None else None}
+            job_id = ids.JobId(str(message['id']))
+            return await self.job_api.look_up(self.leader, job_id)
         if name == 'cancel':
             job_id = ids.JobId(str(message['id']))
             return {'known': await self.leader.cancel(job_id)}
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/withdrawals.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/withdrawals.py
@@ -22,6 +22,9 @@
     def __init__(self):
         self._cancelled_ms: dict[ids.JobId, int] = {}
 
+    def __contains__(self, job_id: object) -> bool:
+        return job_id in self._cancelled_ms
+
     def add(self, job_id: ids.JobId, now_ms: int) -> bool:
         """Adds a job; returns False if it was cancelled before."""
         if job_id in self._cancelled_ms:
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -158,6 +158,32 @@
     And task job "a1" is cancelled within 0.5 s
     And 0 task runs were started
 
+  # A query was answered 410 for a job whose append took effect later.
+  Scenario Outline: A job that may still be stored is not reported as unknown
+    Given the store delays 1.0 of its appends
+    When task job "a1" is submitted to <instance> with a timeout of 0.8 s
+    Then its outcome is uncertain
+    And <instance> does not deny task job "a1"
+
+    Examples:
+      | instance       |
+      | the leader     |
+      | a follower     |
+
+  # 503 says that the job never runs; the first append took effect later.
+  Scenario Outline: A job that may still be stored is not refused for good
+    Given the store delays 1.0 of its appends
+    When task job "a1" is submitted to <instance> with a timeout of 0.8 s
+    Then its outcome is uncertain
+    When the store is busy for all task instances
+    And task job "a1" is submitted to <instance> with a timeout of 0.8 s
+    Then its outcome is uncertain
+
+    Examples:
+      | instance       |
+      | the leader     |
+      | a follower     |
+
   Scenario: A withdrawn job is forgotten with the ended ones
     When the unknown task job "a1" is cancelled
     And 130 s pass in the task fleet
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from amaranthflow import exceptions
+from amaranthflow import ids
 from amaranthflow_scheduler import elections
 from amaranthflow_scheduler import jobrecord
 from amaranthflow_scheduler import logs
@@ -437,6 +438,47 @@
     step_kill(context)
 
 
+def _instance(context, which):
+    fleet = context.fleet
+    leads = which == 'the leader'
+    return next(n for n in fleet.nodes if (n == fleet.leader()) is leads)
+
+
+@behave.when(
+    'task job "{job_id}" is submitted to {which} with a timeout of '
+    '{seconds:g} s'
+)
+def step_submit_to(context, job_id, which, seconds):
+    context.fleet.jobs_steps[job_id] = _steps('2x1.0')
+    work = _submit_once(
+        context.fleet,
+        _instance(context, which),
+        job_id,
+        client_timeout_s=seconds,
+    )
+    context.outcome, context.took_s = _run(context, work)
+
+
+@behave.then('its outcome is uncertain')
+def step_outcome_uncertain(context):
+    assert context.outcome == 'unknown', context.outcome
+
+
+@behave.then('{which} does not deny task job "{job_id}"')
+def step_not_denied(context, which, job_id):
+    node = context.fleet.nodes[_instance(context, which)]
+    try:
+        state = _run(context, node.job_api.state(ids.JobId(job_id)))
+    except exceptions.NotReady:
+        return
+    assert state is not None
+
+
+@behave.when('the store is busy for all task instances')
+def step_busy_all(context):
+    context.fleet.store.faults.busy.update(context.fleet.nodes)
+
+
 @behave.then('the task store holds no progress of "{job_id}"')
 def step_no_progress(context, job_id):
     batch = context.fleet.store.newest(ports.Table.PROGRESS)
