Bound what a leader does without a renewal that the store confirms

Cause: a failed renewal had no consequence. The next leader waits for the longest lease before it starts what it cannot see, which covers leases that were renewed up to 3 s after the last record, and no later ones.

Change: for 1.35 s after a confirmed renewal the leader takes new jobs, for 2.85 s it starts runs and renews leases, and after that only while all listed workers report under its token. Renewals are read back when their response is lost, and are repeated sooner.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -19,6 +19,7 @@
 from . import ports
 from . import progress_writer
 from . import scheduler
+from . import tenure
 from . import workers
 
 # Lease that each renewal sets. It is longer than a takeover plus two lost
@@ -50,6 +51,9 @@
 # Key in the progress table, whose other keys are job ids.
 _TAILS_KEY = b'tails'
 _RESIGN_TIMEOUT_S = 0.6
+# A renewal takes a few ms, or a quarter of a second while the store is slow. A
+# lost one and its repetition fit into the time after which others claim.
+_RENEWAL_TIMEOUT_S = 0.6
 # In a pool with some dozens of services, one ends about this often.
 _FULL_POOL_RETRY_AFTER_MS = 5_000
 # Leases last 4.5 s, so another instance can recover before they expire.
@@ -79,6 +83,7 @@
     :ivar recovery_failed: the term ended because the instance could not
         recover the state from the store.
 
+    :param claim_sent_s: time at which the claim was sent, in seconds.
     :param leaders_end: end offset of the leaders table after the claim.
     :param store_was_lost: the store was unavailable a short time ago, so
         entries of workers may be missing.
@@ -89,6 +94,7 @@
         *,
         deps: Dependencies,
         term: elections.Term,
+        claim_sent_s: float,
         leaders_end: int,
         cfg: model.Configuration | None,
         store_was_lost: bool,
@@ -98,6 +104,12 @@
         self._deps = deps
         self._clock = deps.clock
         self._leaders_end = leaders_end
+        self._tenure = tenure.Tenure(
+            claim_sent_s=claim_sent_s,
+            hold_max_s=deps.limits.hold_max_s,
+            lease_s=_LEASE_MS / 1000,
+        )
+        self._suspended = False
         self._store_was_lost = store_was_lost
         self.core = scheduler.Scheduler(
             limits=deps.limits,
@@ -207,13 +219,17 @@
             self.end_term(f'{loop.__name__} failed')
 
     async def _renew_term_loop(self) -> None:
+        pause_s = elections.RENEW_INTERVAL_S
         while True:
-            await asyncio.sleep(elections.RENEW_INTERVAL_S)
+            await asyncio.sleep(pause_s)
             try:
-                await self._renew_term(released=False)
-            except exceptions.AmaranthflowError as exc:
-                logs.event('renewal_failed', error=str(exc))
+                async with asyncio.timeout(_RENEWAL_TIMEOUT_S):
+                    await self._renew_term(released=False)
+            except (TimeoutError, exceptions.AmaranthflowError) as exc:
+                logs.event('renewal_failed', error=repr(exc))
+                pause_s = _STORE_RETRY_S
                 continue
+            pause_s = elections.RENEW_INTERVAL_S
             if self._recovery_stalled():
                 self.recovery_failed = True
                 await self.resign()
@@ -238,6 +254,7 @@
             small=term.small,
         )
         table = ports.Table.LEADERS
+        self._tenure.on_sent(self._leaders_end, self._clock.monotonic())
         try:
             offset = await self._deps.store.append(
                 table,
@@ -248,6 +265,50 @@
             self._leaders_end = await self._end_after_own_record()
             return
         self._leaders_end = offset + 1
+        self._tenure.on_stored(offset)
+
+    def on_leader_record(self, record: ports.Record) -> None:
+        """Handles a record of a leader, which may be a renewal of this term.
+
+        The response to the renewal itself may have been lost.
+        Raises InvalidRecord.
+        """
+        if elections.decode(record).token == self.term.token:
+            self._tenure.on_stored(record.offset)
+
+    def _may_command(self) -> bool:
+        """Returns whether runs may be started and leases renewed.
+
+        Without the store the leader goes on as long as each worker still
+        reports under its token: a newer leader uses no worker before it has
+        set its own token there.
+        """
+        now_s = self._clock.monotonic()
+        return self._tenure.is_valid(now_s) or self.core.hears_all(now_s)
+
+    def _may_take_jobs(self) -> bool:
+        """Returns whether jobs may be taken that the leader does not know.
+
+        A newer leader would start them at once, on workers that still report
+        to this one.
+        """
+        return self._tenure.is_exclusive(self._clock.monotonic())
+
+    def _log_suspension(self) -> None:
+        """Logs when the leader stops to send commands, or sends them again."""
+        suspended = not self._may_command()
+        if suspended is self._suspended:
+            return
+        self._suspended = suspended
+        now_s = self._clock.monotonic()
+        logs.event(
+            'leader_suspended' if suspended else 'leader_resumed',
+            token=self.term.token,
+            unconfirmed_s=round(now_s - self._tenure.confirmed_s, 2),
+            silent_workers=self.core.silent_workers(now_s),
+        )
+        if suspended:
+            self._deps.meters.count('suspensions')
 
     async def _end_after_own_record(self) -> int:
         """Returns the table's end if its newest record belongs to this term.
@@ -258,6 +319,7 @@
         for record in batch.records:
             if elections.decode(record).token != self.term.token:
                 raise ports.Conflict('another instance has claimed leadership')
+            self._tenure.on_stored(record.offset)
         newest = max((r.offset for r in batch.records), default=-1)
         return newest + 1
 
@@ -371,6 +433,9 @@
 
     async def _jobs_loop(self) -> None:
         while True:
+            if not self._may_take_jobs():
+                await asyncio.sleep(_STORE_RETRY_S)
+                continue
             try:
                 batch = await self._deps.store.read(
                     ports.Table.JOBS, self._jobs_end, wait_ms=_JOBS_WAIT_MS
@@ -383,7 +448,8 @@
                 logs.event('jobs_read_failed', error=str(exc))
                 await asyncio.sleep(_STORE_RETRY_S)
                 continue
-            self._add_stored_jobs(batch)
+            if self._may_take_jobs():
+                self._add_stored_jobs(batch)
 
     def _add_stored_jobs(self, batch: ports.Batch) -> None:
         self._jobs_end = max(self._jobs_end, batch.end)
@@ -409,9 +475,11 @@
         """Adds a job whose record is in the store.
 
         Does nothing during recovery, which reads the record together with
-        the job's progress.
+        the job's progress, and while another instance may have been elected.
         """
-        if not self.ready or not self.core.add_job(job):
+        if not self.ready or not self._may_take_jobs():
+            return
+        if not self.core.add_job(job):
             return
         self._deps.meters.count('jobs')
         logs.event(
@@ -522,7 +590,7 @@
         connected = link.connected() and worker.born_ms != 0
         sent_s = self._clock.monotonic()
         deadline_ms = None
-        if connected:
+        if connected and self._may_command():
             deadline_ms = worker.min_clock_ms(sent_s) + _LEASE_MS
             worker.extend_lease(deadline_ms)
         all_stored = worker.stored_end == worker.processed_end
@@ -612,6 +680,9 @@
         if attempt not in worker.attempts:
             return
         now_s = self._clock.monotonic()
+        if not self._may_command():
+            self.core.on_start_failed(attempt, now_s)
+            return
         task = attempt.task
         command = ports.StartCommand(
             task=task.key,
@@ -745,6 +816,7 @@
             await asyncio.sleep(_TICK_S)
             now_s = self._clock.monotonic()
             self._load.on_timer(now_s - due_s)
+            self._log_suspension()
             self.core.tick(now_s)
             self._dispatch()
             # Backoffs of workers end and occurrences of jobs come due.
@@ -772,6 +844,8 @@
             await wanted.wait()
             await asyncio.sleep(max(_PLAN_DELAY_S, _PLAN_PAUSE_RATIO * took_s))
             wanted.clear()
+            if not self._may_command():
+                continue
             started_s = self._clock.monotonic()
             plan(started_s, self._clock.wall_ms())
             took_s = self._clock.monotonic() - started_s
@@ -906,6 +980,8 @@
             raise exceptions.NotReady(reason) from exc
         # If the term has ended during the read, the jobs would be ignored.
         self._check_ready()
+        if not self._may_take_jobs():
+            raise exceptions.NotReady('the leadership is not confirmed')
         self._add_stored_jobs(batch)
 
     def pending_count(self, queue: model.QueueId) -> int:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
@@ -204,6 +204,9 @@
             term = self._observer.on_read(
                 batch, sent_s, self._clock.monotonic()
             )
+            for record in batch.records:
+                if self.leader is not None and record.value:
+                    self.leader.on_leader_record(record)
         except exceptions.InvalidRecord as exc:
             logs.event('record_set_aside', error=str(exc))
             return
@@ -289,6 +292,7 @@
             small=self._is_small,
         )
         end = self._observer.end
+        sent_s = self._clock.monotonic()
         try:
             offset = await self._store.append(
                 ports.Table.LEADERS,
@@ -304,9 +308,9 @@
             logs.event('claim_unanswered', end=end, error=str(exc))
             self._observer.on_read_failure()
             return
-        self._start_term(model.Token(offset + 1))
+        self._start_term(model.Token(offset + 1), sent_s)
 
-    def _start_term(self, token: model.Token) -> None:
+    def _start_term(self, token: model.Token, claim_sent_s: float) -> None:
         term = elections.Term(
             token=token,
             instance=self._identity.instance,
@@ -316,6 +320,7 @@
         self.leader = leader_lib.Leader(
             deps=self._deps,
             term=term,
+            claim_sent_s=claim_sent_s,
             leaders_end=token,
             cfg=self.cfg,
             store_was_lost=self._clock.monotonic() - self._lost_s < _RELIST_S,
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -416,6 +416,24 @@
             and now_s - last_report_s <= _MAX_REPORT_AGE_S
         )
 
+    def silent_workers(self, now_s: float) -> int:
+        """Returns how many listed workers of the queues have no new report."""
+        pools = {queue.service for queue in self._queues.values()}
+        return sum(
+            1
+            for worker in self.workers.values()
+            if worker.unlisted_since_s is None
+            and worker.entry.service in pools
+            and _elapsed_s(worker.last_report_s, now_s) > _MAX_REPORT_AGE_S
+        )
+
+    def hears_all(self, now_s: float) -> bool:
+        """Returns whether each listed worker of the queues has just reported.
+
+        Each report proves that the worker knew no higher token.
+        """
+        return bool(self.workers) and not self.silent_workers(now_s)
+
     def usable(
         self, worker: workers.Worker, now_s: float, *, service: bool = False
     ) -> bool:
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/record_store.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/record_store.py
@@ -19,6 +19,8 @@
     """Faults that are active now.
 
     :ivar silent: instances whose calls time out without effect.
+    :ivar silent_tables: pairs of an instance and a table for which its calls
+        time out without effect.
     :ivar busy: instances whose calls are refused.
     :ivar lost_reply_share: share of appends that take effect but whose reply
         is lost.
@@ -30,6 +32,9 @@
     """
 
     silent: set[str] = dataclasses.field(default_factory=set)
+    silent_tables: set[tuple[str, ports.Table]] = dataclasses.field(
+        default_factory=set
+    )
     busy: set[str] = dataclasses.field(default_factory=set)
     lost_reply_share: float = 0.0
     delayed_share: float = 0.0
@@ -123,14 +128,15 @@
             return table.end
         return table.offsets.get((writer.token, writer.sequence))
 
-    async def reach(self, instance: str) -> None:
+    async def reach(self, instance: str, table: ports.Table) -> None:
         """Simulates the latency of a call, or its failure.
 
         :raises PlatformError: the store is busy.
         :raises PlatformUncertain: the call timed out.
         """
         self.calls += 1
-        if instance in self.faults.silent:
+        silent = (instance, table) in self.faults.silent_tables
+        if silent or instance in self.faults.silent:
             await asyncio.sleep(_TIMEOUT_S)
             raise exceptions.PlatformUncertain('no response')
         if instance in self.faults.busy:
@@ -218,19 +224,19 @@
         writer: ports.Writer | None = None,
     ) -> int:
         """Adds records; see ``ports.Store``."""
-        await self._store.reach(self._instance)
+        await self._store.reach(self._instance, table)
         return await self._store.append(table, items, expected_end, writer)
 
     async def read(
         self, table: ports.Table, start: int, *, wait_ms: int = 0
     ) -> ports.Batch:
         """Returns records from an offset; see ``ports.Store``."""
-        await self._store.reach(self._instance)
+        await self._store.reach(self._instance, table)
         return await self._store.read(table, start, wait_ms)
 
     async def newest(self, table: ports.Table) -> ports.Batch:
         """Returns the newest record of each key; see ``ports.Store``."""
-        await self._store.reach(self._instance)
+        await self._store.reach(self._instance, table)
         if (
             table in _LARGE_TABLES
             and self._instance in self._store.faults.failing_table_reads
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_worker.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_worker.py
@@ -30,6 +30,7 @@
 
     :ivar unreachable_from: instances that cannot reach the worker; "*" stands
         for all of them.
+    :ivar reaches_store: the worker's entries arrive in the store.
     :ivar delayed_share: share of commands that time out and are executed some
         seconds later.
     :ivar lost_reply_share: share of commands that are executed but whose
@@ -40,6 +41,7 @@
     """
 
     unreachable_from: set[str] = dataclasses.field(default_factory=set)
+    reaches_store: bool = True
     delayed_share: float = 0.0
     lost_reply_share: float = 0.0
     fails: bool = False
@@ -319,7 +321,9 @@
     key = worker.id.encode()
     while True:
         seq += 1
-        if worker.up and '*' not in worker.faults.unreachable_from:
+        faults = worker.faults
+        registers = faults.reaches_store and '*' not in faults.unreachable_from
+        if worker.up and registers:
             missed = 0
             store.put(ports.Table.WORKERS, key, encode(worker, seq))
         else:
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -64,6 +64,37 @@
     And 12 task runs were started
     And the task fleet violated no invariant
 
+  # TWICE: the leader led on beside the next one, and each started what ran on
+  # workers that it did not reach.
+  Scenario Outline: A leader that is cut off with some workers runs nothing twice
+    Given task job "a1" with steps "6x40.0" is accepted
+    And 2 s pass in the task fleet
+    When the task fleet's leader is cut off with task workers "<workers>" for <seconds> s
+    And task job "b1" with steps "4x1.0" is accepted
+    And 14 s pass in the task fleet
+    Then the task fleet violated no invariant
+    And task job "b1" is completed within 1 s
+    And 6 tasks run
+
+    Examples:
+      | workers  | seconds |
+      | w1 w2    | 2.5     |
+      | w1 w2    | 5.5     |
+      | w1 w2    | 9       |
+      | w1       | 5.5     |
+      | w1 w2 w3 | 9       |
+
+  # TWICE: a new job was started by the former leader, which still read the
+  # table of jobs, and by the next one, which does not hold new jobs back.
+  Scenario: A leader that cannot renew its term takes no new job
+    Given task job "a1" with steps "2x1.0" is accepted
+    When the table of leaders is lost for the task fleet's leader
+    And the other instances cannot reach it and task workers "w1 w2"
+    And 240 task jobs are accepted in 6 s
+    And 10 s pass in the task fleet
+    Then the task fleet violated no invariant
+    And only another task instance leads
+
   Scenario: An outage of the store neither changes the leader nor ends a run
     Given task job "a1" with steps "4x8.0" is accepted
     And 1 s pass in the task fleet
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -233,6 +233,70 @@
     context.fleet.workers[name].faults.unreachable_from.add('*')
 
 
+def _isolate(fleet, leader, workers, isolated):
+    """Cuts the leader and some workers off from all others, or reconnects."""
+    change = set.add if isolated else set.discard
+    change(fleet.store.faults.silent, leader)
+    change(fleet.frozen, leader)
+    for worker in fleet.workers.values():
+        inside = worker.id in workers
+        worker.faults.reaches_store = not (inside and isolated)
+        for name in fleet.nodes:
+            if (name == leader) is not inside:
+                change(worker.faults.unreachable_from, name)
+
+
+@behave.when(
+    'the task fleet\'s leader is cut off with task workers "{names}" for '
+    '{seconds:g} s'
+)
+def step_isolate(context, names, seconds):
+    fleet = context.fleet
+    cut = (fleet, fleet.leader(), set(names.split()))
+    _isolate(*cut, True)
+    context.loop.call_later(seconds, _isolate, *cut, False)
+
+
+@behave.when("the table of leaders is lost for the task fleet's leader")
+def step_lose_leaders(context):
+    context.former = context.fleet.leader()
+    context.fleet.store.faults.silent_tables.add(
+        (context.former, ports.Table.LEADERS)
+    )
+
+
+@behave.when('the other instances cannot reach it and task workers "{names}"')
+def step_reach_not(context, names):
+    fleet = context.fleet
+    fleet.frozen.add(context.former)
+    for name in names.split():
+        others = set(fleet.nodes) - {context.former}
+        fleet.workers[name].faults.unreachable_from.update(others)
+
+
+@behave.then('only another task instance leads')
+def step_only_other_leads(context):
+    leaders = [n for n, node in context.fleet.nodes.items() if node.leader]
+    assert len(leaders) == 1 and context.former not in leaders, leaders
+
+
+@behave.when('{count:d} task jobs are accepted in {seconds:g} s')
+def step_accept_many(context, count, seconds):
+    async def submit_all():
+        async with asyncio.TaskGroup() as group:
+            for number in range(count):
+                job_id = f'n{number}'
+                context.fleet.jobs_steps[job_id] = _steps('1x1.5')
+                group.create_task(
+                    context.fleet.submit(
+                        job_id, context.fleet.jobs_steps[job_id]
+                    )
+                )
+                await asyncio.sleep(seconds / count)
+
+    _run(context, submit_all())
+
+
 @behave.when('the task worker with the most runs is disconnected')
 def step_disconnect_busiest(context):
     workers = context.fleet.workers.values()
