Send no command once the leader resigns

Around a hand-over both leaders could act: another instance claims as soon as the store has the release, and the former leader went on planning until the response came, 0.6 s at most.

Change: a leader that resigns starts nothing and renews no lease from then on.

Not seen with real processes.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -109,6 +109,7 @@
             hold_max_s=deps.limits.hold_max_s,
             lease_s=_LEASE_MS / 1000,
         )
+        self._resigning = False
         self._suspended = False
         self._store_was_lost = store_was_lost
         self.core = scheduler.Scheduler(
@@ -171,6 +172,8 @@
         if self._ended.is_set():
             return
         has_changes, self.ready = self.ready, False
+        # Another instance may lead as soon as the store has the release.
+        self._resigning = True
         try:
             async with asyncio.timeout(_RESIGN_TIMEOUT_S):
                 if has_changes:
@@ -283,6 +286,8 @@
         reports under its token: a newer leader uses no worker before it has
         set its own token there.
         """
+        if self._resigning:
+            return False
         now_s = self._clock.monotonic()
         return self._tenure.is_valid(now_s) or self.core.hears_all(now_s)
 
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -95,6 +95,16 @@
     Then the task fleet violated no invariant
     And only another task instance leads
 
+  # The former leader sent commands while the next one was elected already.
+  Scenario: A leader that resigns sends no command once it releases the term
+    Given task job "a1" with steps "8x0.5 8x0.5 8x0.5 8x0.5 8x0.5" is accepted
+    And the store's responses take 0.2 s more
+    And 0.8 s pass in the task fleet
+    When the task fleet's leader steps down
+    Then no run has started since the former leader began to resign
+    And task job "a1" is completed within 20 s
+    And the task fleet violated no invariant
+
   Scenario: An outage of the store neither changes the leader nor ends a run
     Given task job "a1" with steps "4x8.0" is accepted
     And 1 s pass in the task fleet
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -25,6 +25,7 @@
 
 _CPU = 1_000
 _SETTLE_S = 3.0
+_COMMAND_S = 0.01  # a command that was sent before arrives within this time
 _FAILING = 'f'
 _DEADLY = 'd'
 _SMALL_FLEET_WORKERS = 4
@@ -187,9 +188,21 @@
 def step_down(context):
     context.before = context.fleet.leader()
     node = context.fleet.nodes[context.before]
+    context.resigned = (node.leader.term.token, context.loop.time())
     _run(context, node.step_down())
 
 
+@behave.then('no run has started since the former leader began to resign')
+def step_none_since(context):
+    token, since_s = context.resigned
+    late = [
+        run
+        for _, run in context.fleet.runs
+        if run.token == token and run.started_s > since_s + _COMMAND_S
+    ]
+    assert not late, late
+
+
 @behave.then('a task instance leads within {seconds:g} s')
 def step_leads(context, seconds):
     _run(context, context.fleet.wait_leader(seconds))
