Hold jobs of unknown queues until the configuration is read

Cause: an instance with the new version accepts the job, and the leader starts it under the queue that the job carries, though its own read of the configuration is late.

Change: a job whose queue the leader does not have, or has otherwise, waits until the leader has read the configuration anew. The reads continue at one offset, which advances before the records are applied.

Ruled out: a version number in the record of a job, which earlier versions could not read.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -66,7 +66,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Dependencies:
-    """Collaborators of a leader."""
+    """Collaborators of a leader.
+
+    :ivar refresh_configuration: reads the newest configuration from the store
+        and applies it; raises platform errors.
+    """
 
     store: ports.Store
     link_factory: ports.WorkerLinkFactory
@@ -75,6 +79,7 @@
     clock: clock_lib.Clock
     meters: metrics.Metrics
     limits: scheduler.Limits
+    refresh_configuration: t.Callable[[], t.Awaitable[None]]
 
 
 class Leader:
@@ -130,6 +135,7 @@
         self._links: dict[ids.WorkerId, tuple[str, ports.WorkerLink]] = {}
         self._replan = asyncio.Event()
         self._replan_opportunistic = asyncio.Event()
+        self._unconfigured = asyncio.Event()
         self._jobs_end = 0
         self._workers_end = 0
         self._group: asyncio.TaskGroup | None = None
@@ -196,6 +202,7 @@
         loops = [
             self._progress_writer.run,
             self._jobs_loop,
+            self._configuration_loop,
             self._workers_loop,
             self._tick_loop,
             self._plan_loop,
@@ -346,6 +353,7 @@
         self._apply_worker_entries(entries, now_s)
         self._workers_end = entries.end
         self._restore(jobs, progress, now_s)
+        self.core.hold_unconfigured(self.core.jobs)
         self.core.hold_restored_jobs(
             now_s, self._clock.wall_ms(), store_was_lost=self._store_was_lost
         )
@@ -486,6 +494,7 @@
             return
         if not self.core.add_job(job):
             return
+        self.core.hold_unconfigured((job.id,))
         self._deps.meters.count('jobs')
         logs.event(
             'job_taken',
@@ -494,8 +503,32 @@
             tasks=sum(step.count for step in job.steps),
             age_ms=self._clock.wall_ms() - job.accepted_ms,
         )
+        self._unconfigured.set()
         self._request_plans()
 
+    async def _configuration_loop(self) -> None:
+        """Reads the configuration for jobs that may need a newer version.
+
+        Otherwise this instance could start a job of a new queue and then
+        answer that there is no such queue.
+        """
+        while True:
+            self._unconfigured.clear()
+            jobs = self.core.unconfigured_jobs()
+            if not jobs:
+                await self._unconfigured.wait()
+                continue
+            try:
+                await self._deps.refresh_configuration()
+            except exceptions.AmaranthflowError as exc:
+                logs.event(
+                    'jobs_await_configuration', jobs=len(jobs), error=str(exc)
+                )
+                await asyncio.sleep(_STORE_RETRY_S)
+                continue
+            self.core.release_unconfigured(jobs)
+            self._request_plans()
+
     async def _workers_loop(self) -> None:
         while True:
             await asyncio.sleep(_WORKERS_POLL_S)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
@@ -81,6 +81,7 @@
             clock=clock,
             meters=meters,
             limits=limits,
+            refresh_configuration=self._refresh_configuration,
         )
         spread = hashlib.sha256(identity.instance.encode()).digest()[0] / 255
         timeout_s = elections.LEADER_TIMEOUT_S + spread * _CLAIM_SPREAD_S
@@ -93,6 +94,7 @@
             store=store, leader_access=self, clock=clock, meters=meters
         )
         self._configured = asyncio.Event()
+        self._configuration_end: int | None = None
         self._last_contact_s = float('-inf')
         self._store_unavailable = False
         self._lost_s = float('-inf')
@@ -378,26 +380,33 @@
     # configuration
 
     async def _follow_configuration(self) -> None:
-        end: int | None = None
         while True:
             try:
-                table = ports.Table.CONFIGURATION
-                if end is None:
-                    batch = await self._store.newest(table)
-                else:
-                    batch = await self._store.read(
-                        table, end, wait_ms=_WAIT_MS
-                    )
-            except exceptions.OffsetExpired:
-                end = None
-                continue
+                await self._read_configuration(wait_ms=_WAIT_MS)
             except exceptions.AmaranthflowError as exc:
                 logs.event('configuration_read_failed', error=str(exc))
                 await asyncio.sleep(_RETRY_S)
-                continue
-            end = batch.end
-            for record in batch.records:
-                self._apply_configuration(record.key, record.value)
+
+    async def _read_configuration(self, *, wait_ms: int) -> None:
+        """Reads and applies the records since the last read.
+
+        Raises platform errors.
+        """
+        table = ports.Table.CONFIGURATION
+        start = self._configuration_end
+        try:
+            if start is None:
+                batch = await self._store.newest(table)
+            else:
+                batch = await self._store.read(table, start, wait_ms=wait_ms)
+        except exceptions.OffsetExpired:
+            batch = await self._store.newest(table)
+        self._configuration_end = max(batch.end, self._configuration_end or 0)
+        for record in batch.records:
+            self._apply_configuration(record.key, record.value)
+
+    async def _refresh_configuration(self) -> None:
+        await self._read_configuration(wait_ms=0)
 
     def _apply_configuration(self, key: bytes, value: bytes) -> None:
         cfg = self._decoder.configuration(key, value) if value else None
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -121,6 +121,7 @@
         self._reservations = reservations.Reservations()
         self.advice = advice.Advice()
         self._held_jobs: set[ids.JobId] = set()
+        self._unconfigured_jobs: set[ids.JobId] = set()
         self._held_until_s = now_s
         self._unknown_lease_end_s = now_s + self._max_lease_s()
 
@@ -139,6 +140,28 @@
         for queue in cfg.queues:
             self._queues[queue.id] = queue
 
+    def hold_unconfigured(self, job_ids: t.Iterable[ids.JobId]) -> None:
+        """Holds those of the jobs whose queue the configuration has otherwise.
+
+        They were accepted under another version, which may be newer. They
+        start nothing until ``release_unconfigured``.
+        """
+        for job_id in job_ids:
+            queue = self.jobs[job_id].job.queue
+            if self._queues.get(queue.id) != queue:
+                self._unconfigured_jobs.add(job_id)
+
+    def unconfigured_jobs(self) -> frozenset[ids.JobId]:
+        """Returns the jobs that wait for the newest configuration."""
+        return frozenset(self._unconfigured_jobs)
+
+    def release_unconfigured(self, job_ids: t.Iterable[ids.JobId]) -> None:
+        """Lets jobs start now that the newest configuration is known."""
+        self._unconfigured_jobs.difference_update(job_ids)
+
+    def _is_held(self, job_id: ids.JobId) -> bool:
+        return job_id in self._held_jobs or job_id in self._unconfigured_jobs
+
     def queue_of(self, job: model.Job) -> model.Queue:
         """Returns the current configuration of a job's queue."""
         return self._queues.get(job.queue.id, job.queue)
@@ -1078,7 +1101,7 @@
         self, attempt: execution.Attempt, now_s: float, why: str
     ) -> None:
         task = attempt.task
-        if task.key.job in self._held_jobs or task.crashes:
+        if self._is_held(task.key.job) or task.crashes:
             return
         if task.done or len(task.attempts) > 1 or task.step_run.job_run.ended:
             return
@@ -1134,7 +1157,7 @@
         """
         found = []
         for job_run in self._active.values():
-            if job_run.ended or job_run.job.id in self._held_jobs:
+            if job_run.ended or self._is_held(job_run.job.id):
                 continue
             job_run.open_due_occurrences(now_ms)
             steps = [
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
@@ -149,15 +149,18 @@
     loop: virtual_time.VirtualLoop,
     **fields: t.Any,
 ) -> model.Job:
-    """Returns a job of the only queue, accepted at the loop's present time."""
-    return model.Job(
+    """Returns a job of the only queue, accepted at the loop's present time.
+
+    :param fields: fields of the job that differ.
+    """
+    job = model.Job(
         id=ids.JobId(job_id),
         queue=QUEUE,
         payload='payload',
         steps=tuple(steps),
         accepted_ms=loop.wall_ms(),
-        **fields,
     )
+    return dataclasses.replace(job, **fields)
 
 
 class TaskFleet(task_history.TaskHistory):
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -395,6 +395,26 @@
     When 20 task jobs are submitted one after the other
     Then 18 of them are accepted within 0.5 s
 
+  # CONFIG: the leader started a job of a new queue, which another instance had
+  # accepted, and then answered that there is no such queue.
+  Scenario: A job of an unknown queue waits until the leader has read the configuration
+    Given the table of configurations is lost for the task fleet's leader
+    When task job "a1" of another queue is accepted
+    And 2 s pass in the task fleet
+    Then no task runs
+    And task job "a1" is pending within 0.1 s
+    When the table of configurations is back
+    Then task job "a1" is completed within 2 s
+    And the task fleet violated no invariant
+
+  Scenario: Jobs of a queue that was removed start
+    When task job "a1" of another queue is accepted
+    Then task job "a1" is completed within 1 s
+    When task job "b1" of another queue is accepted
+    And the task fleet's leader is killed
+    Then task job "b1" is completed within 9 s
+    And the task fleet violated no invariant
+
   Scenario: An undecodable configuration stops no instance
     When an undecodable configuration is stored
     And 1 s pass in the task fleet
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import contextlib
+import dataclasses
 import io
 from unittest import mock
 
@@ -792,6 +793,33 @@
     context.fleet.workers[name].replace()
 
 
+@behave.given(
+    "the table of configurations is lost for the task fleet's leader"
+)
+def step_lose_configuration(context):
+    fleet = context.fleet
+    fleet.store.faults.silent_tables.add(
+        (fleet.leader(), ports.Table.CONFIGURATION)
+    )
+    # The read under way ends.
+    _run(context, asyncio.sleep(1.5))
+
+
+@behave.when('the table of configurations is back')
+def step_configuration_back(context):
+    context.fleet.store.faults.silent_tables.clear()
+
+
+@behave.when('task job "{job_id}" of another queue is accepted')
+def step_submit_to_other_queue(context, job_id):
+    steps = _steps('2x0.5')
+    context.fleet.jobs_steps[job_id] = steps
+    queue = dataclasses.replace(
+        task_fleet.QUEUE, id=model.QueueId('other'), prefix='/other/'
+    )
+    _run(context, context.fleet.submit(job_id, steps, queue=queue))
+
+
 @behave.when('an undecodable configuration is stored')
 def step_bad_configuration(context):
     store = context.fleet.store
