Close the idle connections of a pool when a call times out

After a network fault that leaves open connections silent, each idle one cost the next call a timeout, so that reads of the configuration or of the leaders could fail several times in a row.

Change: a timeout closes the idle connections of its pool. Those in use are left to their own timeouts.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/httpclient.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/httpclient.py
@@ -31,7 +31,10 @@
 
 
 class Connection(asyncio.Protocol):
-    """A connection that handles one call at a time."""
+    """A connection that handles one call at a time.
+
+    :ivar timed_out: a call got no response in time.
+    """
 
     def __init__(self):
         self._transport: asyncio.Transport | None = None
@@ -40,6 +43,7 @@
         self._body: list[bytes] = []
         self._timer: asyncio.TimerHandle | None = None
         self.open = False
+        self.timed_out = False
 
     # asyncio.Protocol
 
@@ -126,6 +130,7 @@
         if self._fut is not None and not self._fut.done():
             reason = f'no response within {timeout_s:.2f} s'
             self._fut.set_exception(exceptions.PlatformUncertain(reason))
+        self.timed_out = True
         self.abort()
 
     def abort(self) -> None:
@@ -195,6 +200,8 @@
                     self._idle.append(conn)
                 else:
                     self._all.discard(conn)
+                if conn.timed_out:
+                    self._drop_idle()
 
     def head(
         self,
@@ -222,6 +229,16 @@
         self._all.add(conn)
         return conn
 
+    def _drop_idle(self) -> None:
+        """Closes the idle connections, which may be as silent as one was.
+
+        Otherwise each of them would cost the next calls a timeout.
+        """
+        for conn in self._idle:
+            conn.abort()
+            self._all.discard(conn)
+        self._idle.clear()
+
     def close(self) -> None:
         """Closes all connections; pending calls raise PlatformUncertain."""
         for conn in list(self._all):
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -119,6 +119,13 @@
     When a record is appended
     Then the append ends as uncertain
 
+  # Each idle connection that had become silent cost the next call a timeout, so
+  # that a read of the configuration could fail several times in a row.
+  Scenario: A timeout closes the other idle connections
+    Given a store whose open connections become silent after 4 calls at a time
+    When calls are made one after the other
+    Then only the first of them times out
+
   Scenario: A table that arrives slowly is read completely
     Given a store that sends a table's page in 5 pieces, one each 0.3 s
     When the newest records are read
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -1,6 +1,7 @@
 """Steps for the adapter's features. Connections are on the loopback only."""
 
 import asyncio
+import contextlib
 import json
 import pathlib
 import re
@@ -318,6 +319,59 @@
     context.page = (sent, count, 0.1)
 
 
+@behave.given(
+    'a store whose open connections become silent after {count:d} calls at a '
+    'time'
+)
+def step_silent_connections(context, count):
+    context.parallel = count
+
+
+@behave.when('calls are made one after the other')
+def step_calls_in_turn(context):
+    context.outcomes = asyncio.run(_call_silent(context.parallel))
+
+
+async def _call_silent(parallel):
+    silent = set()
+    writers = set()
+
+    async def serve(reader, writer):
+        writers.add(writer)
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while await reader.readuntil(b'\r\n\r\n'):
+                await asyncio.sleep(0.02)
+                if writer not in silent:
+                    writer.write(
+                        b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+                    )
+
+    server = await asyncio.start_server(serve, _HOST, 0)
+    port = server.sockets[0].getsockname()[1]
+    client = httpclient.Client(address=f'{_HOST}:{port}', max_conns=parallel)
+
+    async def call():
+        try:
+            await client.call('GET', '/', timeout_s=0.2)
+            return True
+        except exceptions.PlatformUncertain:
+            return False
+
+    try:
+        await asyncio.gather(*(call() for _ in range(parallel)))
+        silent.update(writers)
+        return [await call() for _ in range(parallel)]
+    finally:
+        client.close()
+        server.close()
+
+
+@behave.then('only the first of them times out')
+def step_first_times_out(context):
+    outcomes = context.outcomes
+    assert outcomes == [False] + [True] * (len(outcomes) - 1), outcomes
+
+
 @behave.when('the newest records are read')
 def step_newest(context):
     context.outcome = asyncio.run(_newest_in_pieces(*context.page))
