--- /dev/null
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/decoding.py
@@ -0,0 +1,20 @@
+"""Decoding of JSON that another program has written."""
+
+import typing as t
+
+import msgspec
+
+from amaranthflow import exceptions
+
+
+def decode(value: bytes, kind: t.Any = t.Any) -> t.Any:
+    """Returns the value as an object of a type.
+
+    Raises InvalidRecord whatever is wrong with the value: besides invalid
+    JSON and other types, the decoder refuses deeply nested values with
+    RecursionError.
+    """
+    try:
+        return msgspec.json.decode(value, type=kind)
+    except (ValueError, RecursionError) as exc:
+        raise exceptions.InvalidRecord(str(exc)) from exc
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/peering.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/peering.py
@@ -4,6 +4,7 @@
 
 from amaranthflow import exceptions
 
+from . import decoding
 from . import httpclient
 from . import httpserver
 from . import node as node_lib
@@ -36,8 +37,8 @@
             reason = f'{name} at {address}: status {response.status}'
             raise exceptions.PlatformUncertain(reason)
         try:
-            return msgspec.json.decode(response.body)
-        except msgspec.MsgspecError as exc:
+            return decoding.decode(response.body, dict)
+        except exceptions.InvalidRecord as exc:
             reason = f'{name} at {address}: {exc}'
             raise exceptions.PlatformUncertain(reason) from exc
 
@@ -59,12 +60,12 @@
         if not req.path.startswith(_PREFIX):
             return httpserver.Response(status=404)
         try:
-            message = msgspec.json.decode(req.body)
+            message = decoding.decode(req.body, dict)
             name = req.path.removeprefix(_PREFIX)
             result = await self._node.handle_call(name, message)
         except exceptions.NotReady:
             return httpserver.Response(status=503)
-        except (exceptions.AmaranthflowError, msgspec.MsgspecError, KeyError):
+        except (exceptions.AmaranthflowError, KeyError):
             return httpserver.Response(status=400)
         return httpserver.Response(
             status=200, body=msgspec.json.encode(result)
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -74,6 +74,29 @@
       | 10.2.0.7:²                                                             |
       | 10.2.0.7:9 x 5000                                                      |
 
+  # An entry of another writer whose exception ended the term of each leader, or
+  # whose numbers and id raised it later.
+  Scenario Outline: An odd worker entry is ignored
+    When worker entry '{"service":"s","address":"10.2.0.7:80","zone":"z","state":"ready","capacity":{"cpu":1,"mem_mb":1}<more>}' of worker "<key>" is decoded
+    Then there is no worker entry
+
+    Examples:
+      | key        | more                                         |
+      | i-1        | ,"x":[ x 100000                              |
+      | i-1        | ,"x":{"a": x 100000                          |
+      | i-1        | ,"capacity":{"cpu":9 x 400,"mem_mb":1}       |
+      | i-1        | ,"capacity":{"cpu":-1,"mem_mb":1}            |
+      | i-1        | ,"born":9 x 400                              |
+      | i-1        | ,"born":-1                                   |
+      | i-1        | ,"remaining_ms":1e308                        |
+      | i-1        | ,"labels":[1]                                |
+      | i-1\r\nA:b |                                              |
+      | ü          |                                              |
+
+  Scenario: A worker entry with an unknown field is used
+    When worker entry '{"service":"s","address":"10.2.0.7:80","zone":"z","state":"ready","capacity":{"cpu":1,"mem_mb":1},"x":[[1]]}' of worker "i-1" is decoded
+    Then there is a worker entry
+
   # UnicodeError and ValueError of the address ended the caller's loop.
   Scenario Outline: A call to an unreadable address has no effect
     When "<address>" is called
@@ -94,9 +117,28 @@
     When report '{"clock_ms":5,"born":7,"finished":[[1,"x","y"]]}' is decoded
     Then the outcome of the call is uncertain
 
+  # The names and numbers of such a report ended the term of each leader.
+  Scenario Outline: An odd report leaves the outcome uncertain
+    When report '<body>' is decoded
+    Then the outcome of the call is uncertain
+
+    Examples:
+      | body                                                                          |
+      | {"clock_ms":5,"born":7,"x":[ x 100000                                         |
+      | {"clock_ms":5,"born":7,"running":[["a.0.0.0","2","",1]]}                      |
+      | {"clock_ms":5,"born":7,"running":[["a.0.0.0",2,7,1]]}                         |
+      | {"clock_ms":5,"born":7,"running":[["a.0.0.0",2,"","nan"]]}                    |
+      | {"clock_ms":5,"born":7,"running":[["a.0.0.9 x 5000",2,"",1]]}                 |
+      | {"clock_ms":5,"born":7,"running":[["a.0.0.0",9 x 400,"",1]]}                  |
+      | {"clock_ms":5,"born":7,"running":[[{},2,"",1]]}                               |
+      | {"clock_ms":5,"born":7,"finished":[["1","a.0.0.0",1,"done",""]]}              |
+      | {"clock_ms":5,"born":7,"finished":[[1,"a.0.0.0",1,"gone",""]]}                |
+      | {"clock_ms":9 x 400,"born":7}                                                 |
+
   Scenario: Configurations are decoded and other records ignored
     Then the decoded configuration has 2 queues and the longest prefix wins
     And a configuration record "nonsense" is ignored
+    And a configuration record "{"version":1,"routes":[],"services":[],"x":[ x 100000" is ignored
 
   Scenario Outline: Statuses of the store are mapped to outcomes
     Given a store that responds <status> with '<body>'
@@ -249,6 +291,8 @@
       | status | body         |
       | 429    | {}           |
       | 200    | {"good":[1]} |
+      | 200    | {"good":[],"valid_ms":9 x 400} |
+      | 200    | {"x":[ x 100000 |
 
   Scenario: A link is not connected until the worker has reported
     Given a worker that responds 421 with '{}'
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -178,8 +178,21 @@
 
 
 def _expand(text):
-    """Writes out the repetition of a character, such as "9 x 5000"."""
-    return re.sub(r'(.) x (\d+)', lambda m: m[1] * int(m[2]), text)
+    """Writes out repetitions: of a digit or of what nests JSON deeper."""
+    return re.sub(
+        r'(\d|\[|{"a":) x (\d+)', lambda match: match[1] * int(match[2]), text
+    )
+
+
+@behave.when('worker entry \'{value}\' of worker "{key}" is decoded')
+def step_entry_of(context, value, key):
+    key = key.encode().decode('unicode_escape').encode('latin-1')
+    context.entry = wire.Decoder().worker(key, _expand(value).encode())
+
+
+@behave.then('there is a worker entry')
+def step_has_entry(context):
+    assert context.entry is not None
 
 
 @behave.when('"{address}" is called')
@@ -205,7 +218,7 @@
 def step_report(context, body):
     context.error = None
     try:
-        context.report = wire.decode_report(body.encode())
+        context.report = wire.decode_report(_expand(body).encode())
     except exceptions.PlatformUncertain as exc:
         context.error = exc
 
@@ -252,6 +265,7 @@
 @behave.then('a configuration record "{value}" is ignored')
 def step_no_configuration(context, value):
     decoder = wire.Decoder()
+    value = _expand(value)
     assert decoder.configuration(b'config', value.encode()) is None
     assert decoder.configuration(b'wave/1', b'{}') is None
 
@@ -293,7 +307,7 @@
 @behave.given("a store that responds {status:d} with '{body}'")
 @behave.given("a worker that responds {status:d} with '{body}'")
 def step_answering(context, status, body):
-    context.handler = _answering(status, body.encode())
+    context.handler = _answering(status, _expand(body).encode())
 
 
 @behave.given('a store that never responds')
