--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -161,6 +161,46 @@
     When a record is appended
     Then the append ends as uncertain
 
+  # One odd record ended the reader's loop, or made the whole table unreadable.
+  Scenario Outline: An odd record of a table does not hide the others
+    Given a store that lists an odd record <odd> before a sound one
+    When the newest records are listed
+    Then the sound record is among them
+
+    Examples:
+      | odd                                             |
+      | {"key":"Ω","value":"dg==","offset":0}           |
+      | {"key":"a","value":"dg","offset":0}             |
+      | {"key":"a","value":null,"offset":0}             |
+      | {"key":7,"value":"dg==","offset":0}             |
+      | {"key":"a","value":"dg==","offset":"0"}         |
+      | [ x 100                                         |
+
+  # The key went into the next page's query as it was.
+  Scenario Outline: A table is listed on after a page that ends with an odd key
+    Given a store whose first page ends with the key "<key>"
+    When the newest records are listed
+    Then the second page was asked for after "<key>"
+
+    Examples:
+      | key     |
+      | a&b=c d |
+      | Ω       |
+      | a#%     |
+
+  # A frame without a key ended every read of the table at its offset.
+  Scenario Outline: A malformed record of a table does not hide the others
+    Given a store whose table has the framed record <frame> before a sound one
+    When the table is read from 5
+    Then the sound record is read at 6
+
+    Examples:
+      | frame                |
+      | 00000000             |
+      | 00000001 05          |
+      | 00000003 05 61 62    |
+      | 00000001 00          |
+
   # Each idle connection that had become silent cost the next call a timeout, so
   # that a read of the configuration could fail several times in a row.
   Scenario: A timeout closes the other idle connections
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 import types
+import urllib.parse
 
 import behave
 
@@ -386,6 +387,70 @@
     assert outcomes == [False] + [True] * (len(outcomes) - 1), outcomes
 
 
+_SOUND = '{"key":"sound","value":"dg==","offset":9}'
+
+
+@behave.given('a store that lists an odd record {odd} before a sound one')
+def step_odd_item(context, odd):
+    odd = _expand(odd)
+    if odd.startswith('['):
+        odd += ']' * len(odd)
+    body = f'{{"items":[{odd},{_SOUND}],"end":10}}'
+    context.handler = _answering(200, body.encode())
+
+
+@behave.given('a store whose first page ends with the key "{key}"')
+def step_odd_key(context, key):
+    item = json.dumps({'key': key, 'value': 'dg==', 'offset': 3})
+    context.queries = []
+
+    async def handler(req):
+        query = dict(urllib.parse.parse_qsl(req.path.partition('?')[2]))
+        context.queries.append(query)
+        more = 'false' if 'after' in query else 'true'
+        body = f'{{"items":[{item}],"more":{more},"end":10}}'
+        return httpserver.Response(status=200, body=body.encode())
+
+    context.handler = handler
+
+
+@behave.when('the newest records are listed')
+def step_list(context):
+    async def work(address):
+        return await store.Store(address=address).newest(ports.Table.WORKERS)
+
+    context.batch = _with_server(context, work)
+
+
+@behave.then('the sound record is among them')
+def step_sound_listed(context):
+    assert ports.Record(9, b'sound', b'v') in context.batch.records
+
+
+@behave.then('the second page was asked for after "{key}"')
+def step_after(context, key):
+    assert context.queries[1]['after'] == key, context.queries
+
+
+@behave.given(
+    'a store whose table has the framed record {frame} before a sound one'
+)
+def step_odd_frame(context, frame):
+    body = struct.pack('>QQ', 7, 0) + bytes.fromhex(frame)
+    body += store.encode_record(b'sound', b'v')
+
+    async def handler(req):
+        return httpserver.Response(status=200, body=body)
+
+    context.handler = handler
+
+
+@behave.then('the sound record is read at {offset:d}')
+def step_sound_read(context, offset):
+    assert context.batch.records[-1] == ports.Record(offset, b'sound', b'v')
+    assert context.batch.end == offset + 1
+
+
 @behave.when('the newest records are read')
 def step_newest(context):
     context.outcome = asyncio.run(_newest_in_pieces(*context.page))
