Set aside odd records in the table of leaders

One record of another writer in this table ended the loop in which an instance follows the leader, each time it was read, or failed all renewals of the leader, so that its term ended.

Cause: the decoder took any type for a token and an address, records of other keys counted as a leader's, and one that could not be decoded hid the rest of its batch.

Change: the fields are typed, a token above the record's offset is refused (the store gives no such token), and records are set aside one by one. After a conflict the leader reads on from its own last record, so that an odd record hides no claim. Odd records do not break the silence after which others claim.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/elections.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/elections.py
@@ -8,12 +8,15 @@
 """
 
 import dataclasses
+import typing as t
 
 import msgspec
 
 from amaranthflow import exceptions
 from amaranthflow import ids
 
+from . import decoding
+from . import logs
 from . import model
 from . import ports
 
@@ -89,27 +92,51 @@
     return msgspec.json.encode(fields)
 
 
+class _Record(msgspec.Struct):
+    instance: str
+    address: str
+    token: t.Annotated[int, msgspec.Meta(ge=1)] | None = None  # none: a claim
+    released: bool = False
+    small: bool = False
+
+
 def decode(record: ports.Record) -> Term:
     """Returns the term of a leader record. Raises InvalidRecord."""
     try:
-        fields = msgspec.json.decode(record.value)
-        token = fields.get('token') or record.offset + 1
-        return Term(
-            token=model.Token(token),
-            instance=ids.InstanceId(fields['instance']),
-            address=str(fields['address']),
-            released=bool(fields.get('released')),
-            small=bool(fields.get('small')),
-        )
-    except (
-        msgspec.MsgspecError,
-        ValueError,
-        TypeError,
-        KeyError,
-        AttributeError,
-    ) as exc:
+        fields = decoding.decode(record.value, _Record)
+    except exceptions.InvalidRecord as exc:
         reason = f'leader record at {record.offset}: {exc}'
         raise exceptions.InvalidRecord(reason) from exc
+    claim_token = record.offset + 1
+    token = claim_token if fields.token is None else fields.token
+    if token > claim_token:
+        reason = f'leader record at {record.offset}: token {token} is too high'
+        raise exceptions.InvalidRecord(reason)
+    return Term(
+        token=model.Token(token),
+        instance=ids.InstanceId(fields.instance),
+        address=fields.address,
+        released=fields.released,
+        small=fields.small,
+    )
+
+
+def read_terms(
+    records: t.Iterable[ports.Record],
+) -> t.Iterator[tuple[int, Term]]:
+    """Yields the offsets and terms of leader records.
+
+    Records of other writers are logged and left out.
+    """
+    for record in records:
+        if record.key != KEY or not record.value:
+            continue
+        try:
+            yield record.offset, decode(record)
+        except exceptions.InvalidRecord as exc:
+            logs.event(
+                'record_set_aside', offset=record.offset, error=str(exc)
+            )
 
 
 class Observer:
@@ -147,21 +174,19 @@
 
         :param sent_s: time at which the read was sent, in seconds.
         :param now_s: time at which the response arrived, in seconds.
-
-        Raises InvalidRecord.
         """
         gap = (
             self._last_read_s is None
             or sent_s - self._last_read_s > _MAX_READ_GAP_S
         )
         self._last_read_s = now_s
-        if gap or batch.records or self._silent_since_s is None:
+        terms = [term for _, term in read_terms(batch.records)]
+        if gap or terms or self._silent_since_s is None:
             self._silent_since_s = now_s
         self.end = batch.end
         previous = self.term
-        for record in batch.records:
-            if record.value:
-                self.term = decode(record)
+        if terms:
+            self.term = terms[-1]
         if previous is None or self.term is None:
             self._term_since_s = now_s
         elif self.term.token != previous.token:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -277,14 +277,14 @@
         self._leaders_end = offset + 1
         self._tenure.on_stored(offset)
 
-    def on_leader_record(self, record: ports.Record) -> None:
-        """Handles a record of a leader, which may be a renewal of this term.
+    def on_leader_records(self, records: t.Iterable[ports.Record]) -> None:
+        """Handles records of leaders, among them renewals of this term.
 
-        The response to the renewal itself may have been lost.
-        Raises InvalidRecord.
+        The responses to the renewals themselves may have been lost.
         """
-        if elections.decode(record).token == self.term.token:
-            self._tenure.on_stored(record.offset)
+        for offset, term in elections.read_terms(records):
+            if term.token == self.term.token:
+                self._tenure.on_stored(offset)
 
     def _may_command(self) -> bool:
         """Returns whether runs may be started and leases renewed.
@@ -323,17 +323,22 @@
             self._deps.meters.count('suspensions')
 
     async def _end_after_own_record(self) -> int:
-        """Returns the table's end if its newest record belongs to this term.
+        """Returns the table's end if no other instance has claimed.
 
-        Raises Conflict if another instance has claimed.
+        Raises Conflict if one has, or if this cannot be told any more.
         """
-        batch = await self._deps.store.newest(ports.Table.LEADERS)
-        for record in batch.records:
-            if elections.decode(record).token != self.term.token:
+        table = ports.Table.LEADERS
+        try:
+            batch = await self._deps.store.read(table, self._leaders_end)
+        except exceptions.OffsetExpired:
+            batch = await self._deps.store.newest(table)
+            if not list(elections.read_terms(batch.records)):
+                raise ports.Conflict('no record of a leader is left') from None
+        for _, term in elections.read_terms(batch.records):
+            if term.token != self.term.token:
                 raise ports.Conflict('another instance has claimed leadership')
-            self._tenure.on_stored(record.offset)
-        newest = max((r.offset for r in batch.records), default=-1)
-        return newest + 1
+        self.on_leader_records(batch.records)
+        return batch.end
 
     # recovery
 
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
@@ -202,16 +202,9 @@
         return ports.Batch(batch.records, end)
 
     def _apply_leader_records(self, batch: ports.Batch, sent_s: float) -> None:
-        try:
-            term = self._observer.on_read(
-                batch, sent_s, self._clock.monotonic()
-            )
-            for record in batch.records:
-                if self.leader is not None and record.value:
-                    self.leader.on_leader_record(record)
-        except exceptions.InvalidRecord as exc:
-            logs.event('record_set_aside', error=str(exc))
-            return
+        term = self._observer.on_read(batch, sent_s, self._clock.monotonic())
+        if self.leader is not None:
+            self.leader.on_leader_records(batch.records)
         if term is not None:
             logs.event(
                 'leader_known',
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -415,6 +415,27 @@
     Then task job "b1" is completed within 9 s
     And the task fleet violated no invariant
 
+  # Such a record ended the loop in which all instances follow the leader, for
+  # good, or the term of the leader.
+  Scenario Outline: An odd record in the table of leaders changes no leader
+    Given task job "a1" with steps "2x9.0" is accepted
+    When the record '<value>' of "<key>" is added to the table of leaders
+    And 6 s pass in the task fleet
+    Then the task fleet has had 1 term
+    When the task fleet's leader is killed
+    Then another task instance leads within 4 s
+    And task job "a1" is completed within 14 s
+
+    Examples:
+      | key    | value                                                          |
+      | other  | {"instance":"x","address":"x","token":1}                       |
+      | leader | nonsense                                                       |
+      | leader | [ x 100000                                                     |
+      | leader | {"instance":"x","address":"x","token":"9"}                     |
+      | leader | {"instance":"x","address":"x","token":9 x 30}                  |
+      | leader | {"instance":"x","address":{},"token":2}                        |
+      | leader | {"instance":"x","address":"x","released":"no"}                 |
+
   Scenario: An undecodable configuration stops no instance
     When an undecodable configuration is stored
     And 1 s pass in the task fleet
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import io
+import re
 from unittest import mock
 
 import behave
@@ -820,6 +821,15 @@
     _run(context, context.fleet.submit(job_id, steps, queue=queue))
 
 
+@behave.when(
+    'the record \'{value}\' of "{key}" is added to the table of leaders'
+)
+def step_odd_leader(context, value, key):
+    context.before = context.fleet.leader()
+    value = re.sub(r'(.) x (\d+)', lambda m: m[1] * int(m[2]), value)
+    context.fleet.store.put(ports.Table.LEADERS, key.encode(), value.encode())
+
+
 @behave.when('an undecodable configuration is stored')
 def step_bad_configuration(context):
     store = context.fleet.store
