Check the types of records of jobs and of their progress

A record of another writer in these tables that is valid JSON with other types was taken, and raised as the job was planned or its report compared, which ended the term of each leader.

Change: both records are decoded into typed fields, ranges included, and a job record has to pass the checks of a submission.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
@@ -14,6 +14,7 @@
 from amaranthflow import exceptions
 from amaranthflow import ids
 
+from . import decoding
 from . import model
 
 _FORMAT = 1  # increase it when the meaning of a field changes
@@ -447,6 +448,47 @@
     ]
 
 
+_Count = t.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+
+
+class _Fields(msgspec.Struct, array_like=True):
+    """Fields of a progress record in the order of its format."""
+
+    format: int
+    state: model.JobState
+    started: int
+    ended_ms: _Count
+    first_run_number: _Count
+    closed: list[_Count]
+    complete_steps: list[tuple[_Count, _Count]]
+    # Occurrence, step, index, done, next run, failed runs, checkpoint and the
+    # workers and numbers of the attempts.
+    tasks: list[
+        tuple[
+            _Count,
+            _Count,
+            _Count,
+            int,
+            _Count,
+            list[_Count],
+            str,
+            list[tuple[str, _Count]],
+        ]
+    ]
+    # Occurrence, step, index, crashes, isolated crashes and the attempts'
+    # workers, numbers, incarnations and whether they are isolated.
+    suspects: list[
+        tuple[
+            _Count,
+            _Count,
+            _Count,
+            _Count,
+            _Count,
+            list[tuple[str, _Count, _Count, bool]],
+        ]
+    ] = []
+
+
 def decode_ended(job_id: ids.JobId, value: bytes) -> EndedJob:
     """Returns the final state of a job whose job record was dropped.
 
@@ -454,8 +496,8 @@
     ended.
     """
     with _raising_invalid_record(job_id):
-        _, state, _, ended_ms, *_ = _decode_fields(value)
-        ended = EndedJob(model.JobState(state), int(ended_ms))
+        fields = _decode_fields(value)
+    ended = EndedJob(fields.state, fields.ended_ms)
     if ended.state not in model.TERMINAL_STATES:
         raise exceptions.InvalidRecord(
             f'job {job_id} has not ended and has no job record'
@@ -470,31 +512,21 @@
     Raises InvalidRecord if the record cannot be read.
     """
     with _raising_invalid_record(job_run.job.id):
-        (
-            _,
-            state,
-            started,
-            ended_ms,
-            first_run_number,
-            closed,
-            complete_steps,
-            tasks,
-            *optional,
-        ) = _decode_fields(value)
-        job_run.state = job_run.recorded_state = model.JobState(state)
-        job_run.started = bool(started)
-        job_run.ended_ms = ended_ms
+        fields = _decode_fields(value)
+        job_run.state = job_run.recorded_state = fields.state
+        job_run.started = bool(fields.started)
+        job_run.ended_ms = fields.ended_ms
         job_run.first_run_number = max(
-            job_run.first_run_number, first_run_number
+            job_run.first_run_number, fields.first_run_number
         )
-        job_run.closed_occurrences = set(closed)
-        for occurrence, number in complete_steps:
+        job_run.closed_occurrences = set(fields.closed)
+        for occurrence, number in fields.complete_steps:
             step_run = _find_or_open_step(job_run, occurrence, number)
             for task in step_run.tasks:
                 step_run.mark_done(task)
-        for row in tasks:
+        for row in fields.tasks:
             _restore_task(job_run, row, now_s)
-        for row in optional[0] if optional else ():
+        for row in fields.suspects:
             _restore_suspect(job_run, row)
 
 
@@ -503,23 +535,17 @@
     """Raises InvalidRecord for errors that an unreadable record causes."""
     try:
         yield
-    except (
-        msgspec.MsgspecError,
-        ValueError,
-        TypeError,
-        IndexError,
-        KeyError,
-    ) as exc:
+    except (exceptions.InvalidRecord, IndexError) as exc:
         reason = f'progress of job {job_id}: {exc}'
         raise exceptions.InvalidRecord(reason) from exc
 
 
-def _decode_fields(value: bytes) -> list:
-    """Returns the fields of a progress record in the order of its format."""
-    fields = msgspec.json.decode(value)
-    if fields[0] != _FORMAT:
+def _decode_fields(value: bytes) -> _Fields:
+    """Raises InvalidRecord."""
+    fields = decoding.decode(value, _Fields)
+    if fields.format != _FORMAT:
         raise exceptions.InvalidRecord(
-            f'unknown format {fields[0]} of a progress record'
+            f'unknown format {fields.format} of a progress record'
         )
     return fields
 
@@ -527,12 +553,14 @@
 def _find_or_open_step(
     job_run: JobRun, occurrence: int, number: int
 ) -> StepRun:
+    if occurrence >= job_run.job.occurrence_count:
+        raise IndexError(f'there is no occurrence {occurrence}')
     if occurrence not in job_run.open_occurrences:
         job_run.open_occurrence(occurrence)
     return job_run.open_occurrences[occurrence][number]
 
 
-def _restore_task(job_run: JobRun, row: list, now_s: float) -> None:
+def _restore_task(job_run: JobRun, row: tuple, now_s: float) -> None:
     occurrence, number, index, done, next_run, failed, checkpoint, attempts = (
         row
     )
@@ -557,15 +585,15 @@
         task.add_attempt(attempt)
 
 
-def _restore_suspect(job_run: JobRun, row: list) -> None:
+def _restore_suspect(job_run: JobRun, row: tuple) -> None:
     occurrence, number, index, crashes, isolated_crashes, attempts = row
     step_run = _find_or_open_step(job_run, occurrence, number)
     step_run.suspected = True
     task = step_run.tasks[index]
-    task.crashes = int(crashes)
-    task.isolated_crashes = int(isolated_crashes)
+    task.crashes = crashes
+    task.isolated_crashes = isolated_crashes
     sent = {(worker, run): rest for worker, run, *rest in attempts}
     for attempt in task.attempts:
         born_ms, isolated = sent.get((attempt.worker, attempt.run), (0, False))
-        attempt.born_ms = int(born_ms)
-        attempt.isolated = bool(isolated)
+        attempt.born_ms = born_ms
+        attempt.isolated = isolated
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/jobrecord.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/jobrecord.py
@@ -7,6 +7,7 @@
 from amaranthflow import exceptions
 from amaranthflow import ids
 
+from . import decoding
 from . import model
 
 _FORMAT = 1  # increase it when the meaning of a field changes
@@ -38,28 +39,34 @@
     return fields
 
 
+class _Record(msgspec.Struct):
+    format: int
+    queue: model.Queue
+    payload: str
+    steps: tuple[model.Step, ...]
+    accepted_ms: int
+    occurrences: int = 0
+    first_due_ms: int = 0
+    interval_ms: int = 0
+
+
 def decode(job_id: ids.JobId, value: bytes) -> model.Job:
     """Returns the job. Raises InvalidRecord if it cannot be read."""
     try:
-        fields = msgspec.json.decode(value)
-        if fields.pop('format') != _FORMAT:
-            raise exceptions.InvalidRecord(
-                f'unknown record format of job {job_id}'
-            )
-        queue = model.Queue(**fields.pop('queue'))
-        steps = tuple(_decode_step(step) for step in fields.pop('steps'))
-        return model.Job(id=job_id, queue=queue, steps=steps, **fields)
-    except (
-        msgspec.MsgspecError,
-        ValueError,
-        TypeError,
-        KeyError,
-        AttributeError,
-    ) as exc:
+        fields = decoding.decode(value, _Record)
+        if fields.format != _FORMAT:
+            raise exceptions.InvalidRecord(f'unknown format {fields.format}')
+        job = model.Job(
+            id=job_id,
+            queue=fields.queue,
+            payload=fields.payload,
+            steps=fields.steps,
+            accepted_ms=fields.accepted_ms,
+            occurrences=fields.occurrences,
+            first_due_ms=fields.first_due_ms,
+            interval_ms=fields.interval_ms,
+        )
+        model.validate_job(job)
+    except (exceptions.InvalidRecord, exceptions.RequestRefused) as exc:
         raise exceptions.InvalidRecord(f'job {job_id}: {exc}') from exc
-
-
-def _decode_step(fields: dict) -> model.Step:
-    fields['resources'] = model.Resources(*fields.get('resources', ()))
-    fields['after'] = tuple(fields.get('after', ()))
-    return model.Step(**fields)
+    return job
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/model.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/model.py
@@ -16,6 +16,9 @@
 RunNumber = t.NewType('RunNumber', int)
 
 _MAX_TASKS_PER_JOB = 10_000  # bounds the memory that one job takes
+# Sums of a few thousand amounts are exact as floats; times are Unix ms.
+_MAX_AMOUNT = 2**40
+_MAX_TIME_MS = 2**53
 
 
 class TaskKey(t.NamedTuple):
@@ -250,6 +253,11 @@
     """Raises RequestRefused if a job can never be executed."""
     if not job.steps:
         raise exceptions.RequestRefused('a job needs at least one step')
+    times = (job.accepted_ms, job.first_due_ms, job.interval_ms)
+    if not all(0 <= time <= _MAX_TIME_MS for time in times):
+        raise exceptions.RequestRefused('a time of the job is out of range')
+    if not 0 <= job.occurrences <= _MAX_TASKS_PER_JOB:
+        raise exceptions.RequestRefused('too many or too few occurrences')
     total = sum(step.count for step in job.steps) * job.occurrence_count
     if total > _MAX_TASKS_PER_JOB:
         reason = (
@@ -260,6 +268,16 @@
         if step.count < 1:
             reason = f'step {number} has no tasks'
             raise exceptions.RequestRefused(reason)
+        amounts = (
+            *step.resources,
+            step.estimate_ms,
+            step.max_per_worker,
+            step.tail_target_ms,
+            step.max_unavailable,
+        )
+        if not all(0 <= amount <= _MAX_AMOUNT for amount in amounts):
+            reason = f'step {number} has an amount out of range'
+            raise exceptions.RequestRefused(reason)
         if any(not 0 <= n < number for n in step.after):
             reason = (
                 f'step {number} depends on a step that does not precede it'
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/tail_latency.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/tail_latency.py
@@ -18,6 +18,7 @@
 from amaranthflow import ids
 from amaranthflow import interference
 
+from . import decoding
 from . import execution
 from . import model
 from . import workers
@@ -115,8 +116,8 @@
         the record cannot be read.
         """
         try:
-            fields = msgspec.json.decode(value, type=tuple[int, list[_Row]])
-        except (msgspec.MsgspecError, ValueError) as exc:
+            fields = decoding.decode(value, tuple[int, list[_Row]])
+        except exceptions.InvalidRecord as exc:
             raise exceptions.InvalidRecord(
                 f'interference coefficients: {exc}'
             ) from exc
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/withdrawals.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/withdrawals.py
@@ -10,6 +10,8 @@
 from amaranthflow import exceptions
 from amaranthflow import ids
 
+from . import decoding
+
 # Versions that do not know this state set the record aside.
 _HEAD = [1, 'withdrawn', 0]
 _PREFIX = msgspec.json.encode(_HEAD)[:-1]
@@ -59,8 +61,8 @@
         if not value.startswith(_PREFIX):
             return False
         try:
-            record = msgspec.json.decode(value, type=_Record)
-        except msgspec.MsgspecError as exc:
+            record = decoding.decode(value, _Record)
+        except exceptions.InvalidRecord as exc:
             reason = f'withdrawal of job {job_id}: {exc}'
             raise exceptions.InvalidRecord(reason) from exc
         self._cancelled_ms[job_id] = record[-1]
--- a/tests/amaranthflow_scheduler/decisions.feature
+++ b/tests/amaranthflow_scheduler/decisions.feature
@@ -16,6 +16,16 @@
       | [1,"resting",1,0,1,[],[],[]]    |
       | [1,"running",1,0,1,[],[[0,7]],[]] |
       | nothing                         |
+      | [1,"running",1,0,1,[],[[9,0]],[]] |
+      | [1,"running",1,0,1,[],[[0,-1]],[]] |
+      | [1,"running",1,0,1,["a"],[],[]] |
+      | [1,"running",1,0,"a",[],[],[]] |
+      | [1,"running",1,0,1,[],[],[[0,0,0,0,"2",[],"",[]]]] |
+      | [1,"running",1,0,1,[],[],[[0,0,0,0,2,7,"",[]]]] |
+      | [1,"running",1,0,1,[],[],[[0,0,0,0,2,[],7,[]]]] |
+      | [1,"running",1,0,1,[],[],[[0,0,0,0,2,[],"",[[1,1]]]]] |
+      | [1,"running",1,0,1,[],[],[],[[0]]] |
+      | [1,"running",1,0,1,[],[],[],7] |
 
   Scenario Outline: An invalid progress record of an ended job is refused
     When the progress record "<record>" of a job without a job record is restored
@@ -30,6 +40,30 @@
       | [1,"failed",1,"late",1,[],[],[]] |
       | nothing                         |
 
+  # A record with other types ended the term of each leader that planned the job.
+  Scenario Outline: An invalid job record is refused
+    When the job record with <field> as <value> is decoded
+    Then it is refused as an invalid record
+
+    Examples:
+      | field         | value                                            |
+      | format        | 9                                                |
+      | queue         | {}                                               |
+      | queue         | 7                                                |
+      | payload       | 7                                                |
+      | steps         | []                                               |
+      | steps         | [{"count":"1"}]                                  |
+      | steps         | [{"count":0,"resources":[1,1,0]}]                |
+      | steps         | [{"count":99999,"resources":[1,1,0]}]            |
+      | steps         | [{"count":1,"resources":[-1,1,0]}]               |
+      | steps         | [{"count":1,"resources":["1",1,0]}]              |
+      | steps         | [{"count":1,"resources":[1,1,0],"after":[0]}]    |
+      | steps         | [{"count":1,"resources":[1,1,0],"estimate_ms":"1"}] |
+      | accepted_ms   | "1"                                              |
+      | occurrences   | -1                                               |
+      | interval_ms   | null                                             |
+      | surprise      | [ x 100000                                       |
+
   Scenario: A job record restores the job
     When a job with every field set is encoded and decoded
     Then the decoded job equals the original
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -113,6 +113,11 @@
     When report '{"clock_ms":5,"born":7,"running":[["5c0e7a21d94b36f8.0.1.17",2,"ab",41,12]],"finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"lapsed",""]]}' is decoded
     Then the report has a run at 41 percent with gauge 12 and an end numbered 58
 
+  # Its worker's reports could not be read, and its leases were not renewed.
+  Scenario: A run of a job whose id has dots is decoded
+    When report '{"clock_ms":5,"born":7,"running":[["a.b.0.1.17",2,"",41]]}' is decoded
+    Then the report has a run of job "a.b"
+
   Scenario: A malformed report leaves the outcome uncertain
     When report '{"clock_ms":5,"born":7,"finished":[[1,"x","y"]]}' is decoded
     Then the outcome of the call is uncertain
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -236,6 +236,13 @@
     assert (end.number, end.ending) == (number, model.RunOutcome.LEASE_EXPIRED)
 
 
+@behave.then('the report has a run of job "{job_id}"')
+def step_reported_job(context, job_id):
+    assert context.error is None, context.error
+    (run,) = context.report.running
+    assert run.task == model.TaskKey(ids.JobId(job_id), 0, 1, 17)
+
+
 @behave.then('the outcome of the call is uncertain')
 def step_uncertain(context):
     assert context.error is not None
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -1,7 +1,9 @@
 """Steps for the scheduler's decisions.feature."""
 
 import dataclasses
+import json
 import random
+import re
 from unittest import mock
 
 import behave
@@ -154,6 +156,21 @@
         context.error = exc
 
 
+@behave.when('the job record with {field} as {value} is decoded')
+def step_bad_job(context, field, value):
+    fields = json.loads(jobrecord.encode(_job('j1', _step())))
+    fields[field] = None
+    value = re.sub(r'(.) x (\d+)', lambda m: m[1] * int(m[2]), value)
+    record = json.dumps(fields).replace(
+        f'"{field}": null', f'"{field}": {value}'
+    )
+    context.error = None
+    try:
+        jobrecord.decode(ids.JobId('j1'), record.encode())
+    except exceptions.InvalidRecord as exc:
+        context.error = exc
+
+
 @behave.then('it is refused as an invalid record')
 def step_refused(context):
     assert 'j1' in str(context.error) or 'format' in str(context.error)
