Keep an error in handling one worker's report from ending the term

What one worker reported could raise beyond the decoder, and ended the term of this leader and of the next one, which read the same report. A text of another program that JSON cannot hold did the same as it was logged.

Change: such an error is logged, and the worker gets neither renewals nor runs until a report can be handled. A log line whose values cannot be encoded is written with their texts.

Without the stop of renewals the job of the scenario stayed on the worker for good.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -586,7 +586,7 @@
 
     async def _worker_loop(self, worker: workers.Worker) -> None:
         """Renews the leases of one worker until the worker is removed."""
-        lost = False
+        lost = failed = False
         while True:
             if self.core.drop_worker(worker.id, self._clock.monotonic()):
                 self._drop_link(worker.id)
@@ -595,10 +595,12 @@
                 await asyncio.sleep(_RENEWAL_PAUSE_S)
                 continue
             try:
-                await self._renew_leases(worker)
+                # Without a renewal the runs of a worker whose reports cannot
+                # be handled end, and may start elsewhere.
+                await self._renew_leases(worker, extend=not failed)
                 if lost:
                     logs.event('worker_back', worker=worker.id)
-                lost = False
+                lost = failed = False
             except ports.CommandRefused as exc:
                 if exc.refusal is ports.Refusal.STALE_TOKEN:
                     self.end_term(f'worker {worker.id} has a higher token')
@@ -614,6 +616,16 @@
                     self._log_worker_lost(worker, exc)
                 lost = True
                 await asyncio.sleep(_RENEWAL_PAUSE_S)
+            except ports.Conflict:
+                raise
+            except Exception as exc:
+                # What one worker reports must not end the term, as the next
+                # leader would read the same report.
+                logs.event('report_failed', worker=worker.id, error=repr(exc))
+                self._deps.meters.count('reports_failed')
+                self.core.on_report_failed(worker)
+                failed = True
+                await asyncio.sleep(_RENEWAL_PAUSE_S)
 
     def _log_worker_lost(self, worker: workers.Worker, exc: Exception) -> None:
         now_s = self._clock.monotonic()
@@ -626,14 +638,20 @@
         )
         self._deps.meters.count('workers_lost')
 
-    async def _renew_leases(self, worker: workers.Worker) -> None:
+    async def _renew_leases(
+        self, worker: workers.Worker, *, extend: bool
+    ) -> None:
+        """Asks a worker for a report.
+
+        :param extend: also renew the leases of its runs if possible.
+        """
         link = self._link(worker)
         # The first call on a connection may reach another incarnation of the
         # worker. It must neither acknowledge ends nor rely on the known clock.
         connected = link.connected() and worker.born_ms != 0
         sent_s = self._clock.monotonic()
         deadline_ms = None
-        if connected and self._may_command():
+        if connected and extend and self._may_command():
             deadline_ms = worker.min_clock_ms(sent_s) + _LEASE_MS
             worker.extend_lease(deadline_ms)
         all_stored = worker.stored_end == worker.processed_end
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/logs.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/logs.py
@@ -59,6 +59,11 @@
         'time': round(time.time(), 3),
         'event': name,
         'instance': _log.instance,
-        **fields,
     }
-    _log.writer.write(msgspec.json.encode(line, enc_hook=str) + b'\n')
+    try:
+        encoded = msgspec.json.encode(line | fields, enc_hook=str)
+    except (ValueError, OverflowError, RecursionError):
+        # A value of another program must not end the work that is logged.
+        texts = {key: ascii(value) for key, value in fields.items()}
+        encoded = msgspec.json.encode(line | texts)
+    _log.writer.write(encoded + b'\n')
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -522,6 +522,13 @@
         self.tail_model.observe(worker, now_s, now_ms)
         self._adjust_paces(worker, now_s)
 
+    def on_report_failed(self, worker: workers.Worker) -> None:
+        """Handles that a worker's report could not be handled.
+
+        The worker gets no run until one can.
+        """
+        worker.last_report_s = None
+
     def on_worker_replaced(
         self, worker: workers.Worker, now_s: float, now_ms: int
     ) -> None:
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -436,6 +436,27 @@
       | leader | {"instance":"x","address":{},"token":2}                        |
       | leader | {"instance":"x","address":"x","released":"no"}                 |
 
+  # An exception that the report of one worker raised ended each leader's term.
+  Scenario: A report that cannot be handled costs only its worker
+    Given each report of task worker "w1" raises an error
+    When task job "a1" with steps "6x1.0 6x1.0" is accepted
+    Then task job "a1" is completed within 12 s
+    And the task fleet has had 1 term
+    And the task fleet violated no invariant
+
+  # Numbers of other writers that JSON of the log cannot hold raised an error.
+  Scenario Outline: Any value can be logged
+    Given the task fleet's log is collected
+    When a line with the odd value <value> is logged
+    Then the line is in the log
+
+    Examples:
+      | value            |
+      | large            |
+      | large in a table |
+      | surrogate        |
+      | bytes            |
+
   Scenario: An undecodable configuration stops no instance
     When an undecodable configuration is stored
     And 1 s pass in the task fleet
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -19,6 +19,7 @@
 from amaranthflow_scheduler import model
 from amaranthflow_scheduler import placement
 from amaranthflow_scheduler import ports
+from amaranthflow_scheduler import scheduler
 from amaranthflow_standins import task_fleet
 from amaranthflow_standins import task_fuzz
 from amaranthflow_standins import task_history
@@ -830,6 +831,38 @@
     context.fleet.store.put(ports.Table.LEADERS, key.encode(), value.encode())
 
 
+@behave.given('each report of task worker "{name}" raises an error')
+def step_raising_reports(context, name):
+    context.before = context.fleet.leader()
+    on_report = scheduler.Scheduler.on_report
+
+    def raise_for_one(core, worker, *args):
+        if worker.id == name:
+            raise OverflowError('int too large to convert to float')
+        on_report(core, worker, *args)
+
+    patch = mock.patch.object(scheduler.Scheduler, 'on_report', raise_for_one)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@behave.when('a line with the odd value {value} is logged')
+def step_log_value(context, value):
+    odd_values = {
+        'large': 10**400,
+        'large in a table': {1: 2**80},
+        'surrogate': '\ud800',
+        'bytes': b'\xff',
+    }
+    logs.event('odd_value', value=odd_values[value])
+
+
+@behave.then('the line is in the log')
+def step_logged(context):
+    step_complete_log(context)
+    assert len(_lines(context, 'odd_value')) == 1
+
+
 @behave.when('an undecodable configuration is stored')
 def step_bad_configuration(context):
     store = context.fleet.store
