Let a stopped attempt expire when its start is not answered

Cause: the member that was stopped before its start timed out kept no time from which the start is void, so that it was never removed and the gang waited for it.

Change: an unanswered start sets that time also for a stopped attempt.

Evidence: the scenario failed before (129 of 130 passed), and passes now.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -966,6 +966,10 @@
         :param expired_s: time from which the worker no longer executes the
             command.
         """
+        if attempt.state is execution.AttemptState.STOPPING:
+            if attempt.visible_from_s is None:
+                attempt.visible_from_s = expired_s
+            return
         if attempt.state is not execution.AttemptState.SENT:
             return
         worker = self.workers.get(attempt.worker)
--- a/tests/amaranthflow_scheduler/decisions.feature
+++ b/tests/amaranthflow_scheduler/decisions.feature
@@ -298,6 +298,15 @@
     And its members are sent and one is refused
     Then the other 3 members are stopped
 
+  # The attempt that was stopped before its start was unanswered stayed for good,
+  # and the gang waited for it.
+  Scenario: A gang starts again after a loss of two workers while it starts
+    Given a scheduler with 4 workers that answer
+    When a gang of 4 tasks of one core is planned
+    And its members are sent, one is refused and the others are not answered
+    And the worker of the unanswered starts is silent for 10 s
+    Then 4 runs are planned with one number
+
   Scenario: Leaders that stored nothing use different run numbers
     When 3 successive leaders start the task of one job and store nothing
     Then the 3 runs have different numbers, each higher than the one before
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -936,6 +936,25 @@
     )
 
 
+@behave.when(
+    'its members are sent, one is refused and the others are not answered'
+)
+def step_member_unanswered(context):
+    step_member_refused(context)
+    for attempt in context.attempts[1:]:
+        context.core.on_start_uncertain(attempt, 2.0, 0.7)
+
+
+@behave.when('the worker of the unanswered starts is silent for {seconds:g} s')
+def step_silent_starts(context, seconds):
+    silent = {attempt.worker for attempt in context.attempts[1:]}
+    for worker in context.core.workers.values():
+        if worker.id not in silent:
+            _report(context.core, worker, [], seconds)
+    context.core.tick(seconds)
+    _plan(context, seconds + 0.1)
+
+
 @behave.then('the other {count:d} members are stopped')
 def step_members_stopped(context, count):
     stops = [
