Keep only the last failures of a service's task

Cause: its progress record listed each failed run, grew beyond what the store takes, and the writer repeated the refused append, with everything else behind it.

Change: the last eight failures of a service's task are kept.

A job of several thousand tasks with checkpoints can still have a record that is too large.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
@@ -22,6 +22,8 @@
 # second and a task is started a few times a second at most, so that the run
 # numbers of two leaders never overlap.
 _RUN_NUMBERS_PER_TOKEN = 1_000
+# A service's task may fail any number of times, and its record is limited.
+_MAX_SERVICE_FAILURES = 8
 
 
 class AttemptState(enum.Enum):
@@ -103,7 +105,8 @@
     """A task and its attempts.
 
     :ivar next_run: lowest run number that was not used yet.
-    :ivar failed_runs: numbers of the runs that failed.
+    :ivar failed_runs: numbers of the runs that failed; of a service's task
+        only the last few.
     :ivar failed_on: workers on which these runs failed.
     :ivar checkpoint: newest known checkpoint, or empty.
     :ivar attempts: the attempts that may still run.
@@ -137,6 +140,14 @@
         self.step_run.waiting -= self.waiting
         self.attempts.append(attempt)
 
+    def add_failure(self, run: model.RunNumber, worker: ids.WorkerId) -> None:
+        """Adds a failed run and its worker."""
+        self.failed_runs.append(run)
+        self.failed_on.append(worker)
+        if self.step_run.step.service:
+            del self.failed_runs[:-_MAX_SERVICE_FAILURES]
+            del self.failed_on[:-_MAX_SERVICE_FAILURES]
+
     def remove_attempt(self, attempt: Attempt) -> None:
         """Removes an attempt; does nothing if it was removed before."""
         if attempt in self.attempts:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -725,8 +725,7 @@
     ) -> None:
         job_run = task.step_run.job_run
         if run not in task.failed_runs:
-            task.failed_runs.append(run)
-            task.failed_on.append(worker.id)
+            task.add_failure(run, worker.id)
             self._record_failure(worker, job_run.job.id, now_s)
         if task.step_run.step.service or job_run.ended or task.done:
             return
--- a/tests/amaranthflow_scheduler/decisions.feature
+++ b/tests/amaranthflow_scheduler/decisions.feature
@@ -298,6 +298,13 @@
     And its members are sent and one is refused
     Then the other 3 members are stopped
 
+  # The record of one job grew until the store refused it, and with it all others.
+  Scenario: The record of a service does not grow with its failures
+    Given a scheduler with 2 workers that answer
+    When a task of a service fails 20000 times
+    Then its progress record has at most 500 bytes
+    And the restored task starts with a higher number
+
   # The attempt that was stopped before its start was unanswered stayed for good,
   # and the gang waited for it.
   Scenario: A gang starts again after a loss of two workers while it starts
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -936,6 +936,34 @@
     )
 
 
+@behave.when('a task of a service fails {count:d} times')
+def step_service_fails(context, count):
+    core = context.core
+    core.add_job(_job('s1', _step(service=True)))
+    key = model.TaskKey(ids.JobId('s1'), 0, 0, 0)
+    core.jobs[key.job].open_due_occurrences(0)
+    worker = core.workers[ids.WorkerId('w1')]
+    for number in range(1, count + 1):
+        run = model.RunNumber(number)
+        end = ports.RunEnd(number, key, run, model.RunOutcome.FAILED, '')
+        _report(core, worker, [end], 0.2)
+    context.runs = count
+
+
+@behave.then('its progress record has at most {size:d} bytes')
+def step_record_size(context, size):
+    context.value = context.core.progress_record(ids.JobId('s1'))
+    assert len(context.value) <= size, len(context.value)
+
+
+@behave.then('the restored task starts with a higher number')
+def step_restored_number(context):
+    restored = execution.JobRun(job=_job('s1', _step(service=True)))
+    execution.restore(restored, context.value, 0.0)
+    task = restored.open_occurrences[0][0].tasks[0]
+    assert task.next_run > context.runs, task.next_run
+
+
 @behave.when(
     'its members are sent, one is refused and the others are not answered'
 )
