Guard that lost responses to renewals hold up no job

A scenario of its own: while all renewals are stored and none is answered, the leader may take jobs at any time.

Failed try, not kept: taking a renewal that was read back as the table's new end, so that the next one need not find it by a conflict.

--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -95,6 +95,12 @@
     Then the task fleet violated no invariant
     And only another task instance leads
 
+  # Each second renewal only found that the one before was stored.
+  Scenario: A leader whose renewals are stored but not answered takes all jobs
+    Given 1 s pass in the task fleet
+    When the responses to renewals of the term are lost
+    Then the leader may take jobs at any time within 8 s
+
   # The former leader sent commands while the next one was elected already.
   Scenario: A leader that resigns sends no command once it releases the term
     Given task job "a1" with steps "8x0.5 8x0.5 8x0.5 8x0.5 8x0.5" is accepted
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -20,6 +20,7 @@
 from amaranthflow_scheduler import placement
 from amaranthflow_scheduler import ports
 from amaranthflow_scheduler import scheduler
+from amaranthflow_standins import record_store
 from amaranthflow_standins import task_fleet
 from amaranthflow_standins import task_fuzz
 from amaranthflow_standins import task_history
@@ -28,6 +29,7 @@
 
 _CPU = 1_000
 _SETTLE_S = 3.0
+_LOST_REPLY_S = 0.9  # timeout of the client
 _COMMAND_S = 0.01  # a command that was sent before arrives within this time
 _FAILING = 'f'
 _DEADLY = 'd'
@@ -195,6 +197,34 @@
     _run(context, node.step_down())
 
 
+@behave.when('the responses to renewals of the term are lost')
+def step_lose_renewals(context):
+    append = record_store.StoreLink.append
+
+    async def append_unanswered(link, table, items, **options):
+        offset = await append(link, table, items, **options)
+        if table is ports.Table.LEADERS:
+            await asyncio.sleep(_LOST_REPLY_S)
+            raise exceptions.PlatformUncertain('no response')
+        return offset
+
+    patch = mock.patch.object(
+        record_store.StoreLink, 'append', append_unanswered
+    )
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@behave.then('the leader may take jobs at any time within {seconds:g} s')
+def step_may_take(context, seconds):
+    leader = context.fleet.nodes[context.fleet.leader()].leader
+    end_s = context.loop.time() + seconds
+    while context.loop.time() < end_s:
+        _run(context, asyncio.sleep(0.02))
+        assert leader._may_take_jobs(), context.loop.time()
+    assert leader is context.fleet.nodes[context.fleet.leader()].leader
+
+
 @behave.then('no run has started since the former leader began to resign')
 def step_none_since(context):
     token, since_s = context.resigned
