Allow for clocks that differ in the leader's tenure for longer leases

Cause: the share by which another instance's clock may be fast was taken of its waiting time before the claim only. With leases of 10 s the last command of a former leader could end 0.1 s after the next leader's wait, on clocks that differ by 2 percent; with 6 s, 0.01 s.

Change: the share is taken of the whole wait. With leases of 6 s the tenure is 2.7 s instead of 2.85 s.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/tenure.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/tenure.py
@@ -27,8 +27,10 @@
         self, *, claim_sent_s: float, hold_max_s: float, lease_s: float
     ):
         self.confirmed_s = claim_sent_s
-        self._exclusive_s = _CERTAIN_SHARE * elections.LEADER_TIMEOUT_S
-        self._valid_s = self._exclusive_s + max(0.0, hold_max_s - lease_s)
+        wait_s = elections.LEADER_TIMEOUT_S
+        self._exclusive_s = _CERTAIN_SHARE * wait_s
+        wait_s += max(0.0, hold_max_s - lease_s)
+        self._valid_s = _CERTAIN_SHARE * wait_s
         self._sent_s: dict[int, float] = {}
 
     def on_sent(self, end: int, now_s: float) -> None:
--- a/tests/amaranthflow_scheduler/decisions.feature
+++ b/tests/amaranthflow_scheduler/decisions.feature
@@ -298,6 +298,19 @@
     And its members are sent and one is refused
     Then the other 3 members are stopped
 
+  # Over a longer lease the clocks of instances differ by more.
+  Scenario Outline: What a leader commands last ends before the next one relies on it
+    Given leases of <lease> s where workers grant <longest> s
+    When a leader renews a lease at the end of its tenure
+    Then it ends before the next leader's wait, on clocks that differ by 2 percent
+
+    Examples:
+      | lease | longest |
+      | 4.5   | 4.5     |
+      | 4.5   | 6       |
+      | 4.5   | 10      |
+      | 4.5   | 20      |
+
   # The record of one job grew until the store refused it, and with it all others.
   Scenario: The record of a service does not grow with its failures
     Given a scheduler with 2 workers that answer
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -26,6 +26,7 @@
 from amaranthflow_scheduler import scheduler
 from amaranthflow_scheduler import stragglers
 from amaranthflow_scheduler import tail_latency
+from amaranthflow_scheduler import tenure
 from amaranthflow_scheduler import workers
 from amaranthflow_standins import task_fleet
 
@@ -936,6 +937,35 @@
     )
 
 
+@behave.given('leases of {lease:g} s where workers grant {longest:g} s')
+def step_leases(context, lease, longest):
+    context.lease_s, context.longest_s = lease, longest
+
+
+@behave.when('a leader renews a lease at the end of its tenure')
+def step_last_renewal(context):
+    found = tenure.Tenure(
+        claim_sent_s=0.0,
+        hold_max_s=context.longest_s,
+        lease_s=context.lease_s,
+    )
+    context.renewed_s = max(
+        ms / 1000 for ms in range(30_000) if found.is_valid(ms / 1000)
+    )
+
+
+@behave.then(
+    "it ends before the next leader's wait, on clocks that differ by "
+    '{percent:d} percent'
+)
+def step_ends_before(context, percent):
+    slow, fast = 1 - percent / 100, 1 + percent / 100
+    ends_s = (context.renewed_s + context.lease_s) / slow
+    # The next leader counts the longest lease on the worker's slow clock.
+    waits_s = elections.LEADER_TIMEOUT_S + context.longest_s / slow
+    assert ends_s < waits_s / fast, (ends_s, waits_s / fast)
+
+
 @behave.when('a task of a service fails {count:d} times')
 def step_service_fails(context, count):
     core = context.core
