--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
@@ -459,7 +459,7 @@
     ]
 
 
-_Count = t.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+_Number = t.Annotated[int, msgspec.Meta(ge=0, le=model.MAX_TIME_MS)]
 
 
 class _Fields(msgspec.Struct, array_like=True):
@@ -468,34 +468,34 @@
     format: int
     state: model.JobState
     started: int
-    ended_ms: _Count
-    first_run_number: _Count
-    closed: list[_Count]
-    complete_steps: list[tuple[_Count, _Count]]
+    ended_ms: _Number
+    first_run_number: _Number
+    closed: list[_Number]
+    complete_steps: list[tuple[_Number, _Number]]
     # Occurrence, step, index, done, next run, failed runs, checkpoint and the
     # workers and numbers of the attempts.
     tasks: list[
         tuple[
-            _Count,
-            _Count,
-            _Count,
+            _Number,
+            _Number,
+            _Number,
             int,
-            _Count,
-            list[_Count],
+            _Number,
+            list[_Number],
             str,
-            list[tuple[str, _Count]],
+            list[tuple[str, _Number]],
         ]
     ]
     # Occurrence, step, index, crashes, isolated crashes and the attempts'
     # workers, numbers, incarnations and whether they are isolated.
     suspects: list[
         tuple[
-            _Count,
-            _Count,
-            _Count,
-            _Count,
-            _Count,
-            list[tuple[str, _Count, _Count, bool]],
+            _Number,
+            _Number,
+            _Number,
+            _Number,
+            _Number,
+            list[tuple[str, _Number, _Number, bool]],
         ]
     ] = []
 
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/model.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/model.py
@@ -16,9 +16,9 @@
 RunNumber = t.NewType('RunNumber', int)
 
 _MAX_TASKS_PER_JOB = 10_000  # bounds the memory that one job takes
-# Sums of a few thousand amounts are exact as floats; times are Unix ms.
-_MAX_AMOUNT = 2**40
-_MAX_TIME_MS = 2**53
+# Sums of a few thousand amounts, and all times, are exact as floats.
+MAX_AMOUNT = 2**40
+MAX_TIME_MS = 2**53
 
 
 class TaskKey(t.NamedTuple):
@@ -254,7 +254,7 @@
     if not job.steps:
         raise exceptions.RequestRefused('a job needs at least one step')
     times = (job.accepted_ms, job.first_due_ms, job.interval_ms)
-    if not all(0 <= time <= _MAX_TIME_MS for time in times):
+    if not all(0 <= time <= MAX_TIME_MS for time in times):
         raise exceptions.RequestRefused('a time of the job is out of range')
     if not 0 <= job.occurrences <= _MAX_TASKS_PER_JOB:
         raise exceptions.RequestRefused('too many or too few occurrences')
@@ -275,7 +275,7 @@
             step.tail_target_ms,
             step.max_unavailable,
         )
-        if not all(0 <= amount <= _MAX_AMOUNT for amount in amounts):
+        if not all(0 <= amount <= MAX_AMOUNT for amount in amounts):
             reason = f'step {number} has an amount out of range'
             raise exceptions.RequestRefused(reason)
         if any(not 0 <= n < number for n in step.after):
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -312,7 +312,7 @@
 
 
 @behave.when('the other instances cannot reach it and task workers "{names}"')
-def step_reach_not(context, names):
+def step_unreachable_workers(context, names):
     fleet = context.fleet
     fleet.frozen.add(context.former)
     for name in names.split():
