--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/addresses.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/addresses.py
@@ -1,11 +1,15 @@
 """Network addresses, written "IP:PORT"."""
 
+import functools
 import ipaddress
 
+# Each heartbeat of a worker repeats its address.
+_MAX_CACHED = 4_096
 _MAX_PORT = 65_535
 _MAX_PORT_DIGITS = 5
 
 
+@functools.lru_cache(maxsize=_MAX_CACHED)
 def split(address: str) -> tuple[str, int]:
     """Returns the IP address and the port of an address.
 
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/decoding.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/decoding.py
@@ -1,5 +1,6 @@
 """Decoding of JSON that another program has written."""
 
+import functools
 import typing as t
 
 import msgspec
@@ -15,6 +16,11 @@
     RecursionError.
     """
     try:
-        return msgspec.json.decode(value, type=kind)
+        return _decoder(kind).decode(value)
     except (ValueError, RecursionError) as exc:
         raise exceptions.InvalidRecord(str(exc)) from exc
+
+
+@functools.cache
+def _decoder(kind: t.Any) -> msgspec.json.Decoder:
+    return msgspec.json.Decoder(kind)
