Leave the offer of a term to large instances

Cause: instances learn that a leader offers its term when they ask it, after a read without records, so up to a read (0.7 s) apart. The delay of 0.5 s with which small instances claim is shorter: a small one that asked a moment later than the large ones claimed before they asked again. It cannot renew the leases of a fleet in time.

Change: an instance with a delay does not use offers; it claims after the silence of the leader, as before.

Test: two scenarios, both failed before. Stand-in instances can lose a call.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/elections.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/elections.py
@@ -224,8 +224,11 @@
     def mark_offered(self, now_s: float) -> None:
         """Notes that the leader, which cannot renew its term, offers it.
 
-        The offer ends with the next record of a leader.
+        The offer ends with the next record of a leader. A small instance does
+        not use it: a larger one may ask the leader up to a read later.
         """
+        if self._claim_delay_s > 0:
+            return
         self._offered = True
         if self._vacant_since_s is None:
             self._vacant_since_s = now_s
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
@@ -17,6 +17,7 @@
 from amaranthflow_scheduler import metrics
 from amaranthflow_scheduler import model
 from amaranthflow_scheduler import node as node_lib
+from amaranthflow_scheduler import peering
 from amaranthflow_scheduler import ports
 from amaranthflow_scheduler import scheduler
 
@@ -115,6 +116,10 @@
     ) -> dict:
         node = self._fleet.nodes.get(address)
         frozen = self._fleet.frozen
+        if self._instance in self._fleet.losing_next_call:
+            self._fleet.losing_next_call.discard(self._instance)
+            await asyncio.sleep(timeout_s)
+            raise exceptions.PlatformUncertain('no response')
         if node is None and address not in frozen:
             await asyncio.sleep(_PEER_LATENCY_S)
             raise ports.ConnectionRefused(address)
@@ -124,7 +129,8 @@
         try:
             async with asyncio.timeout(timeout_s):
                 await asyncio.sleep(_PEER_LATENCY_S)
-                return await node.handle_call(name, message)
+                received = peering.decode_message(msgspec.json.encode(message))
+                return await node.handle_call(name, received)
         except TimeoutError as exc:
             raise exceptions.PlatformUncertain('no response') from exc
 
@@ -180,6 +186,8 @@
     :param seed: seed of all random choices.
     :ivar frozen: names of instances that neither send nor answer calls
         between instances.
+    :ivar losing_next_call: names of instances of which the next call to
+        another one is lost.
     :ivar clock_offset_ms: error of the wall clock, by instance name.
     """
 
@@ -197,6 +205,7 @@
         self.workers: dict[ids.WorkerId, task_worker.TaskWorker] = {}
         self.nodes: dict[str, node_lib.Node] = {}
         self.frozen: set[str] = set()
+        self.losing_next_call: set[str] = set()
         self.clock_offset_ms: dict[str, int] = {}
         self._plan = plan
         self._heartbeats: list[asyncio.Task] = []
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -610,6 +610,15 @@
     Given a task fleet of 5 small instances and 1 large one
     Then the large task instance leads
 
+  # Instances learn at different times that a leader offers its term, so a small
+  # one that asked first claimed before the others had asked again.
+  Scenario: A small instance leaves an offered term to a large one
+    Given a task fleet of 5 small instances and 2 large ones
+    And the next call of each large task instance is lost
+    And the store is busy for the task fleet's leader
+    Then another task instance has taken over within 2.5 s
+    And a large task instance leads
+
   Scenario: A small instance hands over to a restarted large one
     Given a task fleet of 5 small instances and 1 large one
     And task job "a1" with steps "4x16.0" is accepted
--- a/tests/amaranthflow_scheduler/takeover.feature
+++ b/tests/amaranthflow_scheduler/takeover.feature
@@ -57,6 +57,14 @@
     When it reads another record of the leader at second 0.8
     Then it may not claim at second 0.8
 
+  # A large instance that has not asked yet learns of the offer with its next read.
+  Scenario: A small instance does not claim a term because it is offered
+    Given a small instance's observer that has read a record of the leader at second 0
+    And a read without records until second 0.7
+    When the leader offers its term at second 0.7
+    Then it may not claim at second 1.9
+    And it may claim at second 2.0
+
   Scenario: An offer of the term ends with a failed read
     Given an observer that has read a record of the leader at second 0
     And a read without records until second 0.7
--- a/tests/steps/takeover_steps.py
+++ b/tests/steps/takeover_steps.py
@@ -196,7 +196,21 @@
     'an observer that has read a record of the leader at second {second:g}'
 )
 def step_observer(context, second):
-    context.observer = elections.Observer(instance=ids.InstanceId('this'))
+    _observe(context, second, elections.Size())
+
+
+@behave.given(
+    "a small instance's observer that has read a record of the leader at "
+    'second {second:g}'
+)
+def step_small_observer(context, second):
+    _observe(context, second, elections.Size(link_mbps=5))
+
+
+def _observe(context, second, size):
+    context.observer = elections.Observer(
+        instance=ids.InstanceId('this'), claim_delay_s=size.claim_delay_s
+    )
     context.end = int(_TOKEN)
     step_record(context, second)
 
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -1389,10 +1389,15 @@
 
 @behave.given('a task fleet of {small:d} small instances and 1 large one')
 def step_sizes(context, small):
-    _run(context, _make_sized(context, small))
+    _run(context, _make_sized(context, small, 1))
 
 
-async def _make_sized(context, small):
+@behave.given('a task fleet of {small:d} small instances and 2 large ones')
+def step_two_large(context, small):
+    _run(context, _make_sized(context, small, 2))
+
+
+async def _make_sized(context, small, large):
     plan = _Plan()
     fleet = task_fleet.TaskFleet(loop=context.loop, plan=plan)
     fleet.jobs_steps = {}
@@ -1401,13 +1406,24 @@
         fleet.add_worker(f'w{number + 1}')
     for _ in range(small):
         fleet.start_node(size=elections.Size(link_mbps=5))
-    context.large = fleet.start_node()
+    context.all_large = [fleet.start_node() for _ in range(large)]
+    context.large = context.all_large[0]
     await asyncio.sleep(2 * elections.SMALL_CLAIM_DELAY_S)
     fleet.configure()
     await fleet.wait_leader()
     context.fleet = fleet
 
 
+@behave.given('the next call of each large task instance is lost')
+def step_lose_calls(context):
+    context.fleet.losing_next_call.update(context.all_large)
+
+
+@behave.then('a large task instance leads')
+def step_any_large_leads(context):
+    assert context.fleet.leader() in context.all_large
+
+
 @behave.then('the large task instance leads')
 def step_large_leads(context):
     assert context.fleet.leader() == context.large
