--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/peering.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/peering.py
@@ -22,6 +22,13 @@
     queue: str
     record: str
     token: int
+    successor: int
+    follows: bool
+
+
+def decode_message(body: bytes) -> dict:
+    """Returns the known fields of a call. Raises InvalidRecord."""
+    return t.cast(dict, decoding.decode(body, _Message))
 
 
 class PeerClient:
@@ -71,7 +78,7 @@
         if not req.path.startswith(_PREFIX):
             return httpserver.Response(status=404)
         try:
-            message = decoding.decode(req.body, _Message)
+            message = decode_message(req.body)
             name = req.path.removeprefix(_PREFIX)
             result = await self._node.handle_call(name, message)
         except exceptions.NotReady:
