Look at the fleet once for all workers that are lost in a tick

Cause: whether a worker was lost together with its rack or zone was told by a look at all workers, for each worker that is lost with young runs.

Change: suspects.Losses groups the workers by rack and zone once, with the times of their last reports in order, and is asked for each lost worker of the tick. Verdicts are the same: a scenario compares them with a direct count over 120 random fleets, with equal times and distances of exactly a second. A restarted worker without any lost run is not asked about any more.

Restarts of workers with young runs, which come with one report each, still look at all workers each.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/crashes.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/crashes.py
@@ -11,9 +11,8 @@
 
 def on_restart(
     worker: workers.Worker,
-    fleet: t.Collection[workers.Worker],
+    losses: suspects.Losses,
     born_ms: int,
-    silent_from_s: float,
     known: t.Container[tuple[model.TaskKey, model.RunNumber]] = (),
 ) -> list[execution.Attempt]:
     """Counts the end of a worker's last incarnation for its young runs.
@@ -21,7 +20,6 @@
     Returns the runs that may have caused it.
 
     :param born_ms: the present incarnation, 0 if it is another worker's.
-    :param silent_from_s: workers without a report since then are lost.
     :param known: runs that the present incarnation reports.
     """
     ended = [
@@ -30,7 +28,7 @@
         if suspects.ran_before(attempt, worker, born_ms)
         and (attempt.task.key, attempt.run) not in known
     ]
-    is_outage = suspects.is_outage(worker, fleet, silent_from_s)
+    is_outage = bool(ended) and losses.is_outage(worker)
     worker.crashed_s = worker.last_report_s
     if not ended:
         return []
@@ -47,9 +45,7 @@
 
 
 def on_silence(
-    worker: workers.Worker,
-    fleet: t.Collection[workers.Worker],
-    silent_from_s: float,
+    worker: workers.Worker, losses: suspects.Losses
 ) -> list[execution.Attempt]:
     """Suspects the young runs of a silent worker, which may be back.
 
@@ -60,7 +56,7 @@
         for attempt in suspects.examine(worker.attempts).suspects
         if not attempt.crash_counted
     ]
-    if not young or suspects.is_outage(worker, fleet, silent_from_s):
+    if not young or losses.is_outage(worker):
         return []
     worker.lapsed.extend(young)
     crash = suspects.Crash(young, convicts=False)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -598,13 +598,7 @@
         known: t.Container[tuple[model.TaskKey, model.RunNumber]] = (),
     ) -> None:
         """Gives up the jobs that crash one worker after the other."""
-        found = crashes.on_restart(
-            worker,
-            self.workers.values(),
-            born_ms,
-            now_s - self._max_report_age_s,
-            known,
-        )
+        found = crashes.on_restart(worker, self._losses(now_s), born_ms, known)
         for attempt in found:
             task = attempt.task
             job_run = task.step_run.job_run
@@ -613,6 +607,10 @@
                 _log('task_given_up', attempt, crashes=task.crashes)
                 self._end_job(job_run, model.JobState.FAILED, now_ms)
 
+    def _losses(self, now_s: float) -> suspects.Losses:
+        silent_from_s = now_s - self._max_report_age_s
+        return suspects.Losses(self.workers.values(), silent_from_s)
+
     def _reset_restarted(self, worker: workers.Worker, born_ms: int) -> None:
         """Resets what is known about the previous incarnation of a worker."""
         if worker.born_ms:
@@ -1041,13 +1039,10 @@
         """
         fleet_size = len(self.workers)
         self._max_report_age_s = report_intervals.silent_after_s(fleet_size)
+        losses = self._losses(now_s)
         for worker in list(self.workers.values()):
             if worker.attempts and now_s > worker.lease_end_s:
-                found = crashes.on_silence(
-                    worker,
-                    self.workers.values(),
-                    now_s - self._max_report_age_s,
-                )
+                found = crashes.on_silence(worker, losses)
                 self.dirty.update(attempt.task.key.job for attempt in found)
                 for attempt in list(worker.attempts):
                     if self._may_still_start(attempt, now_s):
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/suspects.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/suspects.py
@@ -7,6 +7,8 @@
 has no other explanation.
 """
 
+import bisect
+import collections
 import dataclasses
 import typing as t
 
@@ -114,30 +116,49 @@
     )
 
 
-def is_outage(
-    worker: workers.Worker,
-    fleet: t.Iterable[workers.Worker],
-    silent_from_s: float,
-) -> bool:
-    """Returns whether a worker was lost together with its rack or zone.
+class Losses:
+    """Which workers of each rack and zone were lost at about the same time.
+
+    Answers the loss of a part of a large fleet: the fleet is looked at once,
+    however many workers are asked about. No report may be handled meanwhile.
 
     :param silent_from_s: workers without a report since then are lost.
     """
-    lost_s = worker.last_report_s
-    if lost_s is None:
-        return False
-    zone, rack = _Group(), _Group()
-    for other in fleet:
-        if other.entry.zone != worker.entry.zone:
-            continue
-        other_s = _lost_s(other, silent_from_s)
-        lost = (
-            other_s is not None and abs(other_s - lost_s) <= _OUTAGE_SPREAD_S
+
+    def __init__(
+        self, fleet: t.Iterable[workers.Worker], silent_from_s: float
+    ):
+        self._fleet = fleet
+        self._silent_from_s = silent_from_s
+        self._groups: dict[tuple[str, ...], _Group] | None = None
+
+    def is_outage(self, worker: workers.Worker) -> bool:
+        """Returns whether a worker was lost together with its rack or zone."""
+        lost_s = worker.last_report_s
+        if lost_s is None:
+            return False
+        if self._groups is None:
+            self._groups = self._group()
+        groups = self._groups
+        return any(
+            key in groups and groups[key].is_lost(lost_s)
+            for key in _group_keys(worker)
         )
-        zone.add(lost)
-        if other.entry.rack == worker.entry.rack:
-            rack.add(lost)
-    return zone.is_lost or rack.is_lost
+
+    def _group(self) -> dict[tuple[str, ...], '_Group']:
+        groups: dict[tuple[str, ...], _Group] = collections.defaultdict(_Group)
+        for worker in self._fleet:
+            lost_s = _lost_s(worker, self._silent_from_s)
+            for key in _group_keys(worker):
+                groups[key].add(lost_s)
+        for group in groups.values():
+            group.lost_s.sort()
+        return dict(groups)
+
+
+def _group_keys(worker: workers.Worker) -> tuple[tuple[str, ...], ...]:
+    entry = worker.entry
+    return (entry.zone,), (entry.zone, entry.rack)
 
 
 def _lost_s(worker: workers.Worker, silent_from_s: float) -> float | None:
@@ -149,20 +170,37 @@
 
 @dataclasses.dataclass(slots=True)
 class _Group:
-    """Numbers of workers of a rack or zone."""
+    """The workers of a rack or zone.
+
+    :ivar workers: their number.
+    :ivar lost_s: when those that are lost last reported, in order.
+    """
 
     workers: int = 0
-    lost: int = 0
+    lost_s: list[float] = dataclasses.field(default_factory=list)
 
-    def add(self, lost: bool) -> None:
+    def add(self, lost_s: float | None) -> None:
+        """Adds a worker; ``lost_s`` is None for one that is not lost."""
         self.workers += 1
-        self.lost += lost
+        if lost_s is not None:
+            self.lost_s.append(lost_s)
+
+    def is_lost(self, at_s: float) -> bool:
+        """Returns whether most of the group was lost at about this time."""
 
-    @property
-    def is_lost(self) -> bool:
+        def distance_s(lost_s: float) -> float:
+            return lost_s - at_s
+
+        first = bisect.bisect_left(
+            self.lost_s, -_OUTAGE_SPREAD_S, key=distance_s
+        )
+        end = bisect.bisect_right(
+            self.lost_s, _OUTAGE_SPREAD_S, key=distance_s
+        )
+        lost = end - first
         return (
-            self.lost >= _MIN_OUTAGE_WORKERS
-            and self.lost >= _OUTAGE_SHARE * self.workers
+            lost >= _MIN_OUTAGE_WORKERS
+            and lost >= _OUTAGE_SHARE * self.workers
         )
 
 
--- a/tests/amaranthflow_scheduler/large_fleet.feature
+++ b/tests/amaranthflow_scheduler/large_fleet.feature
@@ -94,3 +94,21 @@
     And 5 gang steps of 12 tasks wait in the large pool
     When the large pool is planned
     Then each step of the large pool runs on 1 rack
+
+  # Before, all workers were looked at for each one that was lost.
+  Scenario: One look at each worker tells that a zone is lost
+    Given a large pool of 3000 workers
+    And 492 workers of the large pool run a young task each, in a zone of their own
+    When these workers have been silent until their leases expire
+    Then 492 runs of the large pool have ended, none of which is a suspect
+    And workers were looked at 3000 times for losses
+
+  Scenario Outline: Losses are told as by a look at all workers for each
+    Given 40 random fleets of <count> workers in <zones> zones of <racks> racks
+    Then each worker there is lost together with others exactly if a direct count says so
+
+    Examples:
+      | count | zones | racks |
+      | 3     | 1     | 1     |
+      | 12    | 2     | 2     |
+      | 60    | 3     | 4     |
--- a/tests/steps/large_fleet_steps.py
+++ b/tests/steps/large_fleet_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import random
 from unittest import mock
 
 import behave
@@ -16,6 +17,7 @@
 from amaranthflow_scheduler import ports
 from amaranthflow_scheduler import scheduler
 from amaranthflow_scheduler import silence
+from amaranthflow_scheduler import suspects
 from amaranthflow_scheduler import workers
 from amaranthflow_standins import task_fleet
 from amaranthflow_standins import task_worker
@@ -432,3 +434,144 @@
         racks[attempt.task.key.job].add(worker.entry.rack)
     assert racks
     assert all(len(found) == count for found in racks.values()), racks
+
+
+@behave.given(
+    '{count:d} workers of the large pool run a young task each, in a zone of '
+    'their own'
+)
+def step_young(context, count):
+    step = model.Step(
+        count=count,
+        resources=model.Resources(_POOL_CPU, 100, 0),
+        estimate_ms=10_000,
+    )
+    core = context.core
+    core.add_job(
+        model.Job(
+            id=ids.JobId('j1'),
+            queue=task_fleet.QUEUE,
+            payload='',
+            steps=(step,),
+            accepted_ms=0,
+        )
+    )
+    core.plan(_PLANNED_S, 0)
+    # A plan looks at some workers for each step.
+    while any(step_run.waiting for step_run in core.waiting_steps()):
+        core.plan(_PLANNED_S, 0)
+    context.lost = []
+    for command in core.take_commands():
+        worker = core.workers[command.attempt.worker]
+        worker.entry = dataclasses.replace(
+            worker.entry, zone=ids.ZoneId('lost')
+        )
+        worker.lease_end_s = _PLANNED_S + 4.5
+        core.on_sent(command.attempt)
+        core.on_started(command.attempt, _PLANNED_S)
+        context.lost.append(command.attempt)
+    assert len(context.lost) == count, len(context.lost)
+
+
+@behave.when('these workers have been silent until their leases expire')
+def step_zone_lost(context):
+    core = context.core
+    now_s = _PLANNED_S + 5.0
+    report = ports.WorkerReport(clock_ms=1, born_ms=1, running=[], ended=[])
+    for worker in core.workers.values():
+        if not worker.attempts:
+            core.on_report(worker, report, now_s, now_s, 0)
+    context.looks = 0
+    lost_s = suspects._lost_s
+
+    def count(worker, silent_from_s):
+        context.looks += 1
+        return lost_s(worker, silent_from_s)
+
+    with mock.patch.object(suspects, '_lost_s', count):
+        core.tick(now_s)
+
+
+@behave.then(
+    '{count:d} runs of the large pool have ended, none of which is a suspect'
+)
+def step_no_suspect(context, count):
+    ended = [a for a in context.lost if not a.task.attempts]
+    assert len(ended) == count, len(ended)
+    assert not any(attempt.task.crashes for attempt in ended)
+
+
+@behave.then('workers were looked at {count:d} times for losses')
+def step_loss_looks(context, count):
+    assert context.looks == count, context.looks
+
+
+_LOSS_FROM_S = 98.0
+
+
+def _random_worker(rng, number, zones, racks):
+    entry = task_fleet.worker_entry(
+        f'w{number}',
+        address='a',
+        zone=f'z{rng.randrange(zones)}',
+        rack=f'r{rng.randrange(racks)}',
+    )
+    # Equal times and distances of exactly a second are among them.
+    times = [95.0, 95.5, 96.0, 96.5, _LOSS_FROM_S, 99.0]
+    times.append(rng.uniform(94.0, 99.0))
+    return workers.Worker(
+        entry=entry,
+        lease_end_s=0.0,
+        last_report_s=rng.choice([None, *times]),
+        crashed_s=rng.choice([None, None, *times]),
+    )
+
+
+@behave.given(
+    '{fleets:d} random fleets of {count:d} workers in {zones:d} zones of '
+    '{racks:d} racks'
+)
+def step_random_fleets(context, fleets, count, zones, racks):
+    rng = random.Random(count)
+    context.fleets = [
+        [_random_worker(rng, number, zones, racks) for number in range(count)]
+        for _ in range(fleets)
+    ]
+
+
+def _last_seen_s(worker):
+    if worker.last_report_s is None or worker.last_report_s >= _LOSS_FROM_S:
+        return worker.crashed_s
+    return worker.last_report_s
+
+
+def _is_lost_with_others(worker, fleet):
+    """Returns whether three and half of a zone or rack were lost together."""
+    if worker.last_report_s is None:
+        return False
+    zone = [w for w in fleet if w.entry.zone == worker.entry.zone]
+    rack = [w for w in zone if w.entry.rack == worker.entry.rack]
+    for group in (zone, rack):
+        seen_s = [_last_seen_s(member) for member in group]
+        lost = sum(
+            at_s is not None and abs(at_s - worker.last_report_s) <= 1.0
+            for at_s in seen_s
+        )
+        if lost >= 3 and lost >= 0.5 * len(group):
+            return True
+    return False
+
+
+@behave.then(
+    'each worker there is lost together with others exactly if a direct count '
+    'says so'
+)
+def step_same_verdicts(context):
+    verdicts = set()
+    for fleet in context.fleets:
+        losses = suspects.Losses(fleet, _LOSS_FROM_S)
+        for worker in fleet:
+            expected = _is_lost_with_others(worker, fleet)
+            assert losses.is_outage(worker) is expected, worker
+            verdicts.add(expected)
+    assert verdicts == {True, False}, verdicts
