Wait for workers without an entry whose leases may still run

Cause: a leader forgets a worker 2.5 s after its entry was removed if it knows no run of it. An entry also expires when its worker is cut off, and an earlier leader on the same side of the cut may have started runs there that no record names. They last up to 6.27 s after the election, but the restored jobs were released as soon as the worker was forgotten.

Change: a worker that has not reported to this leader is forgotten only once the leases of earlier leaders have expired, as takeover.py tells for the release of restored jobs too.

fleet.feature: the leader is cut off with one of four workers for 9 s, and a job comes due 1.5, 2 or 2.4 s after that. Before, its four tasks ran twice in each of the three cases (second run at 8.56 s); now none does. takeover.feature has the same for the decisions alone.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -517,12 +517,14 @@
     def drop_worker(self, worker_id: ids.WorkerId, now_s: float) -> bool:
         """Forgets a worker that has left.
 
-        Returns False and keeps the worker while it may run something or may
-        come back.
+        Returns False and keeps the worker while it may run something, also
+        without a record, or may come back.
         """
         worker = self.workers[worker_id]
         if worker.attempts or worker.unlisted_since_s is None:
             return False
+        if takeover_lib.may_have_unrecorded_runs(worker, now_s):
+            return False
         if now_s - worker.unlisted_since_s <= _UNLISTED_GRACE_S:
             return False
         if _elapsed_s(worker.last_report_s, now_s) < self._max_report_age_s:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/takeover.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/takeover.py
@@ -61,6 +61,16 @@
     )
 
 
+def may_have_unrecorded_runs(worker: workers.Worker, now_s: float) -> bool:
+    """Returns whether a worker may run what an earlier leader started.
+
+    It has no run that this leader does not know if it has reported to it, or
+    if all leases of earlier leaders have expired. Whether it has an entry does
+    not matter: a worker that is cut off may run on without one.
+    """
+    return worker.last_report_s is None and now_s <= worker.lease_end_s
+
+
 class Takeover:
     """Holds back restored jobs while unrecorded runs of them may exist.
 
@@ -93,16 +103,11 @@
         self._until_s = until_s
 
     def release(self, fleet: t.Iterable[workers.Worker], now_s: float) -> None:
-        """Releases the jobs if no worker may have an unrecorded run.
-
-        A worker has none if it has reported to this leader, or if all leases
-        of earlier leaders have expired.
-        """
+        """Releases the jobs if no worker may have an unrecorded run."""
         if not self._jobs or now_s < self._until_s:
             return
-        for worker in fleet:
-            if worker.last_report_s is None and now_s <= worker.lease_end_s:
-                return
+        if any(may_have_unrecorded_runs(worker, now_s) for worker in fleet):
+            return
         logs.event(
             'held_jobs_released',
             jobs=len(self._jobs),
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -84,6 +84,21 @@
       | w1       | 5.5     |
       | w1 w2 w3 | 9       |
 
+  # TWICE: the next leader forgot a worker once its entry had expired, and
+  # started what the former leader had started there without a record.
+  Scenario Outline: A worker whose entry expires may still have unrecorded runs
+    Given task job "a1" with steps "4x20.0" is accepted that comes due in <due> s
+    When the task fleet's leader is cut off with task workers "w1" for 9 s
+    And 14 s pass in the task fleet
+    Then the task fleet violated no invariant
+    And 4 tasks run
+
+    Examples:
+      | due |
+      | 1.5 |
+      | 2   |
+      | 2.4 |
+
   # TWICE: a new job was started by the former leader, which still read the
   # table of jobs, and by the next one, which does not hold new jobs back.
   Scenario: A leader that cannot renew its term takes no new job
--- a/tests/amaranthflow_scheduler/takeover.feature
+++ b/tests/amaranthflow_scheduler/takeover.feature
@@ -12,6 +12,20 @@
       | 0     | reports at second 1 | never reports       | 6        |
       | 3     | reports at second 1 | reports at second 2 | 3        |
 
+  Scenario Outline: A worker whose entry was removed is waited for
+    Given a new leader that restores job "a1" and is elected at second 0
+    And its worker "w1" reports at second 1
+    And the entry of its worker "w2" is removed at second <removed>
+    When its worker "w2" reports <report>
+    Then its job "a1" starts at second <starts>
+    And its worker "w2" is forgotten at second <forgotten>
+
+    Examples: leases of the earlier leader end at second 6.27
+      | removed | report      | starts | forgotten |
+      | 1       | never       | 6.5    | 6.5       |
+      | 5       | never       | 6.5    | 7.75      |
+      | 1       | at second 2 | 2      | 3.75      |
+
   Scenario: A job that was accepted after the election is not held
     Given a takeover at second 0 that holds job "a1" until second 0
     And worker "w1" never reports
--- a/tests/steps/takeover_steps.py
+++ b/tests/steps/takeover_steps.py
@@ -276,3 +276,72 @@
 @behave.then('the leader may not renew leases at second {second:g}')
 def step_not_valid(context, second):
     assert not context.tenure.is_valid(second)
+
+
+@behave.given(
+    'a new leader that restores job "{job_id}" and is elected at second 0'
+)
+def step_elected(context, job_id):
+    context.core = _core(_TOKEN)
+    for name in ('w1', 'w2'):
+        entry = task_fleet.worker_entry(name, address=name)
+        context.core.on_entry_changed(entry, 0.0)
+    context.core.restore_job(_job(job_id), None, 0.0)
+    context.core.on_restored(0.0, 0, store_was_lost=False)
+    context.reports_s = {}
+
+
+@behave.given('its worker "{name}" reports at second {second:g}')
+@behave.when('its worker "{name}" reports at second {second:g}')
+def step_core_reports(context, name, second):
+    context.reports_s[ids.WorkerId(name)] = second
+
+
+@behave.when('its worker "{name}" reports never')
+def step_core_silent(context, name):
+    assert name not in context.reports_s
+
+
+@behave.given(
+    'the entry of its worker "{name}" is removed at second {second:g}'
+)
+def step_core_removed(context, name, second):
+    context.removed = ids.WorkerId(name), second
+
+
+def _play(context):
+    """Plays 10 s; notes when workers are forgotten and jobs start."""
+    core = context.core
+    context.forgotten_s, context.started_s = {}, {}
+    now_s = 0.0
+    while now_s < 10.0:
+        removed, removed_s = context.removed
+        if now_s == removed_s:
+            core.on_entry_removed(removed, now_s)
+        for worker in list(core.workers.values()):
+            report_s = context.reports_s.get(worker.id, now_s + 1.0)
+            # A worker without an entry reports once.
+            once = worker.id == removed
+            if now_s == report_s or (now_s > report_s and not once):
+                report = ports.WorkerReport(
+                    clock_ms=0, born_ms=1, running=[], ended=[]
+                )
+                core.on_report(worker, report, now_s, now_s, 0)
+            if core.drop_worker(worker.id, now_s):
+                context.forgotten_s[worker.id] = now_s
+        core.plan(now_s, 0)
+        for command in core.take_commands():
+            started = command.attempt.task.key.job
+            context.started_s.setdefault(started, now_s)
+        now_s += _STEP_S
+
+
+@behave.then('its job "{job_id}" starts at second {second:g}')
+def step_core_starts(context, job_id, second):
+    _play(context)
+    assert context.started_s == {job_id: second}, context.started_s
+
+
+@behave.then('its worker "{name}" is forgotten at second {second:g}')
+def step_core_forgotten(context, name, second):
+    assert context.forgotten_s == {name: second}, context.forgotten_s
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -127,6 +127,22 @@
     _submit(context, job_id, _steps(text))
 
 
+@behave.given(
+    'task job "{job_id}" with steps "{text}" is accepted that comes due in '
+    '{seconds:g} s'
+)
+def step_submit_due(context, job_id, text, seconds):
+    steps = _steps(text)
+    context.fleet.jobs_steps[job_id] = steps
+    due_ms = context.loop.wall_ms() + round(1000 * seconds)
+    _run(
+        context,
+        context.fleet.submit(
+            job_id, steps, occurrences=1, first_due_ms=due_ms
+        ),
+    )
+
+
 @behave.given('a task service "{job_id}" of {count:d} tasks is accepted')
 def step_service(context, job_id, count):
     step = model.Step(
