Wait 4.74 s for silent workers after a leader that has certainly ended

Cause: restored jobs wait for each worker that does not report until the leases of earlier leaders have expired. A new leader assumed the longest lease that workers grant, 6 s, though leaders set 4.5 s.

Change: a leader records the longest lease that it leaves behind (lease_ms in its record), once the leases of earlier leaders end within that time. The next one waits for that lease if the former leader has certainly ended: it has resigned, its term was of the same instance and address, or it has answered after such a record that it does not lead the term. Otherwise, and after a claim or a record without the field, it waits for 6.27 s as before; a refused connection proves nothing.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/elections.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/elections.py
@@ -73,6 +73,8 @@
     :ivar released: the leader has resigned.
     :ivar recorded: all starts that may take effect were recorded before.
     :ivar small: the instance is smaller than a leader of a fleet should be.
+    :ivar lease_ms: longest lease that this leader and earlier ones leave
+        behind at its end; None if it is not known.
     """
 
     token: model.Token
@@ -81,6 +83,7 @@
     released: bool = False
     recorded: bool = False
     small: bool = False
+    lease_ms: int | None = None
 
 
 def encode(
@@ -92,6 +95,7 @@
         fields['token'] = term.token
         fields['released'] = term.released
         fields['recorded'] = term.recorded
+        fields['lease_ms'] = term.lease_ms
     return msgspec.json.encode(fields)
 
 
@@ -102,6 +106,7 @@
     released: bool = False
     recorded: bool = False
     small: bool = False
+    lease_ms: t.Annotated[int, msgspec.Meta(ge=0)] | None = None
 
 
 def decode(record: ports.Record) -> Term:
@@ -123,6 +128,7 @@
         released=fields.released,
         recorded=fields.recorded,
         small=fields.small,
+        lease_ms=fields.lease_ms,
     )
 
 
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -91,6 +91,10 @@
     :ivar silence: which workers have not reported lately.
     :ivar evacuations: requests of operators, which the caller keeps up to
         date.
+    :ivar earlier_leases_end_s: when all leases of earlier leaders have ended.
+
+    :param earlier_lease_s: longest lease that they left behind; None if it is
+        not known.
     """
 
     def __init__(
@@ -100,6 +104,7 @@
         token: model.Token,
         now_s: float,
         evacuations: evacuations_lib.Evacuations | None = None,
+        earlier_lease_s: float | None = None,
     ):
         self.jobs: dict[ids.JobId, execution.JobRun] = {}
         self.ended: dict[ids.JobId, execution.EndedJob] = {}
@@ -129,12 +134,9 @@
         self._unconfigured_jobs: set[ids.JobId] = set()
         self.takeover = takeover_lib.Takeover(elected_s=now_s)
         self._restored = False
-        self._unknown_lease_end_s = now_s + self._max_lease_s()
-
-    def _max_lease_s(self) -> float:
-        """Returns how long leases of an earlier leader may still last."""
-        max_s = self._limits.hold_max_s / workers.MIN_CLOCK_RATE
-        return max_s + workers.LEASE_END_MARGIN_S
+        if earlier_lease_s is None:
+            earlier_lease_s = limits.hold_max_s
+        self.earlier_leases_end_s = workers.lease_end_s(now_s, earlier_lease_s)
 
     # jobs
 
@@ -440,7 +442,7 @@
 
     def _add_worker(self, entry: model.WorkerEntry) -> workers.Worker:
         worker = workers.Worker(
-            entry=entry, lease_end_s=self._unknown_lease_end_s
+            entry=entry, lease_end_s=self.earlier_leases_end_s
         )
         self.workers[entry.id] = worker
         return worker
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
@@ -22,6 +22,11 @@
 LEASE_END_MARGIN_S = 0.15
 
 
+def lease_end_s(now_s: float, lease_s: float) -> float:
+    """Returns when a lease of a worker's clock has certainly ended."""
+    return now_s + lease_s / MIN_CLOCK_RATE + LEASE_END_MARGIN_S
+
+
 class Sample(t.NamedTuple):
     """Headroom and loads of one report.
 
@@ -144,8 +149,7 @@
 
     def deadline_passed_s(self, deadline_ms: int) -> float:
         """Returns when a time of the worker's clock has certainly passed."""
-        left_s = (deadline_ms - self.clock_ms) / 1000
-        return self.clock_s + left_s / MIN_CLOCK_RATE + LEASE_END_MARGIN_S
+        return lease_end_s(self.clock_s, (deadline_ms - self.clock_ms) / 1000)
 
     def extend_lease(self, deadline_ms: int) -> None:
         """Notes that a call which sets this lease deadline is being sent."""
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -99,6 +99,33 @@
       | 2   |
       | 2.4 |
 
+  # A leader records the longest lease that it leaves behind. The next one relies
+  # on it only if the former leader has certainly ended.
+  Scenario Outline: Restored jobs wait for a silent worker as long as its leases may last
+    Given 4 s pass in the task fleet
+    And task job "a1" with steps "3x20.0" is accepted that comes due in 3.5 s
+    When no task instance reaches task worker "w1"
+    And <what>
+    And 9 s pass in the task fleet
+    Then the first run of task job "a1" has started <from> to <to> s after that
+    And the task fleet violated no invariant
+
+    Examples:
+      | what                                                  | from | to  |
+      | all task instances are killed and restarted after 1 s | 5.7  | 6.4 |
+      | the task fleet's leader is killed                     | 6.9  | 7.8 |
+      | the task fleet's leader is cut off for 3 s            | 7.7  | 8.4 |
+
+  Scenario: A leader that has recorded no lease is followed by the longest wait
+    Given 4 s pass in the task fleet
+    And task job "a1" with steps "3x20.0" is accepted that comes due in 3.5 s
+    When no task instance reaches task worker "w1"
+    And all task instances are killed and restarted after 1 s
+    And 0.2 s pass in the task fleet
+    And all task instances are killed and restarted after 1 s
+    And 9 s pass in the task fleet
+    Then the first run of task job "a1" has started 8.4 to 9.2 s after that
+
   # TWICE: a new job was started by the former leader, which still read the
   # table of jobs, and by the next one, which does not hold new jobs back.
   Scenario: A leader that cannot renew its term takes no new job
--- a/tests/steps/large_fleet_steps.py
+++ b/tests/steps/large_fleet_steps.py
@@ -201,6 +201,52 @@
     context.loop.run_until_complete(context.fleet.submit('a1', [step]))
 
 
+@behave.when(
+    'a job with {count:d} tasks of {seconds:g} s that is due in {due:g} s is '
+    'stored in the large fleet'
+)
+def step_due_job(context, count, seconds, due):
+    step = model.Step(
+        count=count,
+        resources=model.Resources(task_fleet.WORKER_CPU, 100, 0),
+        estimate_ms=round(1000 * seconds),
+    )
+    due_ms = context.loop.wall_ms() + round(1000 * due)
+    submitted = context.fleet.submit(
+        'a1', [step], occurrences=1, first_due_ms=due_ms
+    )
+    context.loop.run_until_complete(submitted)
+
+
+@behave.when('1 worker of the large fleet does not respond from now on')
+def step_one_lost(context):
+    worker = next(iter(context.fleet.workers.values()))
+    worker.faults.unreachable_from = {'n1'}
+
+
+@behave.when('all instances of the large fleet are lost for {seconds:g} s')
+def step_lose_all(context, seconds):
+    async def lose():
+        fleet = context.fleet
+        assert list(fleet.nodes) == ['n1'], fleet.nodes
+        await fleet.kill('n1')
+        await asyncio.sleep(seconds)
+        fleet.start_node('n1')
+        context.restarted_s = context.loop.time()
+
+    context.loop.run_until_complete(lose())
+
+
+@behave.then(
+    'the job of the large fleet starts within {seconds:g} s after that'
+)
+def step_job_starts(context, seconds):
+    context.loop.run_until_complete(asyncio.sleep(seconds))
+    runs = [run for _, run in context.fleet.runs if run.task.job == 'a1']
+    assert runs, seconds
+    assert all(run.started_s > context.restarted_s for run in runs)
+
+
 @behave.then("the large fleet's leader has heard from {count:d} workers")
 def step_heard(context, count):
     fleet = _leader(context).core.workers.values()
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -32,6 +32,7 @@
 _CPU = 1_000
 _SETTLE_S = 3.0
 _LOST_REPLY_S = 0.9  # timeout of the client
+_SILENT_S = 12.0
 _CRASH_S = 0.1
 _COMMAND_S = 0.01  # a command that was sent before arrives within this time
 _FAILING = 'f'
@@ -353,6 +354,36 @@
     context.loop.call_later(seconds, _isolate, *cut, False)
 
 
+@behave.when("the task fleet's leader is cut off for {seconds:g} s")
+def step_isolate_alone(context, seconds):
+    cut = (context.fleet, context.fleet.leader(), set())
+    _isolate(*cut, True)
+    context.loop.call_later(seconds, _isolate, *cut, False)
+
+
+@behave.when('no task instance reaches task worker "{name}"')
+def step_silent_worker(context, name):
+    worker = context.fleet.workers[name]
+    worker.faults.unreachable_from.update(context.fleet.nodes)
+    # Its entry stays, and nothing that ends a cut reaches it again.
+    context.loop.call_later(_SILENT_S, worker.faults.unreachable_from.clear)
+    context.silent_from_s = context.loop.time()
+
+
+@behave.then(
+    'the first run of task job "{job_id}" has started {least:g} to {most:g} s '
+    'after that'
+)
+def step_first_run(context, job_id, least, most):
+    first_s = min(
+        run.started_s
+        for _, run in context.fleet.runs
+        if run.task.job == job_id
+    )
+    waited_s = first_s - context.silent_from_s
+    assert least <= waited_s <= most, waited_s
+
+
 @behave.when("the table of leaders is lost for the task fleet's leader")
 def step_lose_leaders(context):
     context.former = context.fleet.leader()
