--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -91,6 +91,10 @@
     :ivar silence: which workers have not reported lately.
     :ivar evacuations: requests of operators, which the caller keeps up to
         date.
+    :ivar earlier_leases_end_s: when all leases of earlier leaders have ended.
+
+    :param earlier_lease_s: longest lease that they left behind; None if it is
+        not known.
     """
 
     def __init__(
@@ -100,6 +104,7 @@
         token: model.Token,
         now_s: float,
         evacuations: evacuations_lib.Evacuations | None = None,
+        earlier_lease_s: float | None = None,
     ):
         self.jobs: dict[ids.JobId, execution.JobRun] = {}
         self.ended: dict[ids.JobId, execution.EndedJob] = {}
@@ -129,12 +134,9 @@
         self._unconfigured_jobs: set[ids.JobId] = set()
         self.takeover = takeover_lib.Takeover(elected_s=now_s)
         self._restored = False
-        self._unknown_lease_end_s = now_s + self._max_lease_s()
-
-    def _max_lease_s(self) -> float:
-        """Returns how long leases of an earlier leader may still last."""
-        max_s = self._limits.hold_max_s / workers.MIN_CLOCK_RATE
-        return max_s + workers.LEASE_END_MARGIN_S
+        if earlier_lease_s is None:
+            earlier_lease_s = limits.hold_max_s
+        self.earlier_leases_end_s = workers.lease_end_s(now_s, earlier_lease_s)
 
     # jobs
 
@@ -440,7 +442,7 @@
 
     def _add_worker(self, entry: model.WorkerEntry) -> workers.Worker:
         worker = workers.Worker(
-            entry=entry, lease_end_s=self._unknown_lease_end_s
+            entry=entry, lease_end_s=self.earlier_leases_end_s
         )
         self.workers[entry.id] = worker
         return worker
@@ -517,12 +519,14 @@
     def drop_worker(self, worker_id: ids.WorkerId, now_s: float) -> bool:
         """Forgets a worker that has left.
 
-        Returns False and keeps the worker while it may run something or may
-        come back.
+        Returns False and keeps the worker while it may run something, also
+        without a record, or may come back.
         """
         worker = self.workers[worker_id]
         if worker.attempts or worker.unlisted_since_s is None:
             return False
+        if takeover_lib.may_have_unrecorded_runs(worker, now_s):
+            return False
         if now_s - worker.unlisted_since_s <= _UNLISTED_GRACE_S:
             return False
         if _elapsed_s(worker.last_report_s, now_s) < self._max_report_age_s:
@@ -598,13 +602,7 @@
         known: t.Container[tuple[model.TaskKey, model.RunNumber]] = (),
     ) -> None:
         """Gives up the jobs that crash one worker after the other."""
-        found = crashes.on_restart(
-            worker,
-            self.workers.values(),
-            born_ms,
-            now_s - self._max_report_age_s,
-            known,
-        )
+        found = crashes.on_restart(worker, self._losses(now_s), born_ms, known)
         for attempt in found:
             task = attempt.task
             job_run = task.step_run.job_run
@@ -613,6 +611,10 @@
                 _log('task_given_up', attempt, crashes=task.crashes)
                 self._end_job(job_run, model.JobState.FAILED, now_ms)
 
+    def _losses(self, now_s: float) -> suspects.Losses:
+        silent_from_s = now_s - self._max_report_age_s
+        return suspects.Losses(self.workers.values(), silent_from_s)
+
     def _reset_restarted(self, worker: workers.Worker, born_ms: int) -> None:
         """Resets what is known about the previous incarnation of a worker."""
         if worker.born_ms:
@@ -1041,13 +1043,10 @@
         """
         fleet_size = len(self.workers)
         self._max_report_age_s = report_intervals.silent_after_s(fleet_size)
+        losses = self._losses(now_s)
         for worker in list(self.workers.values()):
             if worker.attempts and now_s > worker.lease_end_s:
-                found = crashes.on_silence(
-                    worker,
-                    self.workers.values(),
-                    now_s - self._max_report_age_s,
-                )
+                found = crashes.on_silence(worker, losses)
                 self.dirty.update(attempt.task.key.job for attempt in found)
                 for attempt in list(worker.attempts):
                     if self._may_still_start(attempt, now_s):
