Start second runs where they keep a job on time

Cause: backups started for runs that count as hung (1.6 s without progress) or slow beside others of their step. With a tenth of the workers at fault a short job was late by then, and a job of one task, which has no other runs to compare with, got no backup on a slow worker. Runs of jobs that were on time, or late either way, got some. Change: second_tries.py decides for steps that permit backups: when does the first run end by its own progress, is the worker the cause, and does a second run improve the standing of the job. Workers known as slow or failing get none. The errors of learned run times are learned too (DurationModel.deviation). The scheduler's tick takes the Unix time, as claims need it. Line second_try, gauge second_tries. Steps without backups, hung and silent workers, crashes: as before.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/claims.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/claims.py
@@ -37,6 +37,11 @@
     LATE = 'late'
     EXPIRED = 'expired'
 
+    def precedes(self, other: 'Standing') -> bool:
+        """Returns whether this standing is better than another one."""
+        order = tuple(Standing)
+        return order.index(self) < order.index(other)
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Claim:
@@ -57,7 +62,10 @@
 
     def standing(self, now_ms: int) -> Standing:
         """Returns the standing of the job if it goes on now."""
-        end_ms = now_ms + self.path_ms
+        return self.standing_at(now_ms + self.path_ms)
+
+    def standing_at(self, end_ms: float) -> Standing:
+        """Returns the standing of the job if it ends at a Unix time."""
         if end_ms <= self.on_time_until_ms:
             return Standing.ON_TIME
         if end_ms <= self.of_use_until_ms:
@@ -88,6 +96,11 @@
         return expired, self.priority, self.work
 
 
+def has_claim(job: model.Job) -> bool:
+    """Returns whether a job runs once and is no service."""
+    return not job.occurrences and not any(step.service for step in job.steps)
+
+
 class Claims:
     """The claims of waiting jobs.
 
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/durations.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/durations.py
@@ -21,6 +21,10 @@
 # Weight that earlier steps keep with each new one, so that the fit follows
 # the last few hundred.
 _KEPT_WEIGHT = 0.99
+# Variance of the logarithm of run times around the expected one, until some
+# steps were done, and the weight of each one in it.
+_FIRST_SQUARED_ERROR = 0.25
+_SQUARED_ERROR_WEIGHT = 0.05
 _MIN_MS = 1.0
 
 
@@ -28,15 +32,23 @@
     """A line through points whose weight fades with each further one.
 
     The sums are those of linear regression.
+
+    :ivar squared_error: mean one of recent predictions.
     """
 
-    __slots__ = ('weight', 'x', 'y', 'xx', 'xy')
+    __slots__ = ('weight', 'x', 'y', 'xx', 'xy', 'squared_error')
 
     def __init__(self):
         self.weight = self.x = self.y = self.xx = self.xy = 0.0
+        self.squared_error = _FIRST_SQUARED_ERROR
 
     def add(self, x: float, y: float) -> None:
         """Adds a point: the logarithms of a declared and a true time."""
+        if self.weight:
+            error = y - self.predict(x)
+            self.squared_error += _SQUARED_ERROR_WEIGHT * (
+                error * error - self.squared_error
+            )
         self.weight = _KEPT_WEIGHT * self.weight + 1.0
         self.x = _KEPT_WEIGHT * self.x + x
         self.y = _KEPT_WEIGHT * self.y + y
@@ -83,3 +95,12 @@
         if fit is None or step.estimate_ms < _MIN_MS:
             return float(step.estimate_ms)
         return math.exp(fit.predict(math.log(step.estimate_ms)))
+
+    def deviation(self, queue: model.QueueId) -> float:
+        """Returns how far run times are off the expected ones.
+
+        It is the standard deviation of the logarithm of the run time.
+        """
+        fit = self._fits.get(queue)
+        found = _FIRST_SQUARED_ERROR if fit is None else fit.squared_error
+        return math.sqrt(found)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -1151,7 +1151,7 @@
             now_s = self._clock.monotonic()
             self._load.on_timer(now_s - due_s)
             self._log_suspension()
-            self.core.tick(now_s)
+            self.core.tick(now_s, self._clock.wall_ms())
             self._dispatch()
             # Backoffs of workers end and occurrences of jobs come due.
             self._request_plans()
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -34,6 +34,7 @@
 from . import reservations
 from . import room
 from . import sampling
+from . import second_tries
 from . import silence
 from . import stragglers
 from . import suspects
@@ -80,6 +81,7 @@
     copies: int
     workers: int
     workers_unreliable: int
+    second_tries: int
 
 
 class Scheduler:
@@ -120,6 +122,7 @@
         self.colocation = colocation.Colocation()
         self.tail_model = self.colocation.tail_model
         self.claims = claims.Claims()
+        self.second_tries = second_tries.SecondTries(self.claims)
         self.admission = admission.Admission()
         self._known_histories: dict[
             tuple[ids.WorkerId, int], worker_history.WorkerHistory
@@ -396,6 +399,7 @@
             workers_unreliable=sum(
                 worker.history.notable for worker in self.workers.values()
             ),
+            second_tries=self.second_tries.started,
         )
 
     def waiting_steps(self) -> t.Iterator[execution.StepRun]:
@@ -927,11 +931,7 @@
     ) -> None:
         """Handles that a worker has refused a start without any effect."""
         worker = self.workers.get(attempt.worker)
-        _log(
-            'start_refused',
-            attempt,
-            refusal=refusal.value,
-        )
+        _log('start_refused', attempt, refusal=refusal.value)
         if refusal is ports.Refusal.NO_CAPACITY and worker is not None:
             worker.back_off(now_s, _NO_CAPACITY_BACKOFF_S)
         if refusal is ports.Refusal.UNHEALTHY and worker is not None:
@@ -1034,7 +1034,7 @@
         taken, self._commands = self._commands, []
         return taken
 
-    def tick(self, now_s: float) -> None:
+    def tick(self, now_s: float, now_ms: int) -> None:
         """Handles expired leases, draining workers and stragglers.
 
         Also moves runs that are slowed beside services.
@@ -1059,7 +1059,7 @@
         self.colocation.mark_silent(
             self.workers.values(), now_s - self._max_report_age_s
         )
-        self._apply_remedies(now_s)
+        self._apply_remedies(now_s, now_ms)
         self._move_slowed(now_s)
 
     def _may_still_start(
@@ -1077,7 +1077,7 @@
             if step.service or step.checkpoints:
                 self._stop(attempt, 'worker-drains')
 
-    def _apply_remedies(self, now_s: float) -> None:
+    def _apply_remedies(self, now_s: float, now_ms: int) -> None:
         """Backs up, or stops, the runs that are much slower than others."""
         silent_from_s = now_s - self._max_report_age_s
         fleet = list(self.workers.values())
@@ -1086,20 +1086,24 @@
                 self._start_backup(remedy.attempt, now_s, remedy.why)
             else:
                 self._stop(remedy.attempt, remedy.why)
+        for found in self.second_tries.find(fleet, now_s, now_ms):
+            if self._start_backup(found.attempt, now_s, second_tries.WHY):
+                self.second_tries.on_started(found)
 
     def _start_backup(
         self, attempt: execution.Attempt, now_s: float, why: str
-    ) -> None:
+    ) -> bool:
+        """Starts a second run; returns False if no worker may get it."""
         task = attempt.task
-        if self._is_held(task.key.job) or task.crashes:
-            return
-        if task.done or len(task.attempts) > 1 or task.step_run.job_run.ended:
-            return
-        worker = placement.choose(
-            task, self._candidates(task, now_s), self.tail_model
-        )
+        if self._is_held(task.key.job) or not second_tries.permitted(task):
+            return False
+        found = self._candidates(task, now_s)
+        if why == second_tries.WHY:
+            found = second_tries.sound(found)
+        worker = placement.choose(task, found, self.tail_model)
         if worker is not None:
             self._place(task, worker, now_s, why)
+        return worker is not None
 
     def plan(self, now_s: float, now_ms: int) -> None:
         """Starts waiting tasks of services and batch jobs.
@@ -1405,11 +1409,7 @@
             return
         uncertain = attempt.state is execution.AttemptState.UNCERTAIN
         attempt.state = execution.AttemptState.STOPPING
-        _log(
-            'run_stopped',
-            attempt,
-            why=why,
-        )
+        _log('run_stopped', attempt, why=why)
         if not uncertain:
             self._commands.append(commands.Stop(attempt))
 
@@ -1424,11 +1424,7 @@
         if attempt.checkpoint:
             attempt.task.checkpoint = attempt.checkpoint
         self.dirty.add(attempt.task.key.job)
-        _log(
-            'run_gone',
-            attempt,
-            why=why,
-        )
+        _log('run_gone', attempt, why=why)
         if attempt.task.step_run.step.gang:
             self._stop_gang(attempt.task.step_run, attempt.run)
         self._deactivate_if_finished(attempt.task.step_run.job_run)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/stragglers.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/stragglers.py
@@ -9,6 +9,7 @@
 import statistics
 import typing as t
 
+from . import claims
 from . import execution
 from . import logs
 from . import workers
@@ -110,11 +111,22 @@
     return Verdict.MOVE if remaining_s > elsewhere_s else Verdict.FINE
 
 
+def may_back_up(task: execution.TaskRun) -> bool:
+    """Returns whether a second run may start by the deadline of the job."""
+    step = task.step_run.step
+    if not step.backups or step.gang or step.opportunistic:
+        return False
+    return claims.has_claim(task.step_run.job_run.job)
+
+
 def remedies(
     fleet: t.Iterable[workers.Worker], now_s: float, silent_from_s: float
 ) -> t.Iterator[Remedy]:
     """Yields the remedies for runs on slow, hung and silent workers.
 
+    Slow runs that may get a second run by the deadline of their job are left
+    to ``second_tries``.
+
     :param silent_from_s: workers without a report since then are silent.
     """
     for worker in fleet:
@@ -129,6 +141,8 @@
             if not running or attempt.task.step_run.step.gang:
                 continue
             verdict = classify(attempt, now_s)
+            if verdict is not Verdict.HUNG and may_back_up(attempt.task):
+                continue
             if verdict is not Verdict.FINE:
                 yield from _remedy(worker, attempt, verdict, now_s)
 
--- /dev/null
+++ b/tests/amaranthflow_scheduler/second_tries.feature
@@ -0,0 +1,73 @@
+Feature: Second runs start where they keep a job on time
+
+  # A job of two tasks, both on workers that report. It was accepted when the
+  # runs began, and is on time within 2.5 s. Runs take 1 s on other workers.
+  Scenario Outline: A run <state>
+    Given second tries for a job whose steps permit <permits>
+    And second tries see a run <state>
+    When second tries are looked for after <seconds> s
+    Then second tries find <found>
+
+    Examples:
+      | state                                         | permits          | seconds | found      |
+      | at 50%, listed at 0.5 s                       | backups          | 0.6     | nothing    |
+      | at 40%, listed at 0.5 s                       | backups          | 0.6     | nothing    |
+      | at 10%, listed at 0.5 s                       | backups          | 0.6     | slow       |
+      | at 10%, listed at 0.5 s                       | no backups       | 0.6     | nothing    |
+      | at 10%, listed at 0.1 s                       | backups          | 0.2     | nothing    |
+      | at 10%, listed at 1.4 s                       | backups          | 1.4     | slow       |
+      | at 30%, listed at 1.7 s                       | backups          | 1.7     | nothing    |
+      | at 2%, listed at 1.7 s                        | backups          | 1.7     | slow       |
+      | at 30%, listed at 0.3 s and at 0.8 s          | backups          | 0.8     | stalled    |
+      | at 99%, listed at 1.0 s                       | backups          | 1.1     | nothing    |
+      | at 99%, listed at 1.0 s                       | backups          | 1.3     | stalled    |
+      | at 0%, listed at 0.5 s                        | backups          | 0.5     | nothing    |
+      | at 0%, listed at 1.1 s                        | backups          | 1.1     | stalled    |
+      | that no report has listed                     | backups          | 1.5     | nothing    |
+      | at 10%, listed at 0.5 s                       | backups          | 1.4     | nothing    |
+      | whose start has no answer                     | backups          | 0.5     | nothing    |
+      | whose start has no answer, with a report      | backups          | 0.5     | unanswered |
+      | at 10%, listed at 0.5 s, with another one     | backups          | 0.6     | nothing    |
+      | at 10%, listed at 0.5 s, suspected of a crash | backups          | 0.6     | nothing    |
+      | at 10%, listed at 0.5 s                       | backups in gangs | 0.6     | nothing    |
+
+  # Where no other run tells how long one takes, only what exceeds the usual
+  # errors of the queue's declarations is the worker's doing.
+  Scenario Outline: A run of a step of one task whose queue's declarations are <off> off
+    Given second tries for a job of one task that permits backups
+    And second tries have seen 40 steps with declarations that are <off> off
+    And second tries see a run at <percent>%, listed at 0.5 s
+    When second tries are looked for after 0.5 s
+    Then second tries find <found>
+
+    Examples:
+      | off       | percent | found   |
+      | not       | 10      | slow    |
+      | not       | 30      | nothing |
+      | two times | 10      | slow    |
+      | two times | 15      | nothing |
+      | six times | 10      | nothing |
+
+  # With the further step the job is on time within 4.5 s.
+  Scenario Outline: A job with a further step of 1 s and a run at <percent>%
+    Given second tries for a job with a further step that permits backups
+    And second tries see a run at <percent>%, listed at 0.5 s
+    When second tries are looked for after 0.5 s
+    Then second tries find <found>
+
+    Examples:
+      | percent | found   |
+      | 15      | nothing |
+      | 12      | slow    |
+
+  Scenario: No second run goes to a worker that is slow or failing
+    Given second tries for a job whose steps permit backups
+    Then second tries reject workers that are slow, fail or leave starts unanswered
+
+  Scenario: A second run shows that the first worker is slow
+    Given second tries for a job whose steps permit backups
+    And second tries see a run at 10%, listed at 0.5 s
+    When second tries are looked for after 0.6 s
+    And second tries are started
+    Then second tries count 1
+    And second tries take the first worker as slow
--- a/tests/steps/evacuation_steps.py
+++ b/tests/steps/evacuation_steps.py
@@ -233,7 +233,7 @@
         context.now_s += _TICK_S
         for worker in context.core.workers.values():
             _report(context, worker)
-        context.core.tick(context.now_s)
+        context.core.tick(context.now_s, round(context.now_s * 1000))
         _plan(context)
 
 
@@ -330,7 +330,7 @@
     for worker in context.core.workers.values():
         if worker.id != name:
             _report(context, worker)
-    context.core.tick(context.now_s)
+    context.core.tick(context.now_s, round(context.now_s * 1000))
 
 
 @behave.then('the backup run starts on "{name}"')
--- a/tests/steps/preemption_steps.py
+++ b/tests/steps/preemption_steps.py
@@ -134,7 +134,7 @@
                 or self.now_s - last_s >= _REPORT_INTERVAL_S
             ):
                 self._report(worker)
-        self.core.tick(self.now_s)
+        self.core.tick(self.now_s, self.now_ms)
         self.core.plan(self.now_s, self.now_ms)
         for command in self.core.take_commands():
             if isinstance(command, commands.Start):
--- a/tests/steps/room_steps.py
+++ b/tests/steps/room_steps.py
@@ -143,7 +143,7 @@
         """Plays one tick."""
         self.now_s += _TICK_S
         self._report_all()
-        self.core.tick(self.now_s)
+        self.core.tick(self.now_s, self._now_ms)
         self.core.plan(self.now_s, self._now_ms)
         for command in self.core.take_commands():
             if isinstance(command, commands.Start):
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -1043,7 +1043,7 @@
     for worker in context.core.workers.values():
         if worker.id not in silent:
             _report(context.core, worker, [], seconds)
-    context.core.tick(seconds)
+    context.core.tick(seconds, 0)
     _plan(context, seconds + 0.1)
 
 
@@ -1137,7 +1137,7 @@
     _attempt(
         task, worker, percent=percent, pace=pace, slowed_since_s=0.3 - seconds
     )
-    context.core.tick(0.3)
+    context.core.tick(0.3, 0)
 
 
 @behave.when('a report lists an unrecorded run beside a service')
@@ -1145,7 +1145,7 @@
     worker, task = _beside_service(context, checkpoints=True)
     row = ports.RunProgress(task.key, model.RunNumber(1), '', 50.0, 1_000.0)
     context.core._adopt(worker, task, row, 0.3, 0.3)
-    context.core.tick(0.3)
+    context.core.tick(0.3, 0)
 
 
 @behave.then('the slowed run {verdict}')
@@ -1433,7 +1433,7 @@
     core.on_sent(context.attempt)
     worker.lease_end_s = 4.0
     for tenth in range(10):
-        core.tick(5.0 + tenth / 10)
+        core.tick(5.0 + tenth / 10, 0)
 
 
 @behave.when('the worker reports a new incarnation')
--- /dev/null
+++ b/tests/steps/second_tries_steps.py
@@ -0,0 +1,199 @@
+"""Steps for second_tries.feature."""
+
+import re
+
+import behave
+
+from amaranthflow import ids
+from amaranthflow_scheduler import claims
+from amaranthflow_scheduler import durations
+from amaranthflow_scheduler import execution
+from amaranthflow_scheduler import model
+from amaranthflow_scheduler import second_tries
+from amaranthflow_scheduler import worker_history
+from amaranthflow_scheduler import workers
+
+_BEGAN_S = 100.0
+_BORN_MS = 7
+_RUN_MS = 1000
+_QUEUE = model.Queue(
+    id=model.QueueId('jobs'),
+    host='jobs.example',
+    prefix='/jobs/',
+    service=ids.ServiceId('workers'),
+    stretch=2.0,
+    target_ms=500,
+)
+_STATE = re.compile(r'at (\d+)%, listed at ([\d.]+) s(?: and at ([\d.]+) s)?')
+_OFF = {'not': 1.0, 'two times': 2.0, 'six times': 6.0}
+
+
+def _step(**fields):
+    return model.Step(
+        resources=model.Resources(1000, 100, 0), estimate_ms=_RUN_MS, **fields
+    )
+
+
+def _start(context, *steps):
+    job = model.Job(
+        id=ids.JobId('j'),
+        queue=_QUEUE,
+        payload='',
+        steps=steps,
+        accepted_ms=round(_BEGAN_S * 1000),
+    )
+    context.job_run = execution.JobRun(job=job)
+    context.job_run.open_occurrence(0)
+    context.claims = claims.Claims(durations=durations.DurationModel())
+    context.tries = second_tries.SecondTries(context.claims)
+
+
+def _worker(name):
+    entry = model.WorkerEntry(
+        id=ids.WorkerId(name),
+        service=_QUEUE.service,
+        address=name,
+        zone=ids.ZoneId('z1'),
+        state=model.WorkerState.READY,
+        capacity=model.Resources(8000, 64_000, 0),
+    )
+    return workers.Worker(entry=entry, lease_end_s=1e9, born_ms=_BORN_MS)
+
+
+def _attempt(context, task, worker, **fields):
+    attempt = execution.Attempt(
+        task=task,
+        worker=worker.id,
+        run=context.job_run.allocate_run_number(task),
+        state=execution.AttemptState.RUNNING,
+        born_ms=_BORN_MS,
+        running_since_s=_BEGAN_S,
+        progressed_s=_BEGAN_S,
+    )
+    for name, value in fields.items():
+        setattr(attempt, name, value)
+    task.add_attempt(attempt)
+    worker.attach(attempt)
+    return attempt
+
+
+@behave.given('second tries for a job whose steps permit {what}')
+def step_job(context, what):
+    fields = {
+        'backups': {'backups': True},
+        'no backups': {},
+        'backups in gangs': {'backups': True, 'gang': True},
+    }[what]
+    _start(context, _step(count=2, **fields))
+    # Other runs of the step take 1 s.
+    step_run = context.job_run.open_occurrences[0][0]
+    step_run.speeds.append(100_000 / _RUN_MS)
+
+
+@behave.given('second tries for a job of one task that permits backups')
+def step_single(context):
+    _start(context, _step(count=1, backups=True))
+
+
+@behave.given(
+    'second tries for a job with a further step that permits backups'
+)
+def step_further(context):
+    steps = _step(count=2, backups=True), _step(count=1, after=(0,))
+    _start(context, *steps)
+    context.job_run.open_occurrences[0][0].speeds.append(100_000 / _RUN_MS)
+
+
+@behave.given(
+    'second tries have seen {count:d} steps with declarations that are '
+    '{off} off'
+)
+def step_learned(context, count, off):
+    for number in range(count):
+        ratio = _OFF[off] if number % 2 else 1 / _OFF[off]
+        context.claims.durations.observe(
+            _QUEUE.id, _step(count=1), _RUN_MS * ratio
+        )
+
+
+@behave.given('second tries see a run {state}')
+def step_run(context, state):
+    task = context.job_run.open_occurrences[0][0].tasks[0]
+    context.worker = worker = _worker('w1')
+    worker.last_report_s = _BEGAN_S
+    found = _STATE.match(state)
+    if found is not None:
+        percent, progressed_s, listed_s = found.groups()
+        listed_s = _BEGAN_S + float(listed_s or progressed_s)
+        moved = int(percent) > 0
+        progressed_s = _BEGAN_S + float(progressed_s) * moved
+        context.attempt = _attempt(
+            context,
+            task,
+            worker,
+            percent=float(percent),
+            progressed_s=progressed_s,
+            last_listed_s=listed_s,
+        )
+        worker.last_report_s = listed_s
+    elif state.startswith('whose start has no answer'):
+        context.attempt = _attempt(
+            context,
+            task,
+            worker,
+            state=execution.AttemptState.UNCERTAIN,
+            running_since_s=0.0,
+        )
+        worker.back_off(_BEGAN_S + 0.3, 1.0)
+        worker.last_report_s += 0.4 if 'report' in state else 0.2
+    else:
+        assert state == 'that no report has listed', state
+        context.attempt = _attempt(context, task, worker)
+        worker.last_report_s = _BEGAN_S + 1.4
+    if 'another' in state:
+        _attempt(context, task, _worker('w2'))
+    if 'suspected' in state:
+        task.crashes = 1
+
+
+@behave.when('second tries are looked for after {seconds:g} s')
+def step_find(context, seconds):
+    now_s = _BEGAN_S + seconds
+    context.found = list(
+        context.tries.find([context.worker], now_s, round(now_s * 1000))
+    )
+
+
+@behave.when('second tries are started')
+def step_started(context):
+    for found in context.found:
+        context.tries.on_started(found)
+
+
+@behave.then('second tries find {cause}')
+def step_found(context, cause):
+    causes = [found.cause.value for found in context.found]
+    assert causes == ([] if cause == 'nothing' else [cause]), causes
+
+
+@behave.then(
+    'second tries reject workers that are slow, fail or leave starts '
+    'unanswered'
+)
+def step_sound(context):
+    sound, slow, fails, mute = map(_worker, ('w1', 'w2', 'w3', 'w4'))
+    slow.history.on_straggler(2.0)
+    fails.history.on_failure(ids.JobId('other'))
+    mute.history = worker_history.WorkerHistory(unanswered_share=0.5)
+    found = second_tries.sound([sound, slow, fails, mute])
+    assert found == [sound], [worker.id for worker in found]
+
+
+@behave.then('second tries count {count:d}')
+def step_count(context, count):
+    assert context.tries.started == count
+
+
+@behave.then('second tries take the first worker as slow')
+def step_slow(context):
+    assert context.worker.history.slowness > 1.5
