--- a/tests/amaranthflow_scheduler/second_tries.feature
+++ b/tests/amaranthflow_scheduler/second_tries.feature
@@ -71,3 +71,15 @@
     And second tries are started
     Then second tries count 1
     And second tries take the first worker as slow
+
+  # Two workers run a task each, one of them ten times slower than the other.
+  Scenario Outline: The third worker <trait>
+    Given second tries of a leader whose third worker <trait>
+    When the leader of second tries ticks after 0.5 s
+    Then the leader of second tries starts <runs> run
+
+    Examples:
+      | trait        | runs |
+      | is sound     | 1    |
+      | is slow      | 0    |
+      | fails        | 0    |
--- a/tests/steps/second_tries_steps.py
+++ b/tests/steps/second_tries_steps.py
@@ -1,17 +1,22 @@
 """Steps for second_tries.feature."""
 
+import math
 import re
 
 import behave
 
 from amaranthflow import ids
 from amaranthflow_scheduler import claims
+from amaranthflow_scheduler import commands
 from amaranthflow_scheduler import durations
 from amaranthflow_scheduler import execution
 from amaranthflow_scheduler import model
+from amaranthflow_scheduler import ports
+from amaranthflow_scheduler import scheduler
 from amaranthflow_scheduler import second_tries
 from amaranthflow_scheduler import worker_history
 from amaranthflow_scheduler import workers
+from amaranthflow_standins import task_fleet
 
 _BEGAN_S = 100.0
 _BORN_MS = 7
@@ -34,30 +39,38 @@
     )
 
 
-def _start(context, *steps):
-    job = model.Job(
+def _job(*steps):
+    return model.Job(
         id=ids.JobId('j'),
         queue=_QUEUE,
         payload='',
         steps=steps,
         accepted_ms=round(_BEGAN_S * 1000),
     )
-    context.job_run = execution.JobRun(job=job)
+
+
+def _start(context, *steps):
+    context.job_run = execution.JobRun(job=_job(*steps))
     context.job_run.open_occurrence(0)
     context.claims = claims.Claims(durations=durations.DurationModel())
     context.tries = second_tries.SecondTries(context.claims)
 
 
-def _worker(name):
-    entry = model.WorkerEntry(
+def _entry(name, cpu=8000):
+    return model.WorkerEntry(
         id=ids.WorkerId(name),
         service=_QUEUE.service,
         address=name,
         zone=ids.ZoneId('z1'),
         state=model.WorkerState.READY,
-        capacity=model.Resources(8000, 64_000, 0),
+        capacity=model.Resources(cpu, 64_000, 0),
+    )
+
+
+def _worker(name):
+    return workers.Worker(
+        entry=_entry(name), lease_end_s=math.inf, born_ms=_BORN_MS
     )
-    return workers.Worker(entry=entry, lease_end_s=1e9, born_ms=_BORN_MS)
 
 
 def _attempt(context, task, worker, **fields):
@@ -197,3 +210,71 @@
 @behave.then('second tries take the first worker as slow')
 def step_slow(context):
     assert context.worker.history.slowness > 1.5
+
+
+def _report(context, worker, now_s, rows=()):
+    report = ports.WorkerReport(
+        clock_ms=round(now_s * 1000),
+        born_ms=_BORN_MS,
+        running=[
+            ports.RunProgress(attempt.task.key, attempt.run, '', percent, 0.0)
+            for attempt, percent in rows
+        ],
+        ended=[],
+    )
+    context.core.on_report(worker, report, now_s, now_s, round(now_s * 1000))
+
+
+def _starts(core):
+    return [
+        command.attempt
+        for command in core.take_commands()
+        if isinstance(command, commands.Start)
+    ]
+
+
+@behave.given('second tries of a leader whose third worker {trait}')
+def step_leader(context, trait):
+    context.core = core = scheduler.Scheduler(
+        limits=task_fleet.LIMITS, token=model.Token(1), now_s=0.0
+    )
+    for name in ('w1', 'w2', 'w3'):
+        # There is room for one run.
+        core.on_entry_changed(_entry(name, cpu=1000), _BEGAN_S)
+        worker = core.workers[ids.WorkerId(name)]
+        worker.lease_end_s = math.inf
+        _report(context, worker, _BEGAN_S)
+    core.add_job(_job(_step(count=2, backups=True)))
+    core.plan(_BEGAN_S, round(_BEGAN_S * 1000))
+    context.attempts = _starts(core)
+    for attempt in context.attempts:
+        core.on_sent(attempt)
+        core.on_started(attempt, _BEGAN_S)
+    used = {attempt.worker for attempt in context.attempts}
+    (third,) = (w for w in core.workers.values() if w.id not in used)
+    if trait == 'is slow':
+        third.history.on_straggler(2.0)
+    elif trait == 'fails':
+        third.history.on_failure(ids.JobId('other'))
+    else:
+        assert trait == 'is sound', trait
+
+
+@behave.when('the leader of second tries ticks after {seconds:g} s')
+def step_leader_ticks(context, seconds):
+    now_s = _BEGAN_S + seconds
+    percents = {
+        a.worker: p for a, p in zip(context.attempts, (5.0, 50.0), strict=True)
+    }
+    for worker in context.core.workers.values():
+        rows = [(a, percents[worker.id]) for a in worker.attempts]
+        _report(context, worker, now_s, rows)
+    context.core.tick(now_s, round(now_s * 1000))
+
+
+@behave.then('the leader of second tries starts {count:d} run')
+def step_leader_starts(context, count):
+    started = _starts(context.core)
+    assert len(started) == count, started
+    for attempt in started:
+        assert attempt.task is context.attempts[0].task
