Second runs: compare with the step, and trust only reports that come

Change: a step of several tasks is judged by its other runs only, known after 0.2 s; an end counts as missing only if the worker has no unstored one, and later. A report without progress counts as before.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/second_tries.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/second_tries.py
@@ -10,6 +10,7 @@
 
 import enum
 import math
+import statistics
 import typing as t
 
 from . import claims as claims_lib
@@ -28,16 +29,17 @@
 _DEVIATIONS = 2.0
 # The speed of a run, or that it makes no progress, is known after this time.
 _MIN_OBSERVATION_S = 0.2
-# A run has stalled if it should have ended, or made this much progress, and
-# has not.
-_STALL_PERCENT = 10.0
-_OVERDUE_RATIO = 0.15
-_MIN_OVERDUE_S = 0.15
+# A run has stalled if by a later report it should have made this much progress
+# and has not.
+_STALL_PERCENT = 15.0
+# Or if it should have ended so long ago, in all or as a share of its time.
+_MIN_OVERDUE_S = 0.25
+_OVERDUE_RATIO = 0.3
 # Slowness of a worker that follows from a run that has stalled there.
 _STALLED_SLOWNESS = 4.0
 # From the decision to the start of a run.
 _START_S = 0.05
-# While reports come this often, ends are reported at once.
+# Reports of workers with runs come at least this often.
 _FRESH_REPORT_S = report_intervals.MIN_INTERVAL_S + 0.15
 _NEVER_S = math.inf
 # Reason of a second run, as logs show it.
@@ -136,13 +138,32 @@
     end_s = attempt.progressed_s + left * took_s / done
     still_s = listed_s - attempt.progressed_s
     missing = still_s * done / took_s
-    overdue_s = max(_MIN_OVERDUE_S, _OVERDUE_RATIO * (end_s - since_s))
     stalled = still_s >= _MIN_OBSERVATION_S and missing > _STALL_PERCENT
-    if stalled or now_s > end_s + overdue_s:
+    overdue_s = max(_MIN_OVERDUE_S, _OVERDUE_RATIO * (end_s - since_s))
+    if worker.stored_end == worker.processed_end:
+        # Otherwise the next report waits until these ends are stored.
+        stalled = stalled or now_s > end_s + overdue_s
+    if stalled:
         return Outlook(Cause.STALLED, _NEVER_S, _NEVER_S)
     return Outlook(Cause.SLOW, end_s, 100 * took_s / done)
 
 
+def usual_run_s(attempt: execution.Attempt) -> float | None:
+    """Returns the median run time of the step's tasks on other workers.
+
+    Returns None if nothing is known of any.
+    """
+    times_s = [100 / speed for speed in attempt.task.step_run.speeds]
+    for other in attempt.task.step_run.attempts():
+        done = other.percent - other.first_percent
+        took_s = other.progressed_s - other.running_since_s
+        if other.worker == attempt.worker or done <= 0:
+            continue
+        if took_s >= _MIN_OBSERVATION_S:
+            times_s.append(100 * took_s / done)
+    return statistics.median(times_s) if times_s else None
+
+
 def following_ms(
     step_run: execution.StepRun, durations: durations_lib.DurationModel
 ) -> float:
@@ -223,9 +244,12 @@
     if standing is claims_lib.Standing.ON_TIME:
         return None
     ratio = math.exp(_DEVIATIONS * durations.deviation(queue_id))
-    usual = stragglers.usual_speed(attempt, now_s)
-    if usual is not None:
-        run_s, ratio = 100 / usual, _SLOW_RATIO
+    usual_s = usual_run_s(attempt)
+    if usual_s is not None:
+        run_s, ratio = usual_s, _SLOW_RATIO
+    elif step_run.step.count > 1 and first.cause is Cause.SLOW:
+        # All tasks of the step may be as large.
+        return None
     slowness = first.whole_s / run_s if run_s else _NEVER_S
     if slowness < max(ratio, _SLOW_RATIO):
         return None
--- a/tests/steps/second_tries_steps.py
+++ b/tests/steps/second_tries_steps.py
@@ -103,6 +103,21 @@
     step_run.speeds.append(100_000 / _RUN_MS)
 
 
+@behave.given('second tries for a job of two tasks that permits backups')
+def step_pair(context):
+    _start(context, _step(count=2, backups=True))
+
+
+@behave.given('second tries see beside it a run {state}')
+def step_beside(context, state):
+    task = context.job_run.open_occurrences[0][0].tasks[1]
+    fields = {}
+    if state.startswith('at '):
+        percent = float(state.removeprefix('at ').removesuffix('%'))
+        fields = {'percent': percent, 'progressed_s': _BEGAN_S + 0.5}
+    _attempt(context, task, _worker('w2'), **fields)
+
+
 @behave.given('second tries for a job of one task that permits backups')
 def step_single(context):
     _start(context, _step(count=1, backups=True))
@@ -163,6 +178,8 @@
         assert state == 'that no report has listed', state
         context.attempt = _attempt(context, task, worker)
         worker.last_report_s = _BEGAN_S + 1.4
+    if 'unstored' in state:
+        worker.processed_end = 1
     if 'another' in state:
         _attempt(context, task, _worker('w2'))
     if 'suspected' in state:
