Let instances without the store find the next leader

Another one leads 0.6 s later, but 14 instances asked the former leader until the store was back. Each failed read asks the known leader first and ended with its answer, which named itself; it refused their jobs as the store was away. By the log 20 short jobs were accepted 1.1 to 2 s late or not by the first instance (48 refusals of all classes in seconds 2.7 to 11.7).

Change: leader_search.py decides whom an instance without the store asks and when an answer is enough: a newer term, or an answer of an instance that reads the store; else one seed more, another one each time. A leader that hands over its term is told who follows, and tells the others. leader_learned is logged and counted. A term that is learned counts from then on, so that a small leader is not asked to hand over at once.

Test: five scenarios of store_outage.feature, refused before, and leader_search.feature.

Ruled out: calls to all seeds each time, as an outage for all would cost each instance four calls every 0.1 s.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/elections.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/elections.py
@@ -205,6 +205,17 @@
             self._vacant_since_s = now_s
         return self.term if self.term != previous else None
 
+    def learn(self, term: Term, now_s: float) -> bool:
+        """Follows a term that another instance has named, if it is newer.
+
+        A claim still needs reads of the table.
+        """
+        if self.term is not None and self.term.token >= term.token:
+            return False
+        self.term = term
+        self._term_since_s = now_s
+        return True
+
     def on_read_failure(self) -> None:
         """Handles a failed read; the measured silence starts again."""
         self._silent_since_s = None
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
@@ -5,6 +5,8 @@
 import hashlib
 import typing as t
 
+import msgspec
+
 from amaranthflow import clock as clock_lib
 from amaranthflow import exceptions
 from amaranthflow import ids
@@ -15,6 +17,7 @@
 from . import job_api as job_api_lib
 from . import job_memory
 from . import leader as leader_lib
+from . import leader_search
 from . import logs
 from . import metrics
 from . import model
@@ -116,6 +119,7 @@
         self._configuration_end: int | None = None
         self._last_contact_s = float('-inf')
         self._store_unavailable = False
+        self._leader_search = leader_search.LeaderSearch()
         self._lost_s = float('-inf')
         self._tasks: list[asyncio.Task] = []
         self._term_task: asyncio.Task | None = None
@@ -197,7 +201,7 @@
             except exceptions.AmaranthflowError as exc:
                 self._set_store_state(exc)
                 self._observer.on_read_failure()
-                await self._query_seeds()
+                await self._find_leader()
                 await asyncio.sleep(_PROBE_PAUSE_S)
                 continue
             self._set_store_state(None)
@@ -401,7 +405,12 @@
             return None
         if term.released and term.recorded:
             return takeover.Handover(complete=True)
-        message = {'token': term.token, 'successor': successor}
+        message = {
+            'token': term.token,
+            'successor': successor,
+            'instance': self._identity.instance,
+            'address': self._identity.address,
+        }
         try:
             if term.instance == self._identity.instance:
                 response = self._yield_term(message)
@@ -422,44 +431,61 @@
         successor = model.Token(int(message['successor']))
         leader = self.leader
         if leader is not None and leader.term.token == token < successor:
-            return leader.yield_term(successor).encode()
-        if self._ended_term is not None and self._ended_term[0] == token:
-            return self._ended_term[1].encode()
-        raise exceptions.NotReady('this instance did not lead that term')
+            handover = leader.yield_term(successor)
+        elif self._ended_term is not None and self._ended_term[0] == token:
+            handover = self._ended_term[1]
+        else:
+            raise exceptions.NotReady('this instance did not lead that term')
+        if message.get('address'):
+            # This instance may not read the record of the next term.
+            term = elections.Term(
+                token=successor,
+                instance=ids.InstanceId(str(message.get('instance'))),
+                address=str(message['address']),
+            )
+            self._learn_term(term, 'successor')
+        return handover.encode()
 
-    async def _query_seeds(self) -> None:
+    async def _find_leader(self) -> None:
         """Asks other instances who leads."""
-        current = self._observer.term
-        addresses = list(self._identity.seeds)
-        if current is not None:
-            addresses.insert(0, current.address)
-        for address in addresses:
-            if address == self._identity.address:
-                continue
+        answers: list[leader_search.Answer] = []
+        found_newer = False
+        for address in self._leader_search.begin(
+            self._observer.term,
+            self._identity.seeds,
+            own_address=self._identity.address,
+        ):
             try:
                 response = await self._peer_client.call(
                     address, 'leader', {}, _RETRY_S
                 )
-                self._adopt_term(response)
+                answer = leader_search.decode(response)
             except exceptions.AmaranthflowError:
                 # The address may be out of date; try the next one.
                 continue
-            if self._observer.term is not None:
+            answers.append(answer)
+            term = answer.term()
+            if term is not None:
+                self._last_contact_s = self._clock.monotonic()
+                found_newer = self._learn_term(term, address)
+            if leader_search.is_enough(answers, found_newer=found_newer):
                 return
 
-    def _adopt_term(self, response: dict) -> None:
-        token = response.get('token')
-        if not isinstance(token, int):
-            return
-        self._last_contact_s = self._clock.monotonic()
-        current = self._observer.term
-        if current is None or current.token < token:
-            self._observer.term = elections.Term(
-                token=model.Token(token),
-                instance=ids.InstanceId(str(response.get('instance'))),
-                address=str(response.get('address')),
-                small=bool(response.get('small')),
-            )
+    def _learn_term(self, term: elections.Term, source: str) -> bool:
+        """Follows a term that another instance has named.
+
+        Returns False if it is not newer than the known one.
+        """
+        if not self._observer.learn(term, self._clock.monotonic()):
+            return False
+        self.meters.count('leaders_learned')
+        logs.event(
+            'leader_learned',
+            leader=term.instance,
+            token=term.token,
+            source=source,
+        )
+        return True
 
     # configuration
 
@@ -644,12 +670,7 @@
         return response
 
     def _leader_info(self) -> dict:
-        term = self._observer.term
-        if term is None:
-            return {}
-        return {
-            'token': term.token,
-            'instance': term.instance,
-            'address': term.address,
-            'small': term.small,
-        }
+        answer = leader_search.Answer.of(
+            self._observer.term, reads=not self._store_unavailable
+        )
+        return msgspec.to_builtins(answer)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/peering.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/peering.py
@@ -23,6 +23,8 @@
     record: str
     token: int
     successor: int
+    instance: str
+    address: str
     follows: bool
 
 
--- a/tests/amaranthflow_scheduler/peering.feature
+++ b/tests/amaranthflow_scheduler/peering.feature
@@ -6,12 +6,13 @@
     Then the other instance gets these fields
 
     Examples:
-      | name   | fields                                        |
-      | accept | {"id": "00000000000000a1", "record": "{}"}    |
-      | count  | {"token": 3, "queue": "h/p"}                  |
-      | state  | {"token": 3, "id": "00000000000000a1"}        |
-      | term   | {"token": 3, "follows": true}                 |
-      | yield  | {"token": 3, "successor": 7}                  |
+      | name   | fields                                                          |
+      | accept | {"id": "00000000000000a1", "record": "{}"}                      |
+      | count  | {"token": 3, "queue": "h/p"}                                    |
+      | state  | {"token": 3, "id": "00000000000000a1"}                          |
+      | term   | {"token": 3, "follows": true}                                   |
+      | yield  | {"token": 3, "successor": 7}                                    |
+      | yield  | {"token": 3, "successor": 7, "instance": "i2", "address": "a2"} |
 
   Scenario: Unknown fields of a call are left out
     When an instance calls "term" of another one with "{"token": 3, "other": []}"
--- a/tests/amaranthflow_scheduler/store_outage.feature
+++ b/tests/amaranthflow_scheduler/store_outage.feature
@@ -40,6 +40,29 @@
     When a store outage meets a job at a follower
     Then the store outage has it accepted within 0.1 s
 
+  # The former leader was asked for as long as the store refused it, and said
+  # that the store is away, while the next one stored the jobs of all others.
+  Scenario Outline: Jobs are accepted once others than the leader reach the store
+    Given the store outage is of the leader and <count> more instances
+    And 2 s pass in the task fleet
+    When a store outage meets a job at <instance>
+    Then the store outage has it accepted within 0.1 s
+    And the task fleet has another leader
+
+    Examples: the fourth instance is no seed of any other
+      | count | instance          |
+      | 1     | a cut off one     |
+      | 1     | the former leader |
+      | 2     | a cut off one     |
+      | 2     | the former leader |
+
+  Scenario: An instance without the store asks further ones who leads
+    Given the store outage is of the first and the last follower
+    When the task fleet's leader is killed
+    And 3 s pass in the task fleet
+    And a store outage meets a job at a cut off one
+    Then the store outage has it accepted within 0.1 s
+
   Scenario Outline: Jobs are accepted as soon as the store is back
     Given the store does not respond to all task instances
     And <seconds> s pass in the task fleet
--- a/tests/steps/store_outage_steps.py
+++ b/tests/steps/store_outage_steps.py
@@ -21,6 +21,11 @@
     leader = next(n for n, node in fleet.nodes.items() if node.leader)
     if which == 'the leader':
         return leader
+    cut_off = fleet.store.faults.busy & fleet.nodes.keys()
+    if which == 'the former leader':
+        return fleet.former_leader
+    if which == 'a cut off one':
+        return max(cut_off - {getattr(fleet, 'former_leader', None)})
     return next(name for name in fleet.nodes if name != leader)
 
 
@@ -120,6 +125,21 @@
     context.fleet.store.faults.busy.update(context.fleet.nodes)
 
 
+@behave.given('the store outage is of the leader and {count:d} more instances')
+def step_busy_leader(context, count):
+    fleet = context.fleet
+    fleet.former_leader = leader = fleet.leader()
+    others = [name for name in fleet.nodes if name != leader]
+    fleet.store.faults.busy.update([leader, *others[:count]])
+
+
+@behave.given('the store outage is of the first and the last follower')
+def step_busy_followers(context):
+    fleet = context.fleet
+    others = [name for name in fleet.nodes if name != fleet.leader()]
+    fleet.store.faults.busy.update([others[0], others[-1]])
+
+
 @behave.given('the store\'s health has seen the calls "{calls}"')
 def step_calls(context, calls):
     events = []
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -302,6 +302,11 @@
     assert node.leader.term.token == 1, node.leader.term
 
 
+@behave.then('the task fleet has another leader')
+def step_other_leader(context):
+    assert context.fleet.leader() not in (None, context.fleet.former_leader)
+
+
 @behave.given('commands to task worker "{name}" are executed late')
 def step_late(context, name):
     context.fleet.workers[name].faults.delayed_share = 1.0
