Ask a silent leader again soon

Cause: instances ask a silent leader whether it leads after a read of 0.7 s without records. A leader that the store refuses offers its term once its second renewal has failed, some ms before or after that question; who asked too soon asked again 0.7 s later, and nobody led for that long.

Change: an instance that could claim at once ends its reads of the leaders after 0.2 s while the leader leads on without a record or an offer. Small ones ask as before.

Test: takeover.feature, and fleet.feature with refusals that take 0.05 s (3 of 5 failed: the former leader still led after 1.1 s).

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/elections.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/elections.py
@@ -28,6 +28,9 @@
 LEADER_TIMEOUT_S = 1.5
 # Silence after which an instance checks whether the leader still leads.
 LEADER_PROBE_AFTER_S = 0.65
+# A silent leader that leads on may offer its term a moment later. Instances
+# that could claim at once ask it again after this time.
+_ASK_AGAIN_S = 0.2
 # Reads further apart than this do not prove silence in between.
 _MAX_READ_GAP_S = 1.6
 
@@ -165,6 +168,7 @@
         self._instance = instance
         self._ended_term: Term | None = None
         self._offered = False
+        self._doubted = False
         self._timeout_s = timeout_s
         self._claim_delay_s = claim_delay_s
         self._vacant_since_s: float | None = None
@@ -190,7 +194,7 @@
         if gap or terms or self._silent_since_s is None:
             self._silent_since_s = now_s
         if gap or terms:
-            self._offered = False
+            self._offered = self._doubted = False
         self.end = batch.end
         previous = self.term
         if terms:
@@ -220,7 +224,7 @@
         """Handles a failed read; the measured silence starts again."""
         self._silent_since_s = None
         self._vacant_since_s = None
-        self._offered = False
+        self._offered = self._doubted = False
 
     def pause_claims(self, now_s: float) -> None:
         """Lets other instances claim first for ``CLAIM_PAUSE_S`` seconds."""
@@ -244,6 +248,10 @@
         if self._vacant_since_s is None:
             self._vacant_since_s = now_s
 
+    def mark_doubted(self) -> None:
+        """Notes that the leader, though silent, leads on without an offer."""
+        self._doubted = True
+
     def silent_s(self, now_s: float) -> float:
         """Returns for how many seconds there was provably no record."""
         if self._silent_since_s is None:
@@ -271,6 +279,16 @@
             left_s = min(left_s, self._claim_delay_s - vacant_s)
         return max(left_s, self._claims_paused_until_s - now_s)
 
+    def read_wait_s(self, now_s: float, max_s: float) -> float:
+        """Returns how long a read may wait for the next record.
+
+        It ends once a claim is due, or a silent leader is to be asked again.
+        """
+        if self._doubted and not self._claim_delay_s:
+            max_s = min(max_s, _ASK_AGAIN_S)
+        due_s = self.claims_in_s(now_s)
+        return min(due_s, max_s) if due_s > 0 else max_s
+
     def _is_vacant(self) -> bool:
         """Returns whether no process serves the newest term, or offers it."""
         term = self.term
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
@@ -211,11 +211,12 @@
             await self._claim_if_due()
 
     def _leaders_wait_ms(self) -> int:
-        """Returns how long a read waits: at most until a claim is due."""
-        due_s = self._observer.claims_in_s(self._clock.monotonic())
-        if self.leader is not None or due_s <= 0:
+        """Returns how long a read of the leaders table waits for a record."""
+        if self.leader is not None:
             return _LEADERS_WAIT_MS
-        return round(min(due_s * 1000, _LEADERS_WAIT_MS))
+        now_s = self._clock.monotonic()
+        max_s = _LEADERS_WAIT_MS / 1000
+        return round(1000 * self._observer.read_wait_s(now_s, max_s))
 
     async def _read_leaders(self) -> ports.Batch:
         if not self._store_unavailable:
@@ -294,6 +295,8 @@
             self._observer.mark_ended(term, self._clock.monotonic())
         elif offered:
             self._observer.mark_offered(self._clock.monotonic())
+        else:
+            self._observer.mark_doubted()
 
     async def _request_hand_over(self) -> None:
         """Asks a small leader to hand over once it has led for a while."""
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/record_store.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/record_store.py
@@ -22,6 +22,7 @@
     :ivar silent_tables: pairs of an instance and a table for which its calls
         time out without effect.
     :ivar busy: instances whose calls are refused.
+    :ivar refusal_s: how long a refusal takes.
     :ivar lost_reply_share: share of appends that take effect but whose reply
         is lost.
     :ivar delayed_share: share of appends that time out and take effect some
@@ -37,6 +38,7 @@
         default_factory=set
     )
     busy: set[str] = dataclasses.field(default_factory=set)
+    refusal_s: float = _REFUSAL_LATENCY_S
     lost_reply_share: float = 0.0
     delayed_share: float = 0.0
     slow_s: float = 0.0
@@ -141,7 +143,7 @@
         if self.is_silent(instance, table):
             await self.time_out()
         if instance in self.faults.busy:
-            await asyncio.sleep(_REFUSAL_LATENCY_S)
+            await asyncio.sleep(self.faults.refusal_s)
             raise exceptions.PlatformError('busy')
         await asyncio.sleep(_LATENCY_S + self.faults.slow_s)
 
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -422,6 +422,24 @@
     Then task job "a1" is completed within 0.5 s
     And the task fleet violated no invariant
 
+  # The first question comes some ms before the renewal fails for the second
+  # time, and the next one came 0.7 s later.
+  Scenario Outline: A large instance asks a silent leader again soon
+    Given a task fleet of 2 small instances and 2 large ones
+    And <seconds> s pass in the task fleet
+    And the store's refusals take 0.05 s
+    And the store is busy for the task fleet's leader
+    Then another task instance has taken over within 1.1 s
+    And a large task instance leads
+
+    Examples: the leader renews its term each 0.5 s
+      | seconds |
+      | 1.0     |
+      | 1.1     |
+      | 1.2     |
+      | 1.3     |
+      | 1.4     |
+
   # The runs on the silent worker are in no record of the store.
   Scenario: Runs that the store does not know are handed over
     Given task job "a1" with steps "1x0.4 8x3.0" is accepted
--- a/tests/amaranthflow_scheduler/takeover.feature
+++ b/tests/amaranthflow_scheduler/takeover.feature
@@ -90,3 +90,22 @@
       | 1.1  | is not |
       | 1.3  | is not |
       | 1.5  | is     |
+
+  Scenario: A silent leader that leads on is asked again soon
+    Given an observer that has read a record of the leader at second 0
+    And a read without records until second 0.7
+    Then its next read of the leaders may wait for 0.7 s at second 0.7
+    When the leader leads on without an offer
+    Then its next read of the leaders may wait for 0.2 s at second 0.7
+    And its next read of the leaders may wait for 0.1 s at second 1.4
+    When it reads another record of the leader at second 1.4
+    Then its next read of the leaders may wait for 0.7 s at second 1.4
+    When the leader leads on without an offer
+    And a read of the observer fails
+    Then its next read of the leaders may wait for 0.7 s at second 1.5
+
+  Scenario: A small instance leaves it to large ones to ask again
+    Given a small observer that has read a record of the leader at second 0
+    And a read without records until second 0.7
+    When the leader leads on without an offer
+    Then its next read of the leaders may wait for 0.7 s at second 0.7
--- a/tests/steps/takeover_steps.py
+++ b/tests/steps/takeover_steps.py
@@ -215,6 +215,32 @@
     step_record(context, second)
 
 
+@behave.given(
+    'a small observer that has read a record of the leader at second '
+    '{second:g}'
+)
+def step_small_observer(context, second):
+    context.observer = elections.Observer(
+        instance=ids.InstanceId('this'),
+        claim_delay_s=elections.SMALL_CLAIM_DELAY_S,
+    )
+    context.end = int(_TOKEN)
+    step_record(context, second)
+
+
+@behave.when('the leader leads on without an offer')
+def step_doubted(context):
+    context.observer.mark_doubted()
+
+
+@behave.then(
+    'its next read of the leaders may wait for {wait:g} s at second {second:g}'
+)
+def step_next_read(context, wait, second):
+    found = context.observer.read_wait_s(second, 0.7)
+    assert abs(found - wait) < 1e-6, found
+
+
 @behave.when('it reads another record of the leader at second {second:g}')
 def step_record(context, second):
     batch = ports.Batch([_record(context.end)], context.end + 1)
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -902,6 +902,11 @@
     assert len(soon) >= count, (context.outcomes, context.times)
 
 
+@behave.given("the store's refusals take {seconds:g} s")
+def step_slow_refusals(context, seconds):
+    context.fleet.store.faults.refusal_s = seconds
+
+
 @behave.given("the store is busy for the task fleet's leader")
 def step_busy_leader(context):
     context.fleet.store.faults.busy.add(context.fleet.leader())
