--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -319,6 +319,11 @@
     assert node.leader.term.token == 1, node.leader.term
 
 
+@behave.then('the task fleet has another leader')
+def step_other_leader(context):
+    assert context.fleet.leader() not in (None, context.fleet.former_leader)
+
+
 @behave.given('commands to task worker "{name}" are executed late')
 def step_late(context, name):
     context.fleet.workers[name].faults.delayed_share = 1.0
@@ -944,6 +949,11 @@
     assert len(soon) >= count, (context.outcomes, context.times)
 
 
+@behave.given("the store's refusals take {seconds:g} s")
+def step_slow_refusals(context, seconds):
+    context.fleet.store.faults.refusal_s = seconds
+
+
 @behave.given("the store is busy for the task fleet's leader")
 def step_busy_leader(context):
     context.fleet.store.faults.busy.add(context.fleet.leader())
