Bound what all calls at the daemon's address for other instances hold

Cause: gRPC's options limit a connection and a message, not their sum, and its Python interface has no quota. Change: call_guard.py takes each call before gRPC receives its message. Messages arrive in turn as memory permits, calls and unread responses are counted, those that have waited longest for the most memory give way; a connection with unread responses is shut down. Less is taken unasked (window 16 KB, metadata 8 KB, reads of 64 KB); the message limit follows the body's. A refused call is known as not run at the other instance. Malformed messages get INVALID_ARGUMENT. Conclusion: the sum is bounded; a connection's pings are gRPC's own limit.

--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/bootstrap.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/bootstrap.py
@@ -48,7 +48,7 @@
         data = await channel.fetch_state(req, _FETCH_TIMEOUT_S)
         snapshot = records_pb2.Snapshot.FromString(data)
     except (
-        exceptions.RequestUncertain,
+        exceptions.AmaranthflowError,
         protobuf_message.DecodeError,
     ) as exc:
         logs.log_event('no state from peer', peer=address, reason=str(exc))
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/client_guard.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/client_guard.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import collections
 
 import sanic
 from sanic import exceptions as sanic_exceptions
@@ -15,8 +14,8 @@
 
 from amaranthflow import intake
 
-from . import logs
 from . import metrics as metrics_lib
+from . import refusals
 
 _CHECK_S = 1.0
 _HEAD_S = 10.0  # time for a head to arrive
@@ -66,7 +65,9 @@
             max_conns=intake.max_conns(memory_mb, max_descriptors)
         )
         self._metrics = metrics
-        self._refusals: collections.Counter[str] = collections.Counter()
+        self._refusals = refusals.Refusals(
+            event='clients refused', metrics=metrics
+        )
 
     async def run(self) -> None:
         """Checks the connections each second until cancelled."""
@@ -82,20 +83,13 @@
         gauge = self._metrics.gauge
         gauge(metrics_lib.Metric.CLIENT_CONNECTIONS, len(self._conns))
         gauge(metrics_lib.Metric.CLIENT_BYTES, self.intake.held_bytes)
-        if self._refusals:
-            logs.log_event(
-                'clients refused',
-                level=logs.WARNING,
-                reasons=dict(self._refusals),
-                connections=len(self._conns),
-                held_bytes=self.intake.held_bytes,
-            )
-            self._refusals.clear()
+        self._refusals.report(
+            connections=len(self._conns), held_bytes=self.intake.held_bytes
+        )
 
     def refused(self, reason: str) -> None:
-        """Counts a refusal; the log gets one line a second for all."""
-        self._refusals[reason] += 1
-        self._metrics.count(metrics_lib.Metric.CLIENTS_REFUSED)
+        """Counts a refusal."""
+        self._refusals.count(reason)
 
     def opened(self, conn: 'ClientProtocol') -> None:
         """Adds a connection; ends another one if there are too many."""
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/metrics.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/metrics.py
@@ -114,7 +114,7 @@
     PEERS = _gauge('peers', 'Connected other instances.', 'instances')
     CLIENTS_REFUSED = _counter(
         'clients_refused',
-        'Callers refused or cut off outside the limits.',
+        'Callers and calls refused or cut off outside the limits.',
         'clients',
     )
     CLIENT_CONNECTIONS = _gauge(
@@ -123,6 +123,12 @@
     CLIENT_BYTES = _gauge(
         'client_bytes', 'Bytes that requests of callers take.', 'bytes'
     )
+    PEER_CALLS = _gauge(
+        'peer_calls', 'Open calls at the address for instances.', 'calls'
+    )
+    PEER_BYTES = _gauge(
+        'peer_bytes', 'Bytes set aside for these calls.', 'bytes'
+    )
     LOOP_LAG_MS = _gauge(
         'loop_lag_ms', 'Delay of the event loop at a timer.', 'ms'
     )
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/peer_service.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/peer_service.py
@@ -7,6 +7,7 @@
 from amaranthflow_schema.v1 import peer_pb2
 from amaranthflow_schema.v1 import peer_pb2_grpc
 
+from . import call_guard
 from . import dispatch
 from . import node as node_lib
 from . import peers as peers_lib
@@ -66,5 +67,6 @@
         """Sends a snapshot of the state in chunks."""
         snapshot = self._node.state.snapshot()
         data = snapshot.SerializeToString()
+        call_guard.hold_response(len(data))
         for start in range(0, len(data), _CHUNK_BYTES):
             yield peer_pb2.StateChunk(data=data[start : start + _CHUNK_BYTES])
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/peers.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/peers.py
@@ -68,6 +68,7 @@
         """Forwards a request.
 
         :raises NotReady: the peer is not connected; nothing was sent.
+        :raises Overloaded: the peer refused it for want of memory.
         :raises RequestUncertain: the request may have run.
         """
         if not self.connected or self.suspect:
@@ -92,7 +93,7 @@
             reply = await self._channel.heartbeat(
                 self._make_heartbeat(), timeout_s
             )
-        except exceptions.RequestUncertain:
+        except (exceptions.RequestUncertain, exceptions.Overloaded):
             self.connected = self.connected and not self.suspect
             return
         self._note(reply, asked_at)
--- a/packages/amaranthflow-daemon/src/amaranthflow_daemon/process.py
+++ b/packages/amaranthflow-daemon/src/amaranthflow_daemon/process.py
@@ -12,10 +12,10 @@
 from amaranthflow import adapters
 from amaranthflow import clock as clock_lib
 from amaranthflow import http_calls
-from amaranthflow import intake
 from amaranthflow import world
 from amaranthflow_schema.v1 import peer_pb2_grpc
 
+from . import call_guard
 from . import client_guard
 from . import components
 from . import logs
@@ -64,11 +64,17 @@
         :raises SettingsError: an address cannot be bound.
         """
         cfg = self._cfg
-        options = peer_channel.server_options(
-            cfg.max_body_bytes,
-            intake.max_conns(cfg.memory_mb, cfg.max_descriptors),
+        limits = peer_channel.ServerLimits.from_settings(cfg)
+        members = self._components.node.state.members
+        guard = call_guard.CallGuard(
+            port=settings.split_address(cfg.peer_address)[1],
+            limits=limits,
+            count_instances=lambda: len(members.members),
+            metrics=self._components.node.metrics,
+        )
+        server = grpc.aio.server(
+            options=peer_channel.server_options(limits), interceptors=[guard]
         )
-        server = grpc.aio.server(options=options)
         peer_pb2_grpc.add_PeerServicer_to_server(
             peer_service.PeerService(
                 node=self._components.node,
@@ -89,6 +95,7 @@
         _check_free('peer_address', self._cfg.peer_address)
         server.add_insecure_port(self._cfg.peer_address)
         await server.start()
+        self._call_guard_task = asyncio.create_task(guard.run())
         await self._serve_http()
         return server
 
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/loopback.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/loopback.py
@@ -51,8 +51,8 @@
         )
         await self._http.startup()
         await self._http.start_serving()
-        body_bytes = self._parts.node.cfg.max_body_bytes
-        options = peer_channel.server_options(body_bytes)
+        limits = peer_channel.ServerLimits.from_settings(self._parts.node.cfg)
+        options = peer_channel.server_options(limits)
         self._grpc = grpc.aio.server(options=options)
         service = operators.OperatorService(
             node=self._parts.node,
--- a/packages/amaranthflow/src/amaranthflow/intake.py
+++ b/packages/amaranthflow/src/amaranthflow/intake.py
@@ -124,8 +124,13 @@
     return round(memory_mb * _MB * _MEMORY_SHARE)
 
 
-def max_conns(memory_mb: int, max_descriptors: int) -> int:
-    """Returns how many connections a server of a process may have."""
-    by_memory = int(memory_mb * _MB * _MEMORY_SHARE) // _CONN_BYTES
+def max_conns(
+    memory_mb: int, max_descriptors: int, conn_bytes: int = _CONN_BYTES
+) -> int:
+    """Returns how many connections a server of a process may have.
+
+    :param conn_bytes: memory that a connection may take.
+    """
+    by_memory = int(memory_mb * _MB * _MEMORY_SHARE) // conn_bytes
     by_descriptors = int(max_descriptors * _DESCRIPTOR_SHARE)
     return max(_MIN_CONNS, min(by_memory, by_descriptors))
--- a/tests/amaranthflow_daemon/client_limits.feature
+++ b/tests/amaranthflow_daemon/client_limits.feature
@@ -43,3 +43,28 @@
     When 300 clients of the daemon's peer address send nothing
     Then the daemon runs, and used at most 112 MB and 256 descriptors
     And the daemon answers its readiness check and a query
+
+  Scenario Outline: A crowd of calls at the daemon's address for other instances
+    Given a daemon that may use 112 MB and 256 descriptors
+    When <crowd> clients of the daemon's peer address send <what>
+    Then the daemon runs, and used at most 112 MB and 256 descriptors
+    And the daemon answers its readiness check and a query
+    And the daemon answers another instance's heartbeat and its largest request
+
+    Examples:
+      | crowd | what                                                          |
+      | 8     | 8 calls of Peer/Execute with 4000000 bytes of 4000001         |
+      | 50    | 10 calls of Peer/Execute with 300000 bytes of 300001          |
+      | 50    | 10 calls of Peer/Heartbeat with 300000 bytes of 300001        |
+      | 50    | 10 calls of Operators/SubmitJob with 300000 bytes of 300001   |
+      | 50    | 100 calls of Peer/Execute with nothing                        |
+      | 50    | 200 calls of Peer/Heartbeat with nothing                      |
+      | 50    | 100 calls of Peer/Execute with 6000 bytes of metadata         |
+      | 50    | 100 calls of Peer/Execute with 60000 bytes of metadata        |
+      | 50    | metadata without end                                          |
+      | 10    | 50 calls of x/Unknown with 3000000 bytes of 3000001           |
+      | 20    | 100 calls of Peer/Heartbeat with 200 unread replies           |
+      | 20    | 100 calls of Peer/FetchState with 1 unread replies            |
+      | 50    | 100 calls of Operators/Status with 1 unread replies           |
+      | 60    | pings                                                         |
+      | 100   | 1 calls of Peer/Heartbeat with nothing                        |
--- a/tests/amaranthflow_daemon/peer_channel.feature
+++ b/tests/amaranthflow_daemon/peer_channel.feature
@@ -15,3 +15,14 @@
     Given a peer channel to a server
     When the peer channel is closed during a request
     Then the peer channel's request may have run
+
+  Scenario Outline: a call that its server refused
+    Given a peer channel to a server
+    When the server of the peer channel ends a request with <status> "<details>"
+    Then the peer channel's request <verdict>
+
+    Examples:
+      | status             | details                    | verdict      |
+      | RESOURCE_EXHAUSTED | not run: too little memory | has not run  |
+      | RESOURCE_EXHAUSTED | larger than the maximum    | may have run |
+      | CANCELLED          | not run: too little memory | may have run |
--- a/tests/steps/daemon_limits_steps.py
+++ b/tests/steps/daemon_limits_steps.py
@@ -8,8 +8,12 @@
 import aiohttp
 import behave
 
+from amaranthflow import exceptions
 from amaranthflow import ids
+from amaranthflow_daemon import peer_channel
+from amaranthflow_schema.v1 import peer_pb2
 from amaranthflow_standins import crowd
+from amaranthflow_standins import grpc_crowd
 from amaranthflow_standins import process_fleet
 from amaranthflow_standins import standin_process
 
@@ -90,22 +94,34 @@
     _run(context, _send_crowd(context, address, count, what))
 
 
-@behave.when("{count:d} clients of the daemon's peer address send nothing")
-def step_peer_crowd(context, count):
+@behave.when("{count:d} clients of the daemon's peer address send {what}")
+def step_peer_crowd(context, count, what):
     address = context.instance.peer_address
-    _run(context, _send_crowd(context, address, count, 'nothing'))
+    if what == 'nothing':
+        _run(context, _send_crowd(context, address, count, what))
+    else:
+        _run(context, _send_calls(context, address, count, what))
 
 
 async def _send_crowd(context, address, count, what):
-    host, _, port = address.rpartition(':')
-    clients = [crowd.Client((host, int(port))) for _ in range(count)]
-    for client in clients:
-        context.exit_stack.callback(client.close)
-    context.clients = clients
+    clients = _clients(context, count, crowd.Client, address)
     pieces = [crowd.sent_bytes(what, _HEAD, _BODY_BYTES) for _ in clients]
     await crowd.send(clients, pieces, context.watch)
 
 
+async def _send_calls(context, address, count, what):
+    clients = _clients(context, count, grpc_crowd.Client, address)
+    await crowd.send(clients, [what] * count, context.watch)
+
+
+def _clients(context, count, client_type, address):
+    host, _, port = address.rpartition(':')
+    context.clients = [client_type((host, int(port))) for _ in range(count)]
+    for client in context.clients:
+        context.exit_stack.callback(client.close)
+    return context.clients
+
+
 @behave.then(
     'the daemon runs, and used at most {memory_mb:d} MB and {descriptors:d} '
     'descriptors'
@@ -174,3 +190,36 @@
         ]
 
     assert _run(context, ask()) == [200, 404]
+
+
+@behave.then(
+    "the daemon answers another instance's heartbeat and its largest request"
+)
+def step_peer_answered(context):
+    assert _run(context, _ask_as_peer(context)) == ['i1', 'unknown service']
+
+
+async def _ask_as_peer(context):
+    """Returns who answered a heartbeat, and the reason of a refusal.
+
+    Another instance tries again on a new connection.
+    """
+    heartbeat = peer_pb2.HeartbeatRequest(instance_id='i2')
+    req = peer_pb2.ExecuteRequest(
+        request_id='r', payload=bytes(_BODY_BYTES), timeout_ms=1_000
+    )
+    found = None
+    for _ in range(_ATTEMPTS):
+        channel = peer_channel.GrpcChannel(
+            address=context.instance.peer_address
+        )
+        try:
+            answer = await channel.heartbeat(heartbeat, _ANSWER_S)
+            reply = await channel.execute(req, _ANSWER_S)
+            return [answer.instance_id, reply.reason]
+        except exceptions.AmaranthflowError as exc:
+            found = repr(exc)
+        finally:
+            await channel.close()
+        await asyncio.sleep(_PAUSE_S)
+    return found
--- a/tests/steps/peer_channel_steps.py
+++ b/tests/steps/peer_channel_steps.py
@@ -21,6 +21,7 @@
         self.streams = 0
         self.unanswered = 0
         self.received = asyncio.Event()
+        self.status = None
 
     async def Heartbeat(self, request_iterator, context):
         self.streams += 1
@@ -31,6 +32,8 @@
 
     async def Execute(self, request, context):
         self.received.set()
+        if self.status is not None:
+            await context.abort(*self.status)
         await asyncio.sleep(_LONG_S)
 
 
@@ -116,6 +119,27 @@
         context.error = exc
 
 
+@behave.when(
+    'the server of the peer channel ends a request with {status} "{details}"'
+)
+def step_refuse(context, status, details):
+    context.servicer.status = (grpc.StatusCode[status], details)
+    _run(context, _refused_request(context))
+
+
+async def _refused_request(context):
+    req = peer_pb2.ExecuteRequest(request_id='q')
+    try:
+        await context.channel.execute(req, _LONG_S)
+    except exceptions.AmaranthflowError as exc:
+        context.error = exc
+
+
 @behave.then("the peer channel's request may have run")
 def step_verdict(context):
     assert context.error.verdict.label == 'may have run'
+
+
+@behave.then("the peer channel's request has not run")
+def step_not_run(context):
+    assert context.error.verdict.label == 'not run'
