--- a/tests/steps/large_fleet_steps.py
+++ b/tests/steps/large_fleet_steps.py
@@ -535,7 +535,7 @@
         return lost_s(worker, silent_from_s)
 
     with mock.patch.object(suspects, '_lost_s', count):
-        core.tick(now_s)
+        core.tick(now_s, round(now_s * 1000))
 
 
 @behave.then(
