Lead on until a resignation can be stored

Cause: a leader that was stopped while the store was away resigned though its resignation could not be stored. Change: it renews its term first. While that fails it leads on, at most as long as the grace time permits, and resigns as soon as the store responds. A leader that another instance replaces meanwhile stops as before. The fuzzer gives a leader that steps down such a time, too.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -46,6 +46,7 @@
 _WORKERS_POLL_S = 0.4
 _JOBS_WAIT_MS = 1_000
 _STORE_RETRY_S = 0.2
+_STORE_POLL_S = 0.02
 _TICK_S = 0.1
 _LOAD_INTERVAL_S = 1.0
 _ADVICE_POLL_S = 0.02
@@ -211,8 +212,17 @@
             self._end_reason = reason
             self._ended.set()
 
-    async def resign(self) -> None:
-        """Flushes pending changes and releases the leadership."""
+    async def resign(self, *, until_s: float | None = None) -> None:
+        """Flushes pending changes and releases the leadership.
+
+        Without the store no other instance can be elected and all leases would
+        expire, so the leader first leads on until the store responds.
+
+        :param until_s: when the term ends at the latest; the default is as
+            soon as possible.
+        """
+        if until_s is not None:
+            await self._wait_for_store(until_s - _RESIGN_TIMEOUT_S)
         if self._ended.is_set():
             return
         has_changes, self.ready = self.ready, False
@@ -231,6 +241,26 @@
             logs.event('resignation_not_stored', error=repr(exc))
         self.end_term('resigned')
 
+    async def _wait_for_store(self, until_s: float) -> None:
+        """Returns once the store responds, the term ends or time is up."""
+        while not self._ended.is_set():
+            left_s = until_s - self._clock.monotonic()
+            if left_s <= 0:
+                return
+            if self._deps.store.away:
+                await asyncio.sleep(min(left_s, _STORE_POLL_S))
+                continue
+            timeout_s = min(left_s, self._renewal_timeout_s())
+            try:
+                async with asyncio.timeout(timeout_s):
+                    await self._renew_term(released=False)
+                return
+            except ports.Conflict as exc:
+                self.end_term(f'store: {exc}')
+            except (TimeoutError, exceptions.AmaranthflowError) as exc:
+                logs.event('resignation_delayed', error=repr(exc))
+                await asyncio.sleep(min(left_s, _STORE_POLL_S))
+
     def offer_term(self) -> bool:
         """Offers the term to an instance that reads the store.
 
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
@@ -154,11 +154,14 @@
                 logs.event('loop_failed', loop=work.__name__, error=repr(exc))
                 await asyncio.sleep(_RETRY_S)
 
-    async def step_down(self) -> None:
-        """Releases the leadership; the instance still serves callers."""
+    async def step_down(self, *, until_s: float) -> None:
+        """Releases the leadership; the instance still serves callers.
+
+        :param until_s: until when it may lead on without the store.
+        """
         self.stopping = True
         if self.leader is not None:
-            await self.leader.resign()
+            await self.leader.resign(until_s=until_s)
 
     def stop(self) -> None:
         """Stops following the store."""
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_fuzz.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_fuzz.py
@@ -200,7 +200,8 @@
         leader = self.fleet.leader()
         if leader is None:
             return
-        await self.fleet.nodes[leader].step_down()
+        until_s = self.fleet.loop.time() + duration_s
+        await self.fleet.nodes[leader].step_down(until_s=until_s)
         if leader in self.fleet.nodes:
             await self._restart([leader], duration_s / 3)
 
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -153,6 +153,45 @@
     And task job "a1" is completed within 20 s
     And the task fleet violated no invariant
 
+  # Nobody could be elected, and all leases expired.
+  Scenario Outline: A leader that is to stop leads on until the store is back
+    Given task job "a1" with steps "8x8.0" is accepted
+    And 1 s pass in the task fleet
+    And the store does not respond for the next <outage> s
+    And <seconds> s pass in the task fleet
+    When the task fleet's leader steps down within 4.4 s
+    Then another task instance leads within 6 s
+    And task job "a1" is completed within 9 s
+    And 8 task runs were started
+    And the task fleet violated no invariant
+    And it has taken <least> to <most> s
+
+    Examples:
+      | outage | seconds | least | most |
+      | 3.7    | 0.05    | 3.6   | 4.0  |
+      | 3.7    | 0.5     | 3.1   | 3.6  |
+      | 3.7    | 3.0     | 0.6   | 1.1  |
+
+  Scenario: A leader that is to stop ends its term in time without the store
+    Given task job "a1" with steps "8x8.0" is accepted
+    And the store does not respond for the next 8.0 s
+    And 1 s pass in the task fleet
+    When the task fleet's leader steps down within 4.4 s
+    Then it has taken 3.0 to 4.4 s
+    And task job "a1" is completed within 30 s
+    And the task fleet violated no invariant
+
+  Scenario: A leader that is to stop hands over to an instance with the store
+    Given task job "a1" with steps "8x8.0" is accepted
+    And 1 s pass in the task fleet
+    When the store does not respond to the task fleet's leader
+    And the task fleet's leader steps down within 4.4 s
+    Then it has taken 0.0 to 2.0 s
+    And another task instance leads within 0.5 s
+    And task job "a1" is completed within 9 s
+    And 8 task runs were started
+    And the task fleet violated no invariant
+
   Scenario: An outage of the store neither changes the leader nor ends a run
     Given task job "a1" with steps "4x8.0" is accepted
     And 1 s pass in the task fleet
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -211,10 +211,30 @@
 
 @behave.when("the task fleet's leader steps down")
 def step_down(context):
+    step_down_within(context, 0.0)
+
+
+@behave.when("the task fleet's leader steps down within {seconds:g} s")
+def step_down_within(context, seconds):
     context.before = context.fleet.leader()
     node = context.fleet.nodes[context.before]
-    context.resigned = (node.leader.term.token, context.loop.time())
-    _run(context, node.step_down())
+    now_s = context.loop.time()
+    context.resigned = (node.leader.term.token, now_s)
+    _run(context, node.step_down(until_s=now_s + seconds))
+    context.stepped_down_s = context.loop.time() - now_s
+
+
+@behave.then('it has taken {least:g} to {most:g} s')
+def step_took(context, least, most):
+    took_s = round(context.stepped_down_s, 6)
+    assert least <= took_s <= most, took_s
+
+
+@behave.given('the store does not respond for the next {seconds:g} s')
+def step_silent_from_now(context, seconds):
+    silent = context.fleet.store.faults.silent
+    silent.update(context.fleet.nodes)
+    context.loop.call_later(seconds, silent.clear)
 
 
 @behave.when('the responses to renewals of the term are lost')
