Store the resignation beside a renewal, and of a term that has just begun

Cause: two ways to stop left no resignation in the store, so that the others waited for the silence of the leader, and its leases had to expire. - A renewal that was under way took the offset of the resignation. The leader saw its own record there, took it for what it had sent and ended its term. - An instance that was told to stop while its claim was under way led from then on until its process was gone: only a term that had begun was given up. Change: a resignation is sent again behind a renewal; a claim that is answered while the instance stops is followed by the resignation.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -410,6 +410,9 @@
             )
         except ports.Conflict:
             self._leaders_end = await self._end_after_own_record()
+            if released:
+                # What the store has is a renewal, which keeps the term.
+                await self._renew_term(released=True)
             return
         self._leaders_end = max(self._leaders_end, offset + 1)
         self._tenure.on_stored(offset)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
@@ -364,21 +364,24 @@
             logs.event('claim_unanswered', end=end, error=str(exc))
             self._observer.on_read_failure()
             return
-        self._start_term(model.Token(offset + 1), sent_s, previous)
+        leader = self._start_term(model.Token(offset + 1), sent_s, previous)
+        if self.stopping:
+            # It was told to stop while the claim was under way.
+            await leader.resign()
 
     def _start_term(
         self,
         token: model.Token,
         claim_sent_s: float,
         previous: elections.Term | None,
-    ) -> None:
+    ) -> leader_lib.Leader:
         term = elections.Term(
             token=token,
             instance=self._identity.instance,
             address=self._identity.address,
             small=self._is_small,
         )
-        self.leader = leader_lib.Leader(
+        leader = leader_lib.Leader(
             deps=self._deps,
             term=term,
             claim_sent_s=claim_sent_s,
@@ -389,8 +392,10 @@
             store_was_lost=self._clock.monotonic() - self._lost_s < _RELIST_S,
             earlier_lease_ms=self._earlier_lease_ms(previous),
         )
+        self.leader = leader
         loop = asyncio.get_running_loop()
-        self._term_task = loop.create_task(self._run_term(self.leader))
+        self._term_task = loop.create_task(self._run_term(leader))
+        return leader
 
     def _earlier_lease_ms(self, term: elections.Term | None) -> int | None:
         """Returns the longest lease that the leader of a term left behind.
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -153,6 +153,34 @@
     And task job "a1" is completed within 20 s
     And the task fleet violated no invariant
 
+  # The renewal that was under way took the place of the resignation, which was
+  # given up.
+  Scenario Outline: A resignation is stored beside a renewal that is under way
+    Given 1 s pass in the task fleet
+    And the store's responses take 0.1 s more
+    And <seconds> s pass in the task fleet
+    When the task fleet's leader steps down
+    Then the store has the resignation
+
+    Examples:
+      | seconds |
+      | 0.5     |
+      | 0.55    |
+      | 0.6     |
+      | 0.8     |
+      | 0.95    |
+      | 1       |
+
+  # It led until its process was gone, and nobody knew that it did not any more.
+  Scenario: An instance that is elected while it stops resigns at once
+    Given 1 s pass in the task fleet
+    And the store's responses take 0.2 s more
+    When the task fleet's leader is killed
+    And the instance that claims steps down
+    Then the store has the resignation
+    And another task instance leads within 3 s
+    And the task fleet violated no invariant
+
   # Nobody could be elected, and all leases expired.
   Scenario Outline: A leader that is to stop leads on until the store is back
     Given task job "a1" with steps "8x8.0" is accepted
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -224,6 +224,36 @@
     context.stepped_down_s = context.loop.time() - now_s
 
 
+@behave.when('the instance that claims steps down')
+def step_down_claiming(context):
+    append = record_store.StoreLink.append
+    claiming = context.loop.create_future()
+
+    async def append_noted(link, table, items, **options):
+        if table is ports.Table.LEADERS and not claiming.done():
+            claiming.set_result(link._instance)
+        return await append(link, table, items, **options)
+
+    with mock.patch.object(record_store.StoreLink, 'append', append_noted):
+        context.before = _run(context, claiming)
+    node = context.fleet.nodes[context.before]
+    _run(context, node.step_down(until_s=context.loop.time()))
+    _run(context, asyncio.sleep(_SETTLE_S))
+    assert node.leader is None, node.leader.term
+
+
+@behave.then('the store has the resignation')
+def step_resignation(context):
+    read = context.fleet.store.link('test').read(ports.Table.LEADERS, 0)
+    records = _run(context, read).records
+    resigned = [
+        term.instance
+        for _, term in elections.read_terms(records)
+        if term.released
+    ]
+    assert resigned == [context.before], (resigned, context.before)
+
+
 @behave.then('it has taken {least:g} to {most:g} s')
 def step_took(context, least, most):
     took_s = round(context.stepped_down_s, 6)
