Check of a configuration: a false error, and two errors that it missed

Cause: an idle timeout below the time for a head was an error, "closes connections before". It does not: a connection with an unfinished request is not idle (httpconnection.check_time; httpserver.feature has a body that is waited for longer than the idle timeout). So a sound configuration ended with status 1. Missed were a host with capitals, which no request matches, as hosts are compared in lower case, and a time for a head beyond that for a whole request, which has no effect. Change: the row of the short idle timeout now expects no finding, since the old expectation was wrong; the limits that do contradict one another take its place.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/configuration_check.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/configuration_check.py
@@ -8,6 +8,7 @@
 import enum
 import typing as t
 
+from . import httplimits
 from . import model
 
 # A request for a job ends with its id.
@@ -129,6 +130,8 @@
     """Returns why no request can match a queue, None if one can."""
     if not queue.host:
         return 'it has no host'
+    if queue.host != queue.host.lower():
+        return 'the host of a request is compared in lower case'
     if ':' in queue.host:
         return 'the port of a request is not compared with the host'
     if not queue.prefix.startswith('/'):
@@ -159,11 +162,12 @@
     for name in _LIMITS:
         if getattr(cfg, name) <= 0:
             yield _error('limits', f'{name} must be positive')
-    if cfg.idle_timeout_ms < cfg.head_timeout_ms:
+    request_ms = round(1000 * httplimits.Limits().request_s)
+    if cfg.head_timeout_ms > request_ms:
         yield _error(
             'limits',
-            f'idle_timeout_ms {cfg.idle_timeout_ms} closes connections before'
-            f' head_timeout_ms {cfg.head_timeout_ms} has passed',
+            f'head_timeout_ms {cfg.head_timeout_ms} has no effect, as a'
+            f' request has to arrive within {request_ms} ms',
         )
 
 
--- a/tests/steps/configuration_check_steps.py
+++ b/tests/steps/configuration_check_steps.py
@@ -60,6 +60,7 @@
         _NEW, queues=(_PLANS, dataclasses.replace(_QUOTES, prefix='/plans/'))
     ),
     'no host': _plans(host=''),
+    'a host with capitals': _plans(host='H.example'),
     'a port in a host': _plans(host='h.example:80'),
     'a prefix without a slash': _plans(prefix='plans/'),
     'a query in a prefix': _plans(prefix='/plans?a/'),
@@ -68,6 +69,7 @@
     'an open prefix': _plans(prefix='/plans'),
     'no body': dataclasses.replace(_NEW, max_body_bytes=0),
     'a short idle timeout': dataclasses.replace(_NEW, idle_timeout_ms=1_000),
+    'a long head timeout': dataclasses.replace(_NEW, head_timeout_ms=60_001),
     'an unused service': dataclasses.replace(
         _NEW, services=_CFG.services | {ids.ServiceId('spare')}
     ),
