End the term of a leader that resigns, whatever becomes of its resignation

Cause: a leader that resigns sends no command and serves no caller from the moment on at which it begins. If the call that asked it to was cancelled then, or a fault of the program ended the resignation, the term went on: it was renewed for good, nobody else could be elected, and nothing was started. Change: the term ends in any case.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -239,7 +239,9 @@
             ports.Conflict,
         ) as exc:
             logs.event('resignation_not_stored', error=repr(exc))
-        self.end_term('resigned')
+        finally:
+            # Also if the call is cancelled: no command is sent any more.
+            self.end_term('resigned')
 
     async def _wait_for_store(self, until_s: float) -> None:
         """Returns once the store responds, the term ends or time is up."""
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -755,6 +755,16 @@
     And task job "a1" is completed within 6 s
     And the task fleet violated no invariant
 
+  # The call ended before the resignation was stored. The leader sent no command
+  # from then on, and kept its term for good.
+  Scenario: A small instance ends its term though the call to hand over is given up
+    Given a task fleet of 5 small instances and 1 large one
+    And the store's responses take 0.3 s more
+    When the large task instance is killed and restarted after 4 s
+    And 16 s pass in the task fleet
+    Then the large task instance leads
+    And the task fleet violated no invariant
+
   Scenario Outline: A service's large task gets a worker on a full fleet
     Given small task jobs of <seconds> s arrive faster than they can be run
     And 3 s pass in the task fleet
