Take a recorded resignation at its word, also after an unanswered question

Cause: an instance does not ask a leader for what it has not stored if it did not answer when it was last asked whether it leads. That question may lie far back in the same term, and it came before the look at the last record, which says that nothing is missing. So all restored jobs were held until each silent worker's leases had expired (4.74 s) though the leader had resigned in good order. Change: the record is looked at first.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
@@ -436,10 +436,12 @@
         It sends no command from then on. Returns None if it does not respond
         or did not do so a moment ago.
         """
-        if term is None or term.token == self._unanswered:
+        if term is None:
             return None
         if term.released and term.recorded:
             return takeover.Handover(complete=True)
+        if term.token == self._unanswered:
+            return None
         message = {
             'token': term.token,
             'successor': successor,
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -171,6 +171,16 @@
       | 0.95    |
       | 1       |
 
+  # An earlier question without an answer counted for the rest of the term.
+  Scenario: A leader that has not answered once hands over when it resigns later
+    Given task job "a1" with steps "8x8.0" is accepted
+    And the task fleet's leader does not renew its term for 0.6 s and answers no instance for 1.6 s
+    And 3 s pass in the task fleet
+    When task worker "w1" is disconnected
+    And the task fleet's leader steps down
+    Then another task instance leads within 1 s
+    And it holds no job back
+
   # It led until its process was gone, and nobody knew that it did not any more.
   Scenario: An instance that is elected while it stops resigns at once
     Given 1 s pass in the task fleet
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -224,6 +224,27 @@
     context.stepped_down_s = context.loop.time() - now_s
 
 
+@behave.given(
+    "the task fleet's leader does not renew its term for {seconds:g} s and "
+    'answers no instance for {longer:g} s'
+)
+def step_mute(context, seconds, longer):
+    fleet = context.fleet
+    leader = fleet.leader()
+    cut = (leader, ports.Table.LEADERS)
+    fleet.store.faults.silent_tables.add(cut)
+    fleet.frozen.add(leader)
+    _run(context, asyncio.sleep(seconds))
+    fleet.store.faults.silent_tables.discard(cut)
+    _run(context, asyncio.sleep(longer - seconds))
+    fleet.frozen.discard(leader)
+
+
+@behave.then('it holds no job back')
+def step_holds_none(context):
+    assert not _leading(context).core.takeover.holding
+
+
 @behave.when('the instance that claims steps down')
 def step_down_claiming(context):
     append = record_store.StoreLink.append
