Move the commands of a leader into a module of their own

Change: command_sender.py sends commands and handles their responses, links.py keeps the links to workers. Of the leader it needs the four methods that its protocol Term names. No behaviour is changed, nor any test.

--- /dev/null
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/command_sender.py
@@ -0,0 +1,278 @@
+"""Sends commands to workers and handles their responses.
+
+A start without a response may still be executed: its run is stopped before its
+task may start elsewhere. Stops are repeated until a worker accepts them.
+"""
+
+import asyncio
+import typing as t
+
+from amaranthflow import clock as clock_lib
+from amaranthflow import exceptions
+from amaranthflow import ids
+
+from . import advice
+from . import commands
+from . import contacts as contacts_lib
+from . import execution
+from . import links as links_lib
+from . import logs
+from . import metrics
+from . import model
+from . import placement
+from . import ports
+from . import response_limits
+from . import scheduler
+from . import workers
+
+# Workers reject a start command that is older than this.
+START_VALID_MS = 1_500
+_STOP_RETRY_S = 0.3
+# A task whose start was not answered waits for the stop.
+_VOID_RETRY_S = 0.05
+
+
+class Term(t.Protocol):
+    """What the sender needs of the term under whose token it commands."""
+
+    def may_start(self) -> bool:
+        """Returns whether runs may be started."""
+
+    def end_term(self, reason: str) -> None:
+        """Ends the term at once."""
+
+    def request_plans(self) -> None:
+        """Lets the loops of plans look for what can start now."""
+
+    def dispatch(self) -> None:
+        """Sends the new commands of the scheduler."""
+
+
+class CommandSender:
+    """Sends the commands of one term.
+
+    :param core: is told what became of each command.
+    """
+
+    def __init__(
+        self,
+        *,
+        term: Term,
+        token: model.Token,
+        core: scheduler.Scheduler,
+        links: links_lib.Links,
+        contacts: contacts_lib.Contacts,
+        meters: metrics.Metrics,
+        clock: clock_lib.Clock,
+    ):
+        self._term = term
+        self._token = token
+        self._core = core
+        self._links = links
+        self._contacts = contacts
+        self._meters = meters
+        self._clock = clock
+
+    async def send(self, command: commands.Command) -> None:
+        """Sends a command; returns once its outcome has been handled."""
+        if isinstance(command, commands.Start):
+            await self._start(command.attempt)
+        elif isinstance(command, commands.Stop):
+            await self._stop(command.attempt)
+        elif isinstance(command, commands.StopOrphan):
+            await self._stop_orphan(command)
+        elif isinstance(command, commands.SetPace):
+            await self._pace(command)
+
+    async def _start(self, attempt: execution.Attempt) -> None:
+        fleet_size = len(self._core.workers)
+        async with self._contacts.start_slot(fleet_size):
+            await self._send_start(attempt)
+
+    async def _send_start(self, attempt: execution.Attempt) -> None:
+        worker = self._core.workers.get(attempt.worker)
+        if (
+            worker is None
+            or attempt.state is not execution.AttemptState.PLANNED
+        ):
+            return
+        if attempt not in worker.attempts:
+            return
+        now_s = self._clock.monotonic()
+        task = attempt.task
+        if not self._term.may_start() or not self._has_label(worker, task):
+            self._core.on_start_failed(attempt, now_s)
+            return
+        command = ports.StartCommand(
+            task=task.key,
+            run=attempt.run,
+            payload=task.step_run.job_run.job.payload,
+            deadline_ms=worker.min_clock_ms(now_s) + START_VALID_MS,
+            checkpoint=task.checkpoint,
+            ticket=self._core.advice.ticket(
+                advice.step_key(task.step_run),
+                worker.id,
+                worker.born_ms,
+                now_s,
+            ),
+        )
+        worker.extend_lease(command.deadline_ms)
+        void_s = worker.deadline_passed_s(command.deadline_ms)
+        self._core.on_sent(attempt)
+        self._meters.count('starts')
+        try:
+            await response_limits.within(
+                worker.history.response_limit_s,
+                self._links.get(worker).start(command, self._token),
+            )
+            started_s = self._clock.monotonic()
+            self._core.on_started(attempt, started_s, started_s - now_s)
+            self._meters.observe('start', started_s - now_s)
+            return
+        except ports.CommandRefused as exc:
+            if exc.refusal is ports.Refusal.STALE_TOKEN:
+                self._term.end_term(f'worker {worker.id} has a higher token')
+                return
+            now_s = self._clock.monotonic()
+            self._core.on_start_refused(attempt, exc.refusal, now_s)
+        except exceptions.PlatformUncertain as exc:
+            self._log_start_unanswered(attempt, exc)
+            now_s = self._clock.monotonic()
+            self._core.on_start_uncertain(attempt, void_s, now_s)
+        except exceptions.PlatformError:
+            self._core.on_start_failed(attempt, self._clock.monotonic())
+        self._term.request_plans()
+        self._term.dispatch()
+
+    def _has_label(
+        self, worker: workers.Worker, task: execution.TaskRun
+    ) -> bool:
+        """Returns whether the process reached has the label of a step.
+
+        A worker whose connection was lost may be restarting as another kind,
+        and would execute a start under its former id.
+        """
+        step = task.step_run.step
+        if not step.label:
+            return True
+        return (
+            worker.entry_is_current
+            and placement.label_permits(worker, step)
+            and self._links.get(worker).connected()
+        )
+
+    def _log_start_unanswered(
+        self, attempt: execution.Attempt, exc: Exception
+    ) -> None:
+        self._meters.count('starts_unanswered')
+        logs.event(
+            'start_unanswered',
+            id=attempt.task.key.job,
+            run=attempt.run,
+            worker=attempt.worker,
+            error=str(exc),
+        )
+
+    async def _stop(self, attempt: execution.Attempt) -> None:
+        unanswered = attempt.state is execution.AttemptState.UNCERTAIN
+        while True:
+            worker = self._core.workers.get(attempt.worker)
+            if worker is None or attempt not in worker.attempts:
+                return
+            if await self._stop_once(worker, attempt.task.key, attempt.run):
+                self._core.on_stopped(attempt, self._clock.monotonic())
+                if unanswered:
+                    await self._look_for(worker, attempt)
+                return
+            await asyncio.sleep(_VOID_RETRY_S if unanswered else _STOP_RETRY_S)
+
+    async def _look_for(
+        self, worker: workers.Worker, attempt: execution.Attempt
+    ) -> None:
+        """Looks whether a worker has the run of an unanswered start.
+
+        The next report would tell as well, but later.
+        """
+        try:
+            report = await response_limits.within(
+                worker.history.response_limit_s,
+                self._links.get(worker).list_runs(self._token),
+            )
+        except ports.CommandRefused as exc:
+            if exc.refusal is ports.Refusal.STALE_TOKEN:
+                self._term.end_term(f'worker {worker.id} has a higher token')
+            return
+        except exceptions.AmaranthflowError as exc:
+            logs.event('runs_not_listed', worker=worker.id, error=str(exc))
+            return
+        self._core.on_listed(attempt, report)
+        self._term.request_plans()
+        self._term.dispatch()
+
+    async def _stop_orphan(self, orphan: commands.StopOrphan) -> None:
+        worker = self._core.workers.get(ids.WorkerId(orphan.worker))
+        if worker is not None:
+            logs.event(
+                'orphan_stopped',
+                id=orphan.task.job,
+                run=orphan.run,
+                worker=orphan.worker,
+            )
+            await self._stop_once(worker, orphan.task, orphan.run)
+
+    async def _stop_once(
+        self, worker: workers.Worker, task: model.TaskKey, run: model.RunNumber
+    ) -> bool:
+        if not worker.entry.address:
+            return False
+        try:
+            await response_limits.within(
+                worker.history.response_limit_s,
+                self._links.get(worker).stop(task, run, self._token),
+            )
+            return True
+        except ports.CommandRefused as exc:
+            if exc.refusal is ports.Refusal.STALE_TOKEN:
+                self._term.end_term(f'worker {worker.id} has a higher token')
+                return False
+            logs.event(
+                'stop_refused',
+                id=task.job,
+                run=run,
+                worker=worker.id,
+                refusal=exc.refusal.value,
+            )
+            return False
+        except exceptions.AmaranthflowError as exc:
+            logs.event(
+                'stop_unanswered',
+                id=task.job,
+                run=run,
+                worker=worker.id,
+                error=str(exc),
+            )
+            return False
+
+    async def _pace(self, change: commands.SetPace) -> None:
+        attempt = change.attempt
+        worker = self._core.workers.get(attempt.worker)
+        if worker is None or attempt not in worker.attempts:
+            return
+        try:
+            await self._links.get(worker).pace(
+                attempt.task.key, attempt.run, change.percent, self._token
+            )
+        except ports.CommandRefused as exc:
+            if exc.refusal is ports.Refusal.STALE_TOKEN:
+                self._term.end_term(f'worker {worker.id} has a higher token')
+        except exceptions.AmaranthflowError as exc:
+            logs.event(
+                'pace_unanswered',
+                id=attempt.task.key.job,
+                run=attempt.run,
+                worker=worker.id,
+                percent=change.percent,
+                error=str(exc),
+            )
+            # The next report shows the pace.
+            attempt.pace = execution.UNKNOWN_PACE
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -9,19 +9,17 @@
 from amaranthflow import ids
 
 from . import admission
-from . import advice
-from . import commands
+from . import command_sender
 from . import contacts
 from . import elections
 from . import evacuations as evacuations_lib
-from . import execution
 from . import job_memory
 from . import jobrecord
+from . import links
 from . import load_monitor
 from . import logs
 from . import metrics
 from . import model
-from . import placement
 from . import ports
 from . import progress_writer
 from . import report_intervals
@@ -36,13 +34,8 @@
 # renewals. The work of an unreachable worker cannot start on another worker
 # before this time has passed.
 _LEASE_MS = 4_500
-# Workers reject a start command that is older than this.
-_START_VALID_MS = 1_500
 _RENEWAL_PAUSE_S = 0.25
 _FLUSH_TIMEOUT_S = 0.3
-_STOP_RETRY_S = 0.3
-# A task whose start was not answered waits for the stop.
-_VOID_RETRY_S = 0.05
 _WORKERS_POLL_S = 0.4
 _JOBS_WAIT_MS = 1_000
 _STORE_RETRY_S = 0.2
@@ -170,8 +163,17 @@
         self._job_memory = job_memory.JobMemory(
             max_bytes=deps.limits.jobs_bytes
         )
-        self._links: dict[ids.WorkerId, tuple[str, ports.WorkerLink]] = {}
+        self._links = links.Links(factory=deps.link_factory)
         self._contacts = contacts.Contacts()
+        self._sender = command_sender.CommandSender(
+            term=self,
+            token=term.token,
+            core=self.core,
+            links=self._links,
+            contacts=self._contacts,
+            meters=deps.meters,
+            clock=deps.clock,
+        )
         self._replan = asyncio.Event()
         self._replan_opportunistic = asyncio.Event()
         self._unconfigured = asyncio.Event()
@@ -202,8 +204,7 @@
             pass
         finally:
             self.ready = False
-            for _, link in self._links.values():
-                link.close()
+            self._links.close()
             logs.event('led', token=self.term.token, why=self._end_reason)
 
     def end_term(self, reason: str) -> None:
@@ -456,20 +457,22 @@
             now_s
         )
 
-    def _may_start(self) -> bool:
+    def may_start(self) -> bool:
         """Returns whether runs may be started."""
         return self._may_command() and self._knows_evacuations()
 
     def _knows_evacuations(self) -> bool:
         """Returns whether the operator's table was read recently enough.
 
-        A worker executes a start command for ``_START_VALID_MS``; by then no
+        A worker executes a start command for ``START_VALID_MS``; by then no
         evacuation may be overdue that this instance has not read.
         """
         evacuate_s = self._deps.limits.evacuate_s
         if evacuate_s is None:
             return True
-        max_age_s = max(evacuate_s - _START_VALID_MS / 1000, _MIN_TABLE_AGE_S)
+        max_age_s = max(
+            evacuate_s - command_sender.START_VALID_MS / 1000, _MIN_TABLE_AGE_S
+        )
         return self.core.evacuations.is_current(
             self._clock.monotonic(),
             max_age_s,
@@ -484,8 +487,8 @@
         if not self.ready:
             return
         self.core.on_evacuations_changed(before, self._clock.monotonic())
-        self._dispatch()
-        self._request_plans()
+        self.dispatch()
+        self.request_plans()
 
     def _may_take_jobs(self) -> bool:
         """Returns whether jobs may be taken that the leader does not know.
@@ -497,7 +500,7 @@
 
     def _log_suspension(self) -> None:
         """Logs when the leader stops to send commands, or sends them again."""
-        suspended = not self._may_start()
+        suspended = not self.may_start()
         if suspended is self._suspended:
             return
         self._suspended = suspended
@@ -754,7 +757,7 @@
             age_ms=self._clock.wall_ms() - job.accepted_ms,
         )
         self._unconfigured.set()
-        self._request_plans()
+        self.request_plans()
 
     async def _configuration_loop(self) -> None:
         """Reads the configuration for jobs that may need a newer version.
@@ -777,7 +780,7 @@
                 await asyncio.sleep(_STORE_RETRY_S)
                 continue
             self.core.release_unconfigured(jobs)
-            self._request_plans()
+            self.request_plans()
 
     async def _workers_loop(self) -> None:
         while True:
@@ -834,7 +837,7 @@
         lost = failed = False
         while True:
             if self.core.drop_worker(worker.id, self._clock.monotonic()):
-                self._drop_link(worker.id)
+                self._links.drop(worker.id)
                 return
             if not worker.entry.address:
                 await asyncio.sleep(_RENEWAL_PAUSE_S)
@@ -843,7 +846,7 @@
                 # Without a renewal the runs of a worker whose reports cannot
                 # be handled end, and may start elsewhere.
                 extend = not failed
-                if self._link(worker).connected():
+                if self._links.get(worker).connected():
                     await self._renew_leases(worker, extend=extend)
                 else:
                     fleet_size = len(self.core.workers)
@@ -862,7 +865,7 @@
                     self.core.on_worker_replaced(
                         worker, self._clock.monotonic(), self._clock.wall_ms()
                     )
-                    self._request_plans()
+                    self.request_plans()
                 await asyncio.sleep(_RENEWAL_PAUSE_S)
             except exceptions.AmaranthflowError as exc:
                 if not lost:
@@ -901,7 +904,7 @@
 
         :param extend: also renew the leases of its runs if possible.
         """
-        link = self._link(worker)
+        link = self._links.get(worker)
         # The first call on a connection may reach another incarnation of the
         # worker. It must neither acknowledge ends nor rely on the known clock.
         connected = link.connected() and worker.born_ms != 0
@@ -931,14 +934,14 @@
             self._clock.monotonic(),
             self._clock.wall_ms(),
         )
-        self._dispatch()
+        self.dispatch()
         if worker.stored_end != worker.processed_end:
-            self._request_plans()
+            self.request_plans()
             await self._flush_briefly()
             if worker.stored_end != worker.processed_end:
                 await asyncio.sleep(_RENEWAL_PAUSE_S)
         elif before[0] != worker.born_ms:
-            self._request_plans()
+            self.request_plans()
 
     def _report_interval_ms(self, worker: workers.Worker, now_s: float) -> int:
         """Returns how long a worker may wait with its next report."""
@@ -961,36 +964,15 @@
             return False
         return True
 
-    def _link(self, worker: workers.Worker) -> ports.WorkerLink:
-        address = worker.entry.address
-        cached = self._links.get(worker.id)
-        if cached is not None and cached[0] == address:
-            return cached[1]
-        self._drop_link(worker.id)
-        link = self._deps.link_factory.link(worker.id, address)
-        self._links[worker.id] = (address, link)
-        return link
-
-    def _drop_link(self, worker_id: ids.WorkerId) -> None:
-        cached = self._links.pop(worker_id, None)
-        if cached is not None:
-            cached[1].close()
-
     # commands
 
-    def _dispatch(self) -> None:
+    def dispatch(self) -> None:
+        """Sends the new commands of the scheduler."""
         new_commands = self.core.take_commands()
         if self.core.dirty:
             self._progress_writer.wake()
         for command in new_commands:
-            if isinstance(command, commands.Start):
-                self._spawn(self._start(command.attempt))
-            elif isinstance(command, commands.Stop):
-                self._spawn(self._stop(command.attempt))
-            elif isinstance(command, commands.StopOrphan):
-                self._spawn(self._stop_orphan(command))
-            elif isinstance(command, commands.SetPace):
-                self._spawn(self._pace(command))
+            self._spawn(self._sender.send(command))
 
     def _spawn(self, work: t.Coroutine) -> None:
         if self._group is None or self._ended.is_set():
@@ -1002,199 +984,6 @@
 
         self._group.create_task(self._run_guarded(run))
 
-    async def _start(self, attempt: execution.Attempt) -> None:
-        fleet_size = len(self.core.workers)
-        async with self._contacts.start_slot(fleet_size):
-            await self._send_start(attempt)
-
-    async def _send_start(self, attempt: execution.Attempt) -> None:
-        worker = self.core.workers.get(attempt.worker)
-        if (
-            worker is None
-            or attempt.state is not execution.AttemptState.PLANNED
-        ):
-            return
-        if attempt not in worker.attempts:
-            return
-        now_s = self._clock.monotonic()
-        task = attempt.task
-        if not self._may_start() or not self._has_label(worker, task):
-            self.core.on_start_failed(attempt, now_s)
-            return
-        command = ports.StartCommand(
-            task=task.key,
-            run=attempt.run,
-            payload=task.step_run.job_run.job.payload,
-            deadline_ms=worker.min_clock_ms(now_s) + _START_VALID_MS,
-            checkpoint=task.checkpoint,
-            ticket=self.core.advice.ticket(
-                advice.step_key(task.step_run),
-                worker.id,
-                worker.born_ms,
-                now_s,
-            ),
-        )
-        worker.extend_lease(command.deadline_ms)
-        void_s = worker.deadline_passed_s(command.deadline_ms)
-        self.core.on_sent(attempt)
-        self._deps.meters.count('starts')
-        try:
-            await response_limits.within(
-                worker.history.response_limit_s,
-                self._link(worker).start(command, self.term.token),
-            )
-            started_s = self._clock.monotonic()
-            self.core.on_started(attempt, started_s, started_s - now_s)
-            self._deps.meters.observe('start', started_s - now_s)
-            return
-        except ports.CommandRefused as exc:
-            if exc.refusal is ports.Refusal.STALE_TOKEN:
-                self.end_term(f'worker {worker.id} has a higher token')
-                return
-            now_s = self._clock.monotonic()
-            self.core.on_start_refused(attempt, exc.refusal, now_s)
-        except exceptions.PlatformUncertain as exc:
-            self._log_start_unanswered(attempt, exc)
-            now_s = self._clock.monotonic()
-            self.core.on_start_uncertain(attempt, void_s, now_s)
-        except exceptions.PlatformError:
-            self.core.on_start_failed(attempt, self._clock.monotonic())
-        self._request_plans()
-        self._dispatch()
-
-    def _has_label(
-        self, worker: workers.Worker, task: execution.TaskRun
-    ) -> bool:
-        """Returns whether the process reached has the label of a step.
-
-        A worker whose connection was lost may be restarting as another kind,
-        and would execute a start under its former id.
-        """
-        step = task.step_run.step
-        if not step.label:
-            return True
-        return (
-            worker.entry_is_current
-            and placement.label_permits(worker, step)
-            and self._link(worker).connected()
-        )
-
-    def _log_start_unanswered(
-        self, attempt: execution.Attempt, exc: Exception
-    ) -> None:
-        self._deps.meters.count('starts_unanswered')
-        logs.event(
-            'start_unanswered',
-            id=attempt.task.key.job,
-            run=attempt.run,
-            worker=attempt.worker,
-            error=str(exc),
-        )
-
-    async def _stop(self, attempt: execution.Attempt) -> None:
-        unanswered = attempt.state is execution.AttemptState.UNCERTAIN
-        while True:
-            worker = self.core.workers.get(attempt.worker)
-            if worker is None or attempt not in worker.attempts:
-                return
-            if await self._stop_once(worker, attempt.task.key, attempt.run):
-                self.core.on_stopped(attempt, self._clock.monotonic())
-                if unanswered:
-                    await self._look_for(worker, attempt)
-                return
-            await asyncio.sleep(_VOID_RETRY_S if unanswered else _STOP_RETRY_S)
-
-    async def _look_for(
-        self, worker: workers.Worker, attempt: execution.Attempt
-    ) -> None:
-        """Looks whether a worker has the run of an unanswered start.
-
-        The next report would tell as well, but later.
-        """
-        try:
-            report = await response_limits.within(
-                worker.history.response_limit_s,
-                self._link(worker).list_runs(self.term.token),
-            )
-        except ports.CommandRefused as exc:
-            if exc.refusal is ports.Refusal.STALE_TOKEN:
-                self.end_term(f'worker {worker.id} has a higher token')
-            return
-        except exceptions.AmaranthflowError as exc:
-            logs.event('runs_not_listed', worker=worker.id, error=str(exc))
-            return
-        self.core.on_listed(attempt, report)
-        self._request_plans()
-        self._dispatch()
-
-    async def _stop_orphan(self, orphan: commands.StopOrphan) -> None:
-        worker = self.core.workers.get(ids.WorkerId(orphan.worker))
-        if worker is not None:
-            logs.event(
-                'orphan_stopped',
-                id=orphan.task.job,
-                run=orphan.run,
-                worker=orphan.worker,
-            )
-            await self._stop_once(worker, orphan.task, orphan.run)
-
-    async def _stop_once(
-        self, worker: workers.Worker, task: model.TaskKey, run: model.RunNumber
-    ) -> bool:
-        if not worker.entry.address:
-            return False
-        try:
-            await response_limits.within(
-                worker.history.response_limit_s,
-                self._link(worker).stop(task, run, self.term.token),
-            )
-            return True
-        except ports.CommandRefused as exc:
-            if exc.refusal is ports.Refusal.STALE_TOKEN:
-                self.end_term(f'worker {worker.id} has a higher token')
-                return False
-            logs.event(
-                'stop_refused',
-                id=task.job,
-                run=run,
-                worker=worker.id,
-                refusal=exc.refusal.value,
-            )
-            return False
-        except exceptions.AmaranthflowError as exc:
-            logs.event(
-                'stop_unanswered',
-                id=task.job,
-                run=run,
-                worker=worker.id,
-                error=str(exc),
-            )
-            return False
-
-    async def _pace(self, change: commands.SetPace) -> None:
-        attempt = change.attempt
-        worker = self.core.workers.get(attempt.worker)
-        if worker is None or attempt not in worker.attempts:
-            return
-        try:
-            await self._link(worker).pace(
-                attempt.task.key, attempt.run, change.percent, self.term.token
-            )
-        except ports.CommandRefused as exc:
-            if exc.refusal is ports.Refusal.STALE_TOKEN:
-                self.end_term(f'worker {worker.id} has a higher token')
-        except exceptions.AmaranthflowError as exc:
-            logs.event(
-                'pace_unanswered',
-                id=attempt.task.key.job,
-                run=attempt.run,
-                worker=worker.id,
-                percent=change.percent,
-                error=str(exc),
-            )
-            # The next report shows the pace.
-            attempt.pace = execution.UNKNOWN_PACE
-
     # decisions
 
     async def _tick_loop(self) -> None:
@@ -1205,9 +994,9 @@
             self._load.on_timer(now_s - due_s)
             self._log_suspension()
             self.core.tick(now_s, self._clock.wall_ms())
-            self._dispatch()
+            self.dispatch()
             # Backoffs of workers end and occurrences of jobs come due.
-            self._request_plans()
+            self.request_plans()
 
     async def _plan_loop(self) -> None:
         await self._plan_repeatedly(self._replan, self.core.plan, 'plan')
@@ -1231,16 +1020,17 @@
             await wanted.wait()
             await asyncio.sleep(max(_PLAN_DELAY_S, _PLAN_PAUSE_RATIO * took_s))
             wanted.clear()
-            if not self._may_start():
+            if not self.may_start():
                 continue
             started_s = self._clock.monotonic()
             plan(started_s, self._clock.wall_ms())
             took_s = self._clock.monotonic() - started_s
             self._deps.meters.observe(name, took_s)
             self._load.on_plan(name, took_s)
-            self._dispatch()
+            self.dispatch()
 
-    def _request_plans(self) -> None:
+    def request_plans(self) -> None:
+        """Lets the loops of plans look for what can start now."""
         self._replan.set()
         self._replan_opportunistic.set()
 
@@ -1283,7 +1073,7 @@
             )
             until_s = asked_s + valid_ms / 1000
             self.core.advice.on_response(query, tickets, until_s, incarnations)
-            self._request_plans()
+            self.request_plans()
 
     async def _cleanup_loop(self) -> None:
         obsolete: set[ids.JobId] = set()
@@ -1359,7 +1149,7 @@
         if not self.core.knows(job_id):
             await self._read_latest_jobs()
         known = self.core.cancel(job_id, self._clock.wall_ms())
-        self._dispatch()
+        self.dispatch()
         await self._progress_writer.flush()
         return known
 
