--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -153,6 +153,44 @@
     And task job "a1" is completed within 20 s
     And the task fleet violated no invariant
 
+  # The renewal that was under way took the place of the resignation, which was
+  # given up.
+  Scenario Outline: A resignation is stored beside a renewal that is under way
+    Given 1 s pass in the task fleet
+    And the store's responses take 0.1 s more
+    And <seconds> s pass in the task fleet
+    When the task fleet's leader steps down
+    Then the store has the resignation
+
+    Examples:
+      | seconds |
+      | 0.5     |
+      | 0.55    |
+      | 0.6     |
+      | 0.8     |
+      | 0.95    |
+      | 1       |
+
+  # An earlier question without an answer counted for the rest of the term.
+  Scenario: A leader that has not answered once hands over when it resigns later
+    Given task job "a1" with steps "8x8.0" is accepted
+    And the task fleet's leader does not renew its term for 0.6 s and answers no instance for 1.6 s
+    And 3 s pass in the task fleet
+    When task worker "w1" is disconnected
+    And the task fleet's leader steps down
+    Then another task instance leads within 1 s
+    And it holds no job back
+
+  # It led until its process was gone, and nobody knew that it did not any more.
+  Scenario: An instance that is elected while it stops resigns at once
+    Given 1 s pass in the task fleet
+    And the store's responses take 0.2 s more
+    When the task fleet's leader is killed
+    And the instance that claims steps down
+    Then the store has the resignation
+    And another task instance leads within 3 s
+    And the task fleet violated no invariant
+
   # Nobody could be elected, and all leases expired.
   Scenario Outline: A leader that is to stop leads on until the store is back
     Given task job "a1" with steps "8x8.0" is accepted
@@ -727,6 +765,16 @@
     And task job "a1" is completed within 6 s
     And the task fleet violated no invariant
 
+  # The call ended before the resignation was stored. The leader sent no command
+  # from then on, and kept its term for good.
+  Scenario: A small instance ends its term though the call to hand over is given up
+    Given a task fleet of 5 small instances and 1 large one
+    And the store's responses take 0.3 s more
+    When the large task instance is killed and restarted after 4 s
+    And 16 s pass in the task fleet
+    Then the large task instance leads
+    And the task fleet violated no invariant
+
   Scenario Outline: A service's large task gets a worker on a full fleet
     Given small task jobs of <seconds> s arrive faster than they can be run
     And 3 s pass in the task fleet
