Give each run of real processes loopback addresses of its own

Cause: the harness of the daemon looked for free ports on 127.0.0.1 and released them before the daemon bound them. Any process, also one that opens an outgoing connection, could get them meanwhile; the daemon then ended with "Address already in use". The instances of the platform's tests had a prefix by process id, which two processes may share. Change: a run reserves a /24 prefix of loopback addresses by a bound socket, and uses fixed ports there, below those that the system gives out. Left: stand-in servers that are closed and opened again (tcp_service) release their port on 127.0.0.1 in between.

--- a/packages/amaranthflow-standins/src/amaranthflow_standins/process_fleet.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/process_fleet.py
@@ -3,11 +3,11 @@
 import asyncio
 import contextlib
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import typing as t
@@ -21,11 +21,13 @@
 from amaranthflow_schema.v1 import world_pb2
 
 from . import history
+from . import loopback_net
 from . import standin_process
 
 _START_TIMEOUT_S = 20.0
 _RPC_TIMEOUT_S = 5.0
-_HOST = '127.0.0.1'
+# Below the ports that the system gives to clients and servers of port 0.
+_FIRST_PORT = 8200
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -71,6 +73,9 @@
         self._platform: StandinServers | None = None
         self._worker_servers: list[StandinServers] = []
         self._output_copies: list[asyncio.Future] = []
+        self._net = loopback_net.LoopbackNet()
+        # A daemon that is started again gets new addresses.
+        self._free_ports = itertools.count(_FIRST_PORT)
         self.instances: dict[ids.InstanceId, Instance] = {}
         self.http_addresses: dict[ids.InstanceId, str] = {}
 
@@ -96,8 +101,8 @@
         self, instance_id: ids.InstanceId, zone: ids.ZoneId
     ) -> Instance:
         """Starts an instance and adds it to the platform's list."""
-        http_address = f'{_HOST}:{_free_port()}'
-        peer_address = f'{_HOST}:{_free_port()}'
+        http_address = self._new_address()
+        peer_address = self._new_address()
         process = await self._spawn(
             instance_id,
             'amaranthflow_daemon.main',
@@ -225,6 +230,7 @@
                     process.kill()
         await asyncio.gather(*(process.wait() for process in processes))
         await asyncio.gather(*self._output_copies)
+        self._net.close()
 
     async def _start_standins(
         self, name: str, spec: standin_process.ProcessSpec
@@ -261,6 +267,9 @@
     def _open_log(self, name: str) -> t.BinaryIO:
         return open(self._logs / f'{name}.log', 'ab')
 
+    def _new_address(self) -> str:
+        return f'{self._net.host(1)}:{next(self._free_ports)}'
+
     def _flags(
         self,
         instance_id: ids.InstanceId,
@@ -287,8 +296,3 @@
             if resp.status != 200:
                 raise RuntimeError(f'{path}: {await resp.text()}')
             return await resp.json()
-
-
-def _free_port() -> int:
-    with socket.create_server((_HOST, 0)) as sock:
-        return sock.getsockname()[1]
--- a/tests/steps/client_limits_steps.py
+++ b/tests/steps/client_limits_steps.py
@@ -17,6 +17,7 @@
 from amaranthflow_scheduler import model
 from amaranthflow_scheduler import ports
 from amaranthflow_standins import crowd
+from amaranthflow_standins import loopback_net
 from amaranthflow_standins import record_store
 from amaranthflow_standins import task_fleet
 
@@ -60,18 +61,19 @@
     store = record_store.RecordStore(rng=random.Random(1))
     value = servers.configuration_record(task_fleet.QUEUE, 1)
     store.put(ports.Table.CONFIGURATION, b'config', value)
-    net = processes.loopback_net()
+    net = loopback_net.LoopbackNet()
+    context.exit_stack.callback(net.close)
     handler = servers.StoreHandler(store=store, instance='n0')
-    server, port = await servers.serve(handler, f'{net}.1')
+    server, port = await servers.serve(handler, net.host(1))
     context.exit_stack.callback(server.stop)
     context.instance = processes.Instance(
         name='n0',
-        host=f'{net}.2',
-        store=f'{net}.1:{port}',
+        host=net.host(2),
+        store=f'{net.host(1)}:{port}',
         folder=pathlib.Path(folder),
         limits=context.limits,
     )
-    await context.instance.start([f'{net}.2'])
+    await context.instance.start([net.host(2)])
     context.exit_stack.push_async_callback(
         context.instance.stop, signal.SIGKILL, processes.GRACE_S
     )
--- a/tests/steps/graceful_stop_steps.py
+++ b/tests/steps/graceful_stop_steps.py
@@ -12,6 +12,7 @@
 
 from amaranthflow_scheduler import model
 from amaranthflow_scheduler import ports
+from amaranthflow_standins import loopback_net
 from amaranthflow_standins import proxy
 from amaranthflow_standins import record_store
 from amaranthflow_standins import task_fleet
@@ -29,7 +30,7 @@
     """The instance, its store and the callers' connections."""
 
     def __init__(self, folder):
-        self.net = processes.loopback_net()
+        self.net = loopback_net.LoopbackNet()
         self.store = record_store.RecordStore(rng=random.Random(1))
         value = servers.configuration_record(task_fleet.QUEUE, 1)
         self.store.put(ports.Table.CONFIGURATION, b'config', value)
@@ -38,14 +39,14 @@
         self.took_s = None
 
     async def start(self):
-        host = f'{self.net}.1'
+        host = self.net.host(1)
         handler = servers.StoreHandler(store=self.store, instance='n1')
         self.server, port = await servers.serve(handler, host)
         self.proxy = proxy.Proxy(host=host, target=(host, port))
         await self.proxy.open()
         self.instance = processes.Instance(
             name='n1',
-            host=f'{self.net}.2',
+            host=self.net.host(2),
             store=self.proxy.address,
             folder=self.folder,
         )
@@ -92,6 +93,7 @@
     def close(self):
         self.proxy.close()
         self.server.stop()
+        self.net.close()
 
 
 def _run(context, work):
