Tests of the adapter: slow and silent stores in virtual time

Cause: two stand-ins of stores served raw connections by tasks that were still running, or cancelled, when asyncio.run ended; Python 3.11's streams then print "Exception in callback ... CancelledError". Their scenarios also had real pauses of 0.3 s and limits of 0.2 and 0.9 s, so that a loop that stands still for longer fails them. Change: they run in virtual time over socket pairs, where data is readable as soon as it is sent, and end their tasks before the loop is closed. The pauses and limits are the same; an error of a stand-in fails the scenario now.

--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -5,6 +5,7 @@
 import json
 import pathlib
 import re
+import socket
 import struct
 import subprocess
 import sys
@@ -28,6 +29,7 @@
 from amaranthflow_scheduler import model
 from amaranthflow_scheduler import ports
 from amaranthflow_standins import clock
+from amaranthflow_standins import virtual_time
 
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
 _HOST = '127.0.0.1'
@@ -355,26 +357,63 @@
 
 @behave.when('calls are made one after the other')
 def step_calls_in_turn(context):
-    context.outcomes = asyncio.run(_call_silent(context.parallel))
+    context.outcomes = _call_silent(context.parallel)
+
+
+class _ServedLoop(virtual_time.VirtualLoop):
+    """Connects clients to a handler in this process, in virtual time.
+
+    Data is readable at the other end of a socket pair as soon as it is sent,
+    so that no timeout depends on the machine's speed.
+    """
+
+    def __init__(self, serve):
+        super().__init__()
+        self._serve = serve
+        self._served = []
+
+    async def create_connection(
+        self, protocol_factory, host=None, port=None, **options
+    ):
+        if host is None:
+            return await super().create_connection(protocol_factory, **options)
+        ours, theirs = socket.socketpair()
+        streams = await asyncio.open_connection(sock=theirs)
+        self._served.append(self.create_task(self._handle(*streams)))
+        return await super().create_connection(protocol_factory, sock=ours)
+
+    async def _handle(self, reader, writer):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await self._serve(reader, writer)
+        writer.close()
+
+    def run(self, client, work):
+        """Runs work that uses a client; returns once all handlers ended."""
+        try:
+            return self.run_until_complete(self._run(client, work))
+        finally:
+            self.close()
+
+    async def _run(self, client, work):
+        try:
+            return await work
+        finally:
+            client.close()
+            await asyncio.gather(*self._served)
 
 
-async def _call_silent(parallel):
+def _call_silent(parallel):
     silent = set()
     writers = set()
 
     async def serve(reader, writer):
         writers.add(writer)
-        with contextlib.suppress(asyncio.IncompleteReadError):
-            while await reader.readuntil(b'\r\n\r\n'):
-                await asyncio.sleep(0.02)
-                if writer not in silent:
-                    writer.write(
-                        b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
-                    )
-
-    server = await asyncio.start_server(serve, _HOST, 0)
-    port = server.sockets[0].getsockname()[1]
-    client = httpclient.Client(address=f'{_HOST}:{port}', max_conns=parallel)
+        while await reader.readuntil(b'\r\n\r\n'):
+            await asyncio.sleep(0.02)
+            if writer not in silent:
+                writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+
+    client = httpclient.Client(address=f'{_HOST}:1', max_conns=parallel)
 
     async def call():
         try:
@@ -383,13 +422,12 @@
         except exceptions.PlatformUncertain:
             return False
 
-    try:
+    async def work():
         await asyncio.gather(*(call() for _ in range(parallel)))
         silent.update(writers)
         return [await call() for _ in range(parallel)]
-    finally:
-        client.close()
-        server.close()
+
+    return _ServedLoop(serve).run(client, work())
 
 
 @behave.then('only the first of them times out')
@@ -464,10 +502,10 @@
 
 @behave.when('the newest records are read')
 def step_newest(context):
-    context.outcome = asyncio.run(_newest_in_pieces(*context.page))
+    context.outcome = _newest_in_pieces(*context.page)
 
 
-async def _newest_in_pieces(sent, count, seconds):
+def _newest_in_pieces(sent, count, seconds):
     body = b'{"items":[{"key":"k","value":"dg==","offset":0}],"end":1}'
     response = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s' % (
         len(body),
@@ -481,20 +519,17 @@
             await asyncio.sleep(seconds)
             writer.write(response[number * size : (number + 1) * size])
         await reader.read()
-        writer.close()
 
-    server = await asyncio.start_server(serve, _HOST, 0)
-    port = server.sockets[0].getsockname()[1]
-    link = store.Store(address=f'{_HOST}:{port}')
-    try:
-        batch = await link.newest(ports.Table.JOBS)
-        return len(batch.records)
-    except exceptions.PlatformUncertain:
-        return 'uncertain'
-    finally:
-        link._client.close()
-        server.close()
-        await asyncio.sleep(0.01)
+    link = store.Store(address=f'{_HOST}:1')
+
+    async def work():
+        try:
+            batch = await link.newest(ports.Table.JOBS)
+            return len(batch.records)
+        except exceptions.PlatformUncertain:
+            return 'uncertain'
+
+    return _ServedLoop(serve).run(link._client, work())
 
 
 @behave.then('{count:d} record is read')
