demo: access times of files are not bytes that an instance wrote

Cause: the check of disk writes reads write_bytes of /proc/PID/io. The first instance to read a file of the program since then "wrote 4096 bytes to disks". Traces of all system calls that open files in six demos show no file that an instance opens for writing. Change: the demo starts and ends an instance that is not measured before the others, so that no access time is due. The check stays: 0 bytes. Ruled out: bytecode (not written by an instance), log files (through a pipe).

--- a/packages/amaranthflow-standins/src/amaranthflow_standins/demo.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/demo.py
@@ -49,6 +49,9 @@
         seed: int,
         seconds: float,
     ):
+        self._session = session
+        self._reader_logs = logs / 'reader'
+        self._reader_logs.mkdir(exist_ok=True)
         self._seed = seed
         self._seconds = seconds
         self._clock = clock_lib.SystemClock()
@@ -127,6 +130,7 @@
 
     async def _start(self) -> None:
         demo_scenarios.print_progress('starting stand-ins and instances')
+        await fleet_lib.read_program_files(self._session, self._reader_logs)
         await self._fleet.start_platform(
             standin_process.ProcessSpec(seed=self._seed, platform=True)
         )
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/process_fleet.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/process_fleet.py
@@ -26,6 +26,7 @@
 
 _START_TIMEOUT_S = 20.0
 _RPC_TIMEOUT_S = 5.0
+_READY_POLL_S = 0.1
 # Below the ports that the system gives to clients and servers of port 0.
 _FIRST_PORT = 8200
 
@@ -208,6 +209,18 @@
             except grpc.aio.AioRpcError:
                 return None
 
+    async def wait_ready(self, instance: Instance) -> None:
+        """Returns once an instance is ready.
+
+        :raises TimeoutError: it does not get ready.
+        """
+        async with asyncio.timeout(_START_TIMEOUT_S):
+            while True:
+                status = await self.status(instance)
+                if status is not None and status.ready:
+                    return
+                await asyncio.sleep(_READY_POLL_S)
+
     def unexpectedly_exited(self) -> list[Instance]:
         """Returns instances that exited without having been told to."""
         return [
@@ -296,3 +309,27 @@
             if resp.status != 200:
                 raise RuntimeError(f'{path}: {await resp.text()}')
             return await resp.json()
+
+
+async def read_program_files(
+    session: aiohttp.ClientSession, logs: pathlib.Path
+) -> None:
+    """Runs a daemon apart until it is ready, so that its files were just read.
+
+    A file system without a journal counts the update of a file's access time
+    as bytes that its reader wrote to the disk. Linux updates it only if it is
+    older than a day or than the file's last change.
+
+    :raises TimeoutError: the daemon does not get ready.
+    """
+    fleet = Fleet(session=session, logs=logs)
+    try:
+        await fleet.start_platform(
+            standin_process.ProcessSpec(seed=1, platform=True)
+        )
+        instance = await fleet.start_instance(
+            ids.InstanceId('reader'), ids.ZoneId('kannur')
+        )
+        await fleet.wait_ready(instance)
+    finally:
+        await fleet.close()
