Ask a worker again once the end of a short job's run is overdue

Cause: a call for a report waits at the worker for the end of a run, and counts as unanswered after 0.75 s. Ends of that time are read that late, which makes jobs of a second late.

Change: overdue_reports.py tells, as a report is requested, when the end of a run of a short job should have been listed. Nothing has come by then: the worker is asked for a list beside the call that waits. A list with a further end takes the report's place.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/claims.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/claims.py
@@ -126,14 +126,17 @@
         self._kept[job_run] = now_ms, claim
         return claim
 
+    def objective_ms(self, job: model.Job) -> float:
+        """Returns the time within which a job is on time."""
+        return _objective_ms(job, _times_ms(job, self.durations))
+
 
 def _make(
     job_run: execution.JobRun, durations: durations_lib.DurationModel
 ) -> Claim:
     job = job_run.job
-    queue = job.queue
-    times = [durations.expected_ms(queue.id, step) for step in job.steps]
-    objective_ms = queue.stretch * _path_ms(job, times) + queue.target_ms
+    times = _times_ms(job, durations)
+    objective_ms = _objective_ms(job, times)
     work = left_ms = 0.0
     for step_runs in job_run.open_occurrences.values():
         left = [
@@ -146,7 +149,7 @@
             for step_run, time_ms in zip(step_runs, times, strict=True)
         )
     return Claim(
-        priority=queue.priority,
+        priority=job.queue.priority,
         work=work / 1000,
         path_ms=left_ms,
         on_time_until_ms=job.accepted_ms + objective_ms,
@@ -154,6 +157,16 @@
     )
 
 
+def _times_ms(
+    job: model.Job, durations: durations_lib.DurationModel
+) -> list[float]:
+    return [durations.expected_ms(job.queue.id, step) for step in job.steps]
+
+
+def _objective_ms(job: model.Job, times: t.Sequence[float]) -> float:
+    return job.queue.stretch * _path_ms(job, times) + job.queue.target_ms
+
+
 def _path_ms(job: model.Job, times: t.Sequence[float]) -> float:
     """Returns the length of a job's critical path of steps."""
     ends: list[float] = []
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -21,6 +21,7 @@
 from . import logs
 from . import metrics
 from . import model
+from . import overdue_reports
 from . import placement
 from . import ports
 from . import progress_writer
@@ -907,9 +908,11 @@
             worker.extend_lease(deadline_ms)
         all_stored = worker.stored_end == worker.processed_end
         wait_ms = 0
+        due_s = None
         if connected and all_stored:
             wait_ms = self._report_interval_ms(worker, sent_s)
-        report = await response_limits.within(
+            due_s = overdue_reports.due_s(worker, self.core.claims, sent_s)
+        call = response_limits.within(
             wait_ms / 1000 + worker.history.response_limit_s,
             link.renew_leases(
                 token=self.term.token,
@@ -918,6 +921,11 @@
                 wait_ms=wait_ms,
             ),
         )
+        if due_s is None:
+            report = await call
+        else:
+            report, asked_s = await self._ask_again(worker, call, due_s)
+            sent_s = asked_s or sent_s
         before = (worker.born_ms, worker.processed_end)
         self.core.on_report(
             worker,
@@ -935,6 +943,43 @@
         elif before[0] != worker.born_ms:
             self._request_plans()
 
+    async def _ask_again(
+        self,
+        worker: workers.Worker,
+        call: t.Coroutine[t.Any, t.Any, ports.WorkerReport],
+        due_s: float,
+    ) -> tuple[ports.WorkerReport, float | None]:
+        """Returns a worker's report; asks for another one if it is overdue.
+
+        Also returns when the other one was requested, None if the first call
+        has responded. The other one is used only if it lists a further end:
+        the first call, which would list it too, is then given up.
+
+        :param call: waits for the first report.
+        """
+        first = asyncio.get_running_loop().create_task(call)
+        try:
+            await asyncio.wait(
+                {first}, timeout=max(0.0, due_s - self._clock.monotonic())
+            )
+            if first.done():
+                return await first, None
+            asked_s = self._clock.monotonic()
+            try:
+                other = await response_limits.within(
+                    worker.history.response_limit_s,
+                    self._link(worker).list_runs(self.term.token),
+                )
+            except (exceptions.AmaranthflowError, ports.CommandRefused):
+                # The first call tells the state of the worker.
+                return await first, None
+            if first.done() or not overdue_reports.has_news(worker, other):
+                return await first, None
+            self._deps.meters.count('reports_overdue')
+            return other, asked_s
+        finally:
+            first.cancel()
+
     def _report_interval_ms(self, worker: workers.Worker, now_s: float) -> int:
         """Returns how long a worker may wait with its next report."""
         interval_s = report_intervals.MIN_INTERVAL_S
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_worker.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_worker.py
@@ -35,6 +35,7 @@
         seconds later.
     :ivar lost_reply_share: share of commands that are executed but whose
         reply is lost.
+    :ivar lost_report_share: share of calls for a report without a response.
     :ivar fails: all runs fail.
     :ivar fail_share: share of the runs that fail.
     :ivar hangs: runs that start now never end.
@@ -45,6 +46,7 @@
     reaches_store: bool = True
     delayed_share: float = 0.0
     lost_reply_share: float = 0.0
+    lost_report_share: float = 0.0
     fails: bool = False
     fail_share: float = 0.0
     hangs: bool = False
@@ -386,6 +388,9 @@
             await asyncio.sleep(_HOLD_TIMEOUT_S)
             raise exceptions.PlatformUncertain('no response')
         await asyncio.sleep(_LATENCY_S)
+        # A call that is given up closes the connection.
+        self._incarnation = None
+        await self._lose_report(wait_ms / 1000)
         self._incarnation = self._worker.incarnation
         report = await self._worker.renew_leases(
             token, acknowledged, deadline_ms, wait_ms
@@ -401,8 +406,15 @@
             await asyncio.sleep(_COMMAND_TIMEOUT_S)
             raise exceptions.PlatformUncertain('no response')
         await asyncio.sleep(_LATENCY_S)
+        await self._lose_report(0.0)
         return await self._worker.renew_leases(token, 0, None, 0)
 
+    async def _lose_report(self, wait_s: float) -> None:
+        share = self._worker.faults.lost_report_share
+        if share and self._rng.random() < share:
+            await asyncio.sleep(wait_s + _HOLD_TIMEOUT_S)
+            raise exceptions.PlatformUncertain('no response')
+
     async def start(
         self, command: ports.StartCommand, token: model.Token
     ) -> int:
--- a/tests/amaranthflow_scheduler/uneven_workers.feature
+++ b/tests/amaranthflow_scheduler/uneven_workers.feature
@@ -39,3 +39,18 @@
       | 0.1   | end no run                          | 10    | 0.5     | 0.97    | 20   |
       | 0.1   | end no run                          | 10    | 1.0     | 0.97    | 20   |
       | 0.1   | leave half of the orders unanswered | 10    | 0.5     | 0.99    | 5    |
+
+  # Reports wait at the worker for up to 0.5 s for the end of a run. A lost one
+  # must not delay the end of a task by more than that.
+  Scenario Outline: Jobs of <count> tasks of <seconds> s while reports are lost
+    Given uneven workers for jobs of <count> tasks of <seconds> s, of which 1.0 leave 4% of the calls for reports unanswered
+    When uneven workers run short jobs for 16 s
+    Then uneven workers complete at least <on_time> of the jobs under the fault on time
+    And uneven workers complete at least 1.0 of the jobs at all
+    And the task fleet violated no invariant
+
+    Examples:
+      | count | seconds | on_time |
+      | 10    | 0.2     | 0.99    |
+      | 10    | 0.3     | 0.99    |
+      | 10    | 0.5     | 0.99    |
--- a/tests/steps/uneven_workers_steps.py
+++ b/tests/steps/uneven_workers_steps.py
@@ -24,6 +24,9 @@
     'are sound': {},
     'leave half of the orders unanswered': {'delayed_share': 0.5},
     'leave 4% of the orders unanswered': {'delayed_share': 0.04},
+    'leave 4% of the calls for reports unanswered': {
+        'lost_report_share': 0.04
+    },
     'fail half of the runs': {'fail_share': 0.5},
     'fail all runs': {'fails': True},
     'are slow': {'slowdown': 4.0},
@@ -142,8 +145,20 @@
     'backups, of which {share:g} {fault}'
 )
 def step_play_backups(context, count, seconds, share, fault):
+    _play_steps(context, count, seconds, share, fault, backups=True)
+
+
+@behave.given(
+    'uneven workers for jobs of {count:d} tasks of {seconds:g} s, of which '
+    '{share:g} {fault}'
+)
+def step_play_jobs(context, count, seconds, share, fault):
+    _play_steps(context, count, seconds, share, fault, backups=False)
+
+
+def _play_steps(context, count, seconds, share, fault, *, backups):
     step = dataclasses.replace(
-        _STEP, count=count, estimate_ms=round(seconds * 1000), backups=True
+        _STEP, count=count, estimate_ms=round(seconds * 1000), backups=backups
     )
     context.loop = virtual_time.VirtualLoop()
     context.play = _Play(context.loop, share, _FAULTS[fault], step)
