Find stalled runs by when they were due before

Cause: uneven_workers.feature @1.6 (tasks of 1 s, a tenth of the workers ends no run) had 107 of 113 jobs on time. The trace of the six late ones: 73% after 0.74 s, so that the end was due at 1.0 s; 99% in the report at 1.26 s, the most that a worker reports of a run that has not ended. That report put the expected end off to 1.275 s, and the second run began at 1.63 to 1.75 s instead of 1.3 s; it had to begin by 1.45 s. For tasks of 3 s 0.3 of the run time, 0.9 s, was more than the deadline leaves. Change: a run keeps its progress before the last increase. It should have ended by the earlier of both estimates, once the progress between the last two reports would have ended it as well, so that a sound run that became slower gets none. How long it may be overdue comes from two needs in place of 0.25 s: the limit within which the worker answers commands (0.25 to 0.4 s, learned), and 0.3 of its time only as long as the job can wait for a further report. The worker of second_tries.feature has answered its start within 0.01 s now, as its limit was that of an unknown one; a row with slow responses is new.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
@@ -57,6 +57,8 @@
     :ivar progressed_s: when ``percent`` last increased.
     :ivar percent: progress of the task.
     :ivar first_percent: progress in the first report of the run.
+    :ivar earlier_s: ``progressed_s`` before ``percent`` last increased.
+    :ivar earlier_percent: ``percent`` before that.
     :ivar gauge: tail latency in ms of a service's task, processor use in
         thousandths of a core of any other task.
     :ivar checkpoint: newest checkpoint that the run has saved, or empty.
@@ -83,6 +85,8 @@
     progressed_s: float = 0.0
     percent: float = 0.0
     first_percent: float = 0.0
+    earlier_s: float = 0.0
+    earlier_percent: float = 0.0
     gauge: float = 0.0
     checkpoint: str = ''
     pace: int = 100
@@ -95,6 +99,14 @@
     crash_counted: bool = False
     last_listed_s: float | None = None
 
+    def on_progress(self, percent: float, now_s: float) -> None:
+        """Notes the progress in a report."""
+        if percent > self.percent:
+            self.earlier_s = self.progressed_s
+            self.earlier_percent = self.percent
+            self.progressed_s = now_s
+            self.percent = percent
+
     @property
     def tail_ratio(self) -> float:
         """Tail latency of a service's run as a ratio to its target."""
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -851,9 +851,7 @@
                 attempt.first_percent = attempt.percent = row.percent
         if not attempt.survived:
             self._check_survival(attempt, now_s)
-        if row.percent > attempt.percent:
-            attempt.percent = row.percent
-            attempt.progressed_s = now_s
+        attempt.on_progress(row.percent, now_s)
         attempt.gauge = row.gauge
         attempt.last_listed_s = now_s
         if row.checkpoint:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/second_tries.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/second_tries.py
@@ -32,8 +32,8 @@
 # A run has stalled if by a later report it should have made this much progress
 # and has not.
 _STALL_PERCENT = 15.0
-# Or if it should have ended so long ago, in all or as a share of its time.
-_MIN_OVERDUE_S = 0.25
+# Or if it should have ended so long ago, as a share of its time; sooner where
+# the job cannot wait.
 _OVERDUE_RATIO = 0.3
 # Slowness of a worker that follows from a run that has stalled there.
 _STALLED_SLOWNESS = 4.0
@@ -59,11 +59,13 @@
 
     :ivar end_s: when it ends; infinity if it does not.
     :ivar whole_s: time that it takes in all; infinity if it does not end.
+    :ivar certain: False if the next report may show that it ends after all.
     """
 
     cause: Cause
     end_s: float
     whole_s: float
+    certain: bool = True
 
 
 class SecondTry(t.NamedTuple):
@@ -139,13 +141,44 @@
     still_s = listed_s - attempt.progressed_s
     missing = still_s * done / took_s
     stalled = still_s >= _MIN_OBSERVATION_S and missing > _STALL_PERCENT
-    overdue_s = max(_MIN_OVERDUE_S, _OVERDUE_RATIO * (end_s - since_s))
-    if worker.stored_end == worker.processed_end:
-        # Otherwise the next report waits until these ends are stored.
-        stalled = stalled or now_s > end_s + overdue_s
     if stalled:
         return Outlook(Cause.STALLED, _NEVER_S, _NEVER_S)
-    return Outlook(Cause.SLOW, end_s, 100 * took_s / done)
+    due_s = _due_s(attempt, worker, end_s, now_s)
+    overdue_s = now_s - due_s
+    # The end of a run is reported like the response to a command. While other
+    # ends are not stored, the next report waits for them.
+    unreported = overdue_s <= worker.history.response_limit_s
+    if unreported or worker.stored_end != worker.processed_end:
+        return Outlook(Cause.SLOW, end_s, 100 * took_s / done)
+    certain = overdue_s > _OVERDUE_RATIO * (due_s - since_s)
+    return Outlook(Cause.STALLED, _NEVER_S, _NEVER_S, certain)
+
+
+def _due_s(
+    attempt: execution.Attempt,
+    worker: workers.Worker,
+    end_s: float,
+    now_s: float,
+) -> float:
+    """Returns when a run should have ended.
+
+    A run that has stalled may be reported at 99% as long as it has not ended.
+    The first such report then tells a later end than those before, and counts
+    until that has passed as well.
+
+    :param end_s: when the run ends by its progress so far.
+    """
+    took_s = attempt.earlier_s - attempt.running_since_s
+    done = attempt.earlier_percent - attempt.first_percent
+    since_s = attempt.progressed_s - attempt.earlier_s
+    if took_s < _MIN_OBSERVATION_S or since_s <= 0 or done <= 0:
+        return end_s
+    recent = (attempt.percent - attempt.earlier_percent) / since_s
+    last_s = attempt.progressed_s + (100 - attempt.percent) / recent
+    if now_s <= last_s + worker.history.slowest_response_s:
+        return end_s
+    left = 100 - attempt.earlier_percent
+    return min(end_s, attempt.earlier_s + left * took_s / done)
 
 
 def usual_run_s(attempt: execution.Attempt) -> float | None:
@@ -254,7 +287,11 @@
     if slowness < max(ratio, _SLOW_RATIO):
         return None
     second_in_ms = 1000 * (_START_S + run_s) + rest_ms
-    if not claim.standing_at(now_ms + second_in_ms).precedes(standing):
+    second = claim.standing_at(now_ms + second_in_ms)
+    if not second.precedes(standing):
+        return None
+    after_report_ms = now_ms + second_in_ms + 1000 * _FRESH_REPORT_S
+    if not first.certain and claim.standing_at(after_report_ms) is second:
         return None
     on_time_in_ms = claim.on_time_until_ms - now_ms
     return SecondTry(
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/worker_history.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/worker_history.py
@@ -135,12 +135,15 @@
         if self.slowness != 1.0:
             self.slowness = 1.0 + left * (self.slowness - 1.0)
 
+    @property
+    def slowest_response_s(self) -> float:
+        """Slowest of the recent responses, in seconds."""
+        return max(self._recent_s, default=_MAX_RESPONSE_LIMIT_S)
+
     @property
     def response_limit_s(self) -> float:
         """Seconds after which a command counts as unanswered."""
-        if not self._recent_s:
-            return _MAX_RESPONSE_LIMIT_S
-        limit_s = _RESPONSE_RATIO * max(self._recent_s)
+        limit_s = _RESPONSE_RATIO * self.slowest_response_s
         return min(max(limit_s, _MIN_RESPONSE_LIMIT_S), _MAX_RESPONSE_LIMIT_S)
 
     @property
--- a/tests/amaranthflow_scheduler/second_tries.feature
+++ b/tests/amaranthflow_scheduler/second_tries.feature
@@ -22,6 +22,8 @@
       | at 99%, listed at 1.0 s                       | backups          | 1.1     | nothing    |
       | at 99%, listed at 1.0 s                       | backups          | 1.4     | stalled    |
       | at 99%, listed at 1.0 s, with an unstored end | backups          | 1.4     | nothing    |
+      | at 99%, listed at 1.0 s, slow to respond      | backups          | 1.4     | nothing    |
+      | at 99%, listed at 1.0 s, slow to respond      | backups          | 1.42    | stalled    |
       | at 0%, listed at 0.5 s                        | backups          | 0.5     | nothing    |
       | at 0%, listed at 1.1 s                        | backups          | 1.1     | stalled    |
       | that no report has listed                     | backups          | 1.5     | nothing    |
@@ -32,6 +34,40 @@
       | at 10%, listed at 0.5 s, suspected of a crash | backups          | 0.6     | nothing    |
       | at 10%, listed at 0.5 s                       | backups in gangs | 0.6     | nothing    |
 
+  # A worker may report 99% for as long as a run has not ended. The report that
+  # shows it first comes late, and does not put off when the run was due to end.
+  Scenario Outline: A run at <before>, then at <after>
+    Given second tries for a job whose steps permit backups
+    And second tries see a run at <before>
+    And second tries see it later at <after>
+    When second tries are looked for after <seconds> s
+    Then second tries find <found>
+
+    Examples:
+      | before                | after                  | seconds | found   |
+      | 73%, listed at 0.73 s | 99%, listed at 1.26 s  | 1.28    | nothing |
+      | 73%, listed at 0.73 s | 99%, listed at 1.26 s  | 1.34    | stalled |
+      | 73%, listed at 0.73 s | 92%, listed at 1.26 s  | 1.34    | nothing |
+      | 93%, listed at 0.93 s | 99%, listed at 1.01 s  | 1.2     | nothing |
+      | 10%, listed at 0.1 s  | 99%, listed at 1.26 s  | 1.34    | nothing |
+
+  # A run that takes a little longer than its progress has promised gets a
+  # second one only if the next report comes too late for that.
+  Scenario Outline: A run of 10 s that was due <due> s ago, with <spare> s to spare
+    Given second tries for a job of runs of 10 s with <spare> s to spare when they end
+    And second tries see a run at 93%, listed at 9.3 s
+    And second tries see it later at 99%, listed at 9.9 s
+    When second tries are looked for <due> s after the run was due
+    Then second tries find <found>
+
+    Examples:
+      | due | spare | found   |
+      | 0.2 | 0.5   | nothing |
+      | 0.3 | 0.5   | stalled |
+      | 0.3 | 0.9   | stalled |
+      | 0.3 | 1.5   | nothing |
+      | 0.9 | 1.5   | stalled |
+
   # All tasks of a step may be larger than declared.
   Scenario Outline: A run that seems slow beside one <other>
     Given second tries for a job of two tasks that permits backups
--- a/tests/steps/second_tries_steps.py
+++ b/tests/steps/second_tries_steps.py
@@ -1,5 +1,6 @@
 """Steps for second_tries.feature."""
 
+import dataclasses
 import math
 import re
 
@@ -21,6 +22,7 @@
 _BEGAN_S = 100.0
 _BORN_MS = 7
 _RUN_MS = 1000
+_RESPONSE_S = 0.01
 _QUEUE = model.Queue(
     id=model.QueueId('jobs'),
     host='jobs.example',
@@ -39,18 +41,18 @@
     )
 
 
-def _job(*steps):
+def _job(*steps, queue=_QUEUE):
     return model.Job(
         id=ids.JobId('j'),
-        queue=_QUEUE,
+        queue=queue,
         payload='',
         steps=steps,
         accepted_ms=round(_BEGAN_S * 1000),
     )
 
 
-def _start(context, *steps):
-    context.job_run = execution.JobRun(job=_job(*steps))
+def _start(context, *steps, queue=_QUEUE):
+    context.job_run = execution.JobRun(job=_job(*steps, queue=queue))
     context.job_run.open_occurrence(0)
     context.claims = claims.Claims(durations=durations.DurationModel())
     context.tries = second_tries.SecondTries(context.claims)
@@ -68,9 +70,11 @@
 
 
 def _worker(name):
-    return workers.Worker(
+    worker = workers.Worker(
         entry=_entry(name), lease_end_s=math.inf, born_ms=_BORN_MS
     )
+    worker.history.on_answer(_RESPONSE_S)
+    return worker
 
 
 def _attempt(context, task, worker, **fields):
@@ -103,6 +107,22 @@
     step_run.speeds.append(100_000 / _RUN_MS)
 
 
+@behave.given(
+    'second tries for a job of runs of {run_s:g} s with {spare_s:g} s to '
+    'spare when they end'
+)
+def step_spare(context, run_s, spare_s):
+    # With a second run that starts then.
+    queue = dataclasses.replace(_QUEUE, target_ms=round(1000 * spare_s))
+    step = dataclasses.replace(
+        _step(count=2, backups=True), estimate_ms=round(1000 * run_s)
+    )
+    _start(context, step, queue=queue)
+    context.run_s = run_s
+    step_run = context.job_run.open_occurrences[0][0]
+    step_run.speeds.append(100 / run_s)
+
+
 @behave.given('second tries for a job of two tasks that permits backups')
 def step_pair(context):
     _start(context, _step(count=2, backups=True))
@@ -178,6 +198,8 @@
         assert state == 'that no report has listed', state
         context.attempt = _attempt(context, task, worker)
         worker.last_report_s = _BEGAN_S + 1.4
+    if 'slow to respond' in state:
+        worker.history.on_answer(0.08)
     if 'unstored' in state:
         worker.processed_end = 1
     if 'another' in state:
@@ -186,6 +208,15 @@
         task.crashes = 1
 
 
+@behave.given('second tries see it later at {state}')
+def step_later(context, state):
+    found = _STATE.match(f'at {state}')
+    percent, listed_s = float(found.group(1)), _BEGAN_S + float(found.group(2))
+    context.attempt.on_progress(percent, listed_s)
+    context.attempt.last_listed_s = listed_s
+    context.worker.last_report_s = listed_s
+
+
 @behave.when('second tries are looked for after {seconds:g} s')
 def step_find(context, seconds):
     now_s = _BEGAN_S + seconds
@@ -194,6 +225,14 @@
     )
 
 
+@behave.when('second tries are looked for {due_s:g} s after the run was due')
+def step_find_due(context, due_s):
+    # The newest report lists it without further progress.
+    listed_s = _BEGAN_S + context.run_s + due_s
+    context.attempt.last_listed_s = context.worker.last_report_s = listed_s
+    step_find(context, context.run_s + due_s)
+
+
 @behave.when('second tries are started')
 def step_started(context):
     for found in context.found:
