Stop a hung run whose backup hangs as well

Cause: a task with backups whose first and second run both hang was never done: only two runs may be active, a hung run with backups is backed up and not stopped, and the line run_straggles came with each tick. Change: the first run is stopped if a later one of the task hangs as well; another may start then. While one of the two makes progress both go on.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/stragglers.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/stragglers.py
@@ -178,7 +178,22 @@
         own = speed(attempt, now_s)
         if usual and own:
             worker.history.on_straggler(usual / own)
-    if attempt.task.step_run.step.backups:
+    if verdict is Verdict.HUNG and _has_hung_backup(attempt, now_s):
+        yield Remedy(attempt, backup=False, why=verdict.value)
+    elif attempt.task.step_run.step.backups:
         yield Remedy(attempt, backup=True, why=verdict.value)
     elif verdict is not Verdict.BACK_UP:
         yield Remedy(attempt, backup=False, why=verdict.value)
+
+
+def _has_hung_backup(attempt: execution.Attempt, now_s: float) -> bool:
+    """Returns whether a later run of the same task hangs as well.
+
+    One of the two has to end before another one may start.
+    """
+    return any(
+        other.run > attempt.run
+        and other.state is execution.AttemptState.RUNNING
+        and classify(other, now_s) is Verdict.HUNG
+        for other in attempt.task.attempts
+    )
--- a/tests/amaranthflow_scheduler/decisions.feature
+++ b/tests/amaranthflow_scheduler/decisions.feature
@@ -213,6 +213,18 @@
       | 15      | 3.0     | 0.0   | 2.0   | checkpoints | move    |
       | 90      | 9.0     | 0.0   | 2.0   | checkpoints | fine    |
 
+  # Only two runs of a task may be active: without a stop it would hang for ever.
+  Scenario Outline: A task whose first run <first> and whose backup <second>
+    Given a task whose runs "<first>" and "<second>"
+    When remedies are looked for
+    Then remedies stop <stopped>
+
+    Examples:
+      | first       | second      | stopped |
+      | hangs       | hangs       | run 1   |
+      | hangs       | progresses  | nothing |
+      | progresses  | hangs       | nothing |
+
   Scenario: An instance claims after reading no record for long enough
     Given an election observer that has read a term of another instance
     When it reads without records for 1.6 s
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -646,6 +646,36 @@
     context.verdict = stragglers.classify(attempt, now_s)
 
 
+@behave.given('a task whose runs "{first}" and "{second}"')
+def step_two_runs(context, first, second):
+    step = _step(estimate_ms=2_000, backups=True)
+    task = _first_task('j', step)
+    context.workers = []
+    for run, state in enumerate((first, second), 1):
+        worker = _worker(f'w{run}')
+        worker.last_report_s = 100.0
+        attempt = _attempt(
+            task,
+            worker,
+            running_since_s=97.0,
+            progressed_s={'hangs': 97.0, 'progresses': 99.9}[state],
+            percent=50.0,
+        )
+        attempt.run = model.RunNumber(run)
+        context.workers.append(worker)
+
+
+@behave.when('remedies are looked for')
+def step_remedies(context):
+    context.remedies = list(stragglers.remedies(context.workers, 100.0, 99.0))
+
+
+@behave.then('remedies stop {runs}')
+def step_remedies_stop(context, runs):
+    stopped = [r.attempt.run for r in context.remedies if not r.backup]
+    assert stopped == ([] if runs == 'nothing' else [int(runs[4:])]), stopped
+
+
 @behave.then('the verdict is {verdict}')
 def step_verdict(context, verdict):
     assert context.verdict.value == verdict, context.verdict
