Move the planning of steps into a module of its own

Change: step_planner.py places them; of the scheduler it needs the four methods that its protocol State names. No behaviour is changed, nor any test.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -32,10 +32,10 @@
 from . import relocation
 from . import report_intervals
 from . import reservations
-from . import room
 from . import sampling
 from . import second_tries
 from . import silence
+from . import step_planner
 from . import stragglers
 from . import suspects
 from . import takeover as takeover_lib
@@ -134,6 +134,14 @@
         ] = {}
         self._reservations = reservations.Reservations()
         self.advice = advice.Advice()
+        self._planner = step_planner.StepPlanner(
+            state=self,
+            fleet=self.workers,
+            advice=self.advice,
+            reservations=self._reservations,
+            sampler=self._sampler,
+            tail_model=self.tail_model,
+        )
         self._unconfigured_jobs: set[ids.JobId] = set()
         self.takeover = takeover_lib.Takeover(elected_s=now_s)
         self._restored = False
@@ -690,7 +698,7 @@
         )
         if attempt is not None:
             self._record_speed(attempt, end, now_s)
-            self._detach(attempt)
+            self.detach(attempt)
         if task.step_run.step.gang and end.ending is not model.RunOutcome.DONE:
             self._stop_gang(task.step_run, end.run)
         task.next_run = max(task.next_run, end.run + 1)
@@ -1096,12 +1104,12 @@
         task = attempt.task
         if self._is_held(task.key.job) or not second_tries.permitted(task):
             return False
-        found = self._candidates(task, now_s)
+        found = self._planner.candidates(task, now_s)
         if why == second_tries.WHY:
             found = second_tries.sound(found)
         worker = placement.choose(task, found, self.tail_model)
         if worker is not None:
-            self._place(task, worker, now_s, why)
+            self._planner.place(task, worker, now_s, why)
         return worker is not None
 
     def plan(self, now_s: float, now_ms: int) -> None:
@@ -1116,7 +1124,7 @@
             return
         pools = self._pool_indexes(now_s)
         self._reserve(runnable, pools, now_s)
-        self._plan_steps(runnable, pools, now_s)
+        self._planner.plan_steps(runnable, pools, now_s)
         self._preempt(runnable, pools, now_s, now_ms)
 
     def _preempt(
@@ -1147,19 +1155,8 @@
         """
         runnable = self._runnable_steps(now_ms, opportunistic=True)
         if runnable:
-            self._plan_steps(runnable, self._pool_indexes(now_s), now_s)
-
-    def _plan_steps(
-        self,
-        runnable: list[execution.StepRun],
-        pools: t.Mapping[ids.ServiceId, pools_lib.PoolIndexes],
-        now_s: float,
-    ) -> None:
-        failed = placement.FailedSearches()
-        for step_run in runnable:
-            pool = pools[self._pool(step_run.job_run)]
-            self._plan_step(
-                step_run, pool.for_step_run(step_run), failed, now_s
+            self._planner.plan_steps(
+                runnable, self._pool_indexes(now_s), now_s
             )
 
     def _runnable_steps(
@@ -1219,173 +1216,8 @@
             for attempt in self._reservations.attempts_to_stop(worker, now_s):
                 self._stop(attempt, 'reserved-for-service')
 
-    def _plan_step(
-        self,
-        step_run: execution.StepRun,
-        pool_index: placement.WorkerIndex,
-        failed: placement.FailedSearches,
-        now_s: float,
-    ) -> None:
-        """Starts the waiting tasks of a step until one finds no worker."""
-        step = step_run.step
-        queue = self.queue_of(step_run.job_run.job)
-        candidates = pool_index.for_step(step)
-        if queue.advised:
-            candidates = self.advice.choose(step_run, candidates, now_s)
-        if step.gang:
-            self._plan_gang(step_run, candidates, now_s)
-            return
-        candidates = self._reservations.filter_candidates(step_run, candidates)
-        suspect_waits = step_run.suspected and not self._start_isolated(
-            step_run, candidates, now_s
-        )
-        pool = queue.service
-        ruled_out = failed.rules_out(
-            pool, step
-        ) and not self._reservations.has_reservation(step_run)
-        ranking = placement.Ranking(
-            step_run, () if ruled_out else candidates, self.tail_model
-        )
-        for task in step_run.tasks:
-            if not task.waiting or suspects.needs_isolation(task, now_s):
-                continue
-            worker = ranking.best(task)
-            if worker is not None:
-                self._place(task, worker, now_s, 'waiting')
-                ranking.placed(worker)
-                continue
-            if step_run.waiting_since_s is None:
-                step_run.waiting_since_s = now_s
-            if placement.is_starved(step_run, now_s):
-                worker = placement.least_disturbed(
-                    task, candidates, self.tail_model
-                )
-                if worker is not None:
-                    self._place(task, worker, now_s, 'starved')
-                    return
-            if not ruled_out:
-                room.log_missing(task, pool_index.workers, self.tail_model)
-            if not queue.advised:
-                # Other steps may have tickets for other workers.
-                failed.add(pool, step)
-            return
-        if not suspect_waits:
-            step_run.end_wait(now_s)
-
-    def _start_isolated(
-        self,
-        step_run: execution.StepRun,
-        candidates: list[workers.Worker],
-        now_s: float,
-    ) -> bool:
-        """Starts the waiting suspects of a step, each on its own worker.
-
-        Returns False if a worker is missing.
-        """
-        for task in step_run.tasks:
-            if not task.waiting or not task.crashes:
-                continue
-            worker = suspects.choose(task, candidates, now_s)
-            if worker is None:
-                if step_run.waiting_since_s is None:
-                    step_run.waiting_since_s = now_s
-                return False
-            self._place(task, worker, now_s, 'isolated')
-        return True
-
-    def _plan_gang(
-        self,
-        step_run: execution.StepRun,
-        candidates: list[workers.Worker],
-        now_s: float,
-    ) -> None:
-        """Places all members of a gang, or none.
-
-        All members share one run number and one checkpoint.
-        """
-        if step_run.has_attempts:
-            return
-        isolated = any(
-            suspects.needs_isolation(task, now_s) for task in step_run.tasks
-        )
-        if isolated:
-            candidates = suspects.isolating(candidates, now_s)
-        run = max(task.next_run for task in step_run.tasks)
-        checkpoint = max(
-            (task.checkpoint for task in step_run.tasks if task.checkpoint),
-            default='',
-        )
-        placed: list[execution.Attempt] = []
-        for task in step_run.tasks:
-            task.next_run = run
-            task.checkpoint = checkpoint
-            worker = placement.choose(task, candidates, self.tail_model)
-            if worker is None:
-                for attempt in placed:
-                    self._detach(attempt)
-                    attempt.task.next_run = run
-                if step_run.waiting_since_s is None:
-                    step_run.waiting_since_s = now_s
-                return
-            placed.append(self._plan_attempt(task, worker, now_s))
-        step_run.end_wait(now_s)
-        for attempt in placed:
-            if isolated:
-                attempt.isolated = True
-                self.workers[attempt.worker].probation = attempt
-            self._submit_start(attempt, 'gang')
-
-    def _candidates(
-        self, task: execution.TaskRun, now_s: float
-    ) -> list[workers.Worker]:
-        """Returns the usable workers of a task's pool."""
-        queue = self.queue_of(task.step_run.job_run.job)
-        found = [
-            worker
-            for worker in self.workers.values()
-            if worker.entry.service == queue.service
-            and self.usable(worker, now_s, service=task.step_run.step.service)
-        ]
-        if queue.advised:
-            found = self.advice.choose(task.step_run, found, now_s)
-        found = self._sampler.sample(found, task.step_run.step)
-        return self._reservations.filter_candidates(task.step_run, found)
-
-    def _place(
-        self,
-        task: execution.TaskRun,
-        worker: workers.Worker,
-        now_s: float,
-        why: str,
-    ) -> None:
-        attempt = self._plan_attempt(
-            task, worker, now_s, isolated=why == 'isolated'
-        )
-        self._submit_start(attempt, why)
-
-    def _plan_attempt(
-        self,
-        task: execution.TaskRun,
-        worker: workers.Worker,
-        now_s: float,
-        *,
-        isolated: bool = False,
-    ) -> execution.Attempt:
-        attempt = execution.Attempt(
-            task=task,
-            isolated=isolated,
-            worker=worker.id,
-            run=task.step_run.job_run.allocate_run_number(task),
-            state=execution.AttemptState.PLANNED,
-            resumed=bool(task.checkpoint),
-        )
-        task.add_attempt(attempt)
-        worker.attach(attempt)
-        if task.step_run.step.opportunistic:
-            self.tail_model.add(worker, task.step_run.step)
-        return attempt
-
-    def _submit_start(self, attempt: execution.Attempt, why: str) -> None:
+    def submit_start(self, attempt: execution.Attempt, why: str) -> None:
+        """Sends the start of a planned attempt."""
         key = attempt.task.key
         self.dirty.add(key.job)
         self._commands.append(commands.Start(attempt))
@@ -1412,14 +1244,15 @@
         if not uncertain:
             self._commands.append(commands.Stop(attempt))
 
-    def _detach(self, attempt: execution.Attempt) -> None:
+    def detach(self, attempt: execution.Attempt) -> None:
+        """Takes an attempt from its task and its worker."""
         attempt.task.remove_attempt(attempt)
         worker = self.workers.get(attempt.worker)
         if worker is not None:
             worker.detach(attempt)
 
     def _remove(self, attempt: execution.Attempt, why: str) -> None:
-        self._detach(attempt)
+        self.detach(attempt)
         if attempt.checkpoint:
             attempt.task.checkpoint = attempt.checkpoint
         self.dirty.add(attempt.task.key.job)
