--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/command_sender.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/command_sender.py
@@ -99,23 +99,12 @@
         if attempt not in worker.attempts:
             return
         now_s = self._clock.monotonic()
-        task = attempt.task
-        if not self._term.may_start() or not self._has_label(worker, task):
+        if not self._term.may_start() or not self._has_label(
+            worker, attempt.task
+        ):
             self._core.on_start_failed(attempt, now_s)
             return
-        command = ports.StartCommand(
-            task=task.key,
-            run=attempt.run,
-            payload=task.step_run.job_run.job.payload,
-            deadline_ms=worker.min_clock_ms(now_s) + START_VALID_MS,
-            checkpoint=task.checkpoint,
-            ticket=self._core.advice.ticket(
-                advice.step_key(task.step_run),
-                worker.id,
-                worker.born_ms,
-                now_s,
-            ),
-        )
+        command = self._start_command(attempt, worker, now_s)
         worker.extend_lease(command.deadline_ms)
         void_s = worker.deadline_passed_s(command.deadline_ms)
         self._core.on_sent(attempt)
@@ -144,6 +133,27 @@
         self._term.request_plans()
         self._term.dispatch()
 
+    def _start_command(
+        self,
+        attempt: execution.Attempt,
+        worker: workers.Worker,
+        now_s: float,
+    ) -> ports.StartCommand:
+        task = attempt.task
+        return ports.StartCommand(
+            task=task.key,
+            run=attempt.run,
+            payload=task.step_run.job_run.job.payload,
+            deadline_ms=worker.min_clock_ms(now_s) + START_VALID_MS,
+            checkpoint=task.checkpoint,
+            ticket=self._core.advice.ticket(
+                advice.step_key(task.step_run),
+                worker.id,
+                worker.born_ms,
+                now_s,
+            ),
+        )
+
     def _has_label(
         self, worker: workers.Worker, task: execution.TaskRun
     ) -> bool:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/step_planner.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/step_planner.py
@@ -113,13 +113,8 @@
                 continue
             if step_run.waiting_since_s is None:
                 step_run.waiting_since_s = now_s
-            if placement.is_starved(step_run, now_s):
-                worker = placement.least_disturbed(
-                    task, candidates, self._tail_model
-                )
-                if worker is not None:
-                    self.place(task, worker, now_s, 'starved')
-                    return
+            if self._place_starved(task, candidates, now_s):
+                return
             if not ruled_out:
                 room.log_missing(task, pool_index.workers, self._tail_model)
             if not queue.advised:
@@ -129,6 +124,24 @@
         if not suspect_waits:
             step_run.end_wait(now_s)
 
+    def _place_starved(
+        self,
+        task: execution.TaskRun,
+        candidates: list[workers.Worker],
+        now_s: float,
+    ) -> bool:
+        """Starts a task that has waited for long where it disturbs least.
+
+        Returns False if it has not, or if there is no worker.
+        """
+        if not placement.is_starved(task.step_run, now_s):
+            return False
+        worker = placement.least_disturbed(task, candidates, self._tail_model)
+        if worker is None:
+            return False
+        self.place(task, worker, now_s, 'starved')
+        return True
+
     def _start_isolated(
         self,
         step_run: execution.StepRun,
