Crashes by isolated runs are no outage of their workers

The leader's log has "outage": true for all three, so that no isolated crash was counted ("isolated_crashes" stayed 0), and two tasks crashed six workers each; five are permitted. An outage was told from three lost workers, half of a zone or rack, whatever they ran. Change: besides, at most half of the workers lost together may have been crashed by isolated runs only. Isolated runs are few, so that an outage has other workers. Figures: rows 3+0, 2+1 and 3+2 of a new outline in decisions.feature count no isolated crash before (3+0 and 2+1 were run) and one now; 1+3, 2+2 and 2+3 stay outages.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/crashes.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/crashes.py
@@ -29,10 +29,11 @@
         and (attempt.task.key, attempt.run) not in known
     ]
     is_outage = bool(ended) and losses.is_outage(worker)
+    crash = suspects.examine(ended)
     worker.crashed_s = worker.last_report_s
+    worker.crashed_isolated = crash.convicts
     if not ended:
         return []
-    crash = suspects.examine(ended)
     logs.event(
         'worker_crashed',
         worker=worker.id,
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/suspects.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/suspects.py
@@ -35,6 +35,8 @@
 _OUTAGE_SPREAD_S = 1.0
 _MIN_OUTAGE_WORKERS = 3
 _OUTAGE_SHARE = 0.5
+# Of workers with a common cause at most this share has an isolated run.
+_MAX_ISOLATED_SHARE = 0.5
 # Isolated runs need a worker that has been up for this long, as some go down
 # and up by themselves.
 _STABLE_S = 5.0
@@ -121,6 +123,8 @@
 
     Answers the loss of a part of a large fleet: the fleet is looked at once,
     however many workers are asked about. No report may be handled meanwhile.
+    Several tasks may crash their workers at the same time as well: isolated
+    runs are few, so that most workers of an outage have none.
 
     :param silent_from_s: workers without a report since then are lost.
     """
@@ -151,8 +155,14 @@
             lost_s = _lost_s(worker, self._silent_from_s)
             for key in _group_keys(worker):
                 groups[key].add(lost_s)
+            if lost_s is not None and _lost_isolated(
+                worker, self._silent_from_s
+            ):
+                for key in _group_keys(worker):
+                    groups[key].isolated_s.append(lost_s)
         for group in groups.values():
             group.lost_s.sort()
+            group.isolated_s.sort()
         return dict(groups)
 
 
@@ -168,16 +178,26 @@
     return worker.crashed_s
 
 
+def _lost_isolated(worker: workers.Worker, silent_from_s: float) -> bool:
+    """Returns whether only isolated runs can have crashed a lost worker."""
+    last_s = worker.last_report_s
+    if last_s is None or last_s >= silent_from_s:
+        return worker.crashed_isolated
+    return examine([*worker.attempts, *worker.lapsed]).convicts
+
+
 @dataclasses.dataclass(slots=True)
 class _Group:
     """The workers of a rack or zone.
 
     :ivar workers: their number.
     :ivar lost_s: when those that are lost last reported, in order.
+    :ivar isolated_s: the same for those that isolated runs may have crashed.
     """
 
     workers: int = 0
     lost_s: list[float] = dataclasses.field(default_factory=list)
+    isolated_s: list[float] = dataclasses.field(default_factory=list)
 
     def add(self, lost_s: float | None) -> None:
         """Adds a worker; ``lost_s`` is None for one that is not lost."""
@@ -187,23 +207,26 @@
 
     def is_lost(self, at_s: float) -> bool:
         """Returns whether most of the group was lost at about this time."""
-
-        def distance_s(lost_s: float) -> float:
-            return lost_s - at_s
-
-        first = bisect.bisect_left(
-            self.lost_s, -_OUTAGE_SPREAD_S, key=distance_s
-        )
-        end = bisect.bisect_right(
-            self.lost_s, _OUTAGE_SPREAD_S, key=distance_s
-        )
-        lost = end - first
+        lost = _count_near(self.lost_s, at_s)
+        isolated = _count_near(self.isolated_s, at_s)
         return (
             lost >= _MIN_OUTAGE_WORKERS
             and lost >= _OUTAGE_SHARE * self.workers
+            and isolated <= _MAX_ISOLATED_SHARE * lost
         )
 
 
+def _count_near(times_s: t.Sequence[float], at_s: float) -> int:
+    """Returns how many of the ordered times are near a moment."""
+
+    def distance_s(time_s: float) -> float:
+        return time_s - at_s
+
+    first = bisect.bisect_left(times_s, -_OUTAGE_SPREAD_S, key=distance_s)
+    end = bisect.bisect_right(times_s, _OUTAGE_SPREAD_S, key=distance_s)
+    return end - first
+
+
 def isolating(
     candidates: t.Iterable[workers.Worker], now_s: float
 ) -> list[workers.Worker]:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
@@ -73,6 +73,7 @@
         no other run starts meanwhile.
     :ivar lapsed: young runs whose leases expired while the worker was silent.
     :ivar crashed_s: time of the last report before the last crash, or None.
+    :ivar crashed_isolated: only isolated runs can have caused that crash.
     :ivar up_since_s: when this incarnation first reported; minus infinity if
         the leader does not know.
     :ivar backoff_since_s: when the last backoff began.
@@ -111,6 +112,7 @@
     probation: execution.Attempt | None = None
     lapsed: list[execution.Attempt] = dataclasses.field(default_factory=list)
     crashed_s: float | None = None
+    crashed_isolated: bool = False
     up_since_s: float = float('-inf')
     backoff_since_s: float = 0.0
     backoff_until_s: float = 0.0
--- a/tests/amaranthflow_scheduler/decisions.feature
+++ b/tests/amaranthflow_scheduler/decisions.feature
@@ -423,6 +423,22 @@
     When the worker reports a new incarnation
     Then its task has 1 crashes, 1 of them isolated
 
+  # Three tasks that crashed their workers within a second passed for an outage
+  # again and again, until one had crashed six.
+  Scenario Outline: Workers most of which an isolated run has crashed are no outage
+    Given a scheduler with 5 workers that answer
+    When <isolated> workers with an isolated run and <others> with another young run restart
+    Then the task of each isolated run has 1 crashes, <counted> of them isolated
+
+    Examples:
+      | isolated | others | counted |
+      | 3        | 0      | 1       |
+      | 2        | 1      | 1       |
+      | 1        | 3      | 0       |
+      | 2        | 2      | 0       |
+      | 2        | 3      | 0       |
+      | 3        | 2      | 1       |
+
   Scenario: A new leader stops the runs of a cancelled job
     Given a scheduler with 1 workers that answer
     When a job of 2 tasks is planned there
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -44,6 +44,7 @@
 )
 _CORE = model.Resources(1_000, 100, 0)
 _TWO_CORES = model.Resources(2_000, 100, 0)
+_WHOLE_WORKER = model.Resources(8_000, 100, 0)
 
 
 def _job(job_id, *steps, accepted_ms=0):
@@ -1443,6 +1444,42 @@
     context.core.on_report(worker, report, 6.1, 6.1, 6100)
 
 
+@behave.when(
+    '{isolated:d} workers with an isolated run and {others:d} with another '
+    'young run restart'
+)
+def step_many_restart(context, isolated, others):
+    core = context.core
+    for number in range(isolated + others):
+        core.add_job(_job(f'd{number}', _step(resources=_WHOLE_WORKER)))
+    core.plan(0.2, 0)
+    attempts = [start.attempt for start in core.take_commands()]
+    assert len({attempt.worker for attempt in attempts}) == isolated + others
+    for attempt in attempts:
+        core.on_sent(attempt)
+    context.isolated = attempts[:isolated]
+    for attempt in context.isolated:
+        attempt.isolated = True
+    for worker in core.workers.values():
+        if not worker.attempts:
+            _report(core, worker, [], 3.4)
+    report = ports.WorkerReport(clock_ms=0, born_ms=2, running=[], ended=[])
+    for attempt in attempts:
+        core.on_report(core.workers[attempt.worker], report, 3.5, 3.5, 3500)
+
+
+@behave.then(
+    'the task of each isolated run has {crashes:d} crashes, {isolated:d} of '
+    'them isolated'
+)
+def step_each_counted(context, crashes, isolated):
+    found = {
+        (attempt.task.crashes, attempt.task.isolated_crashes)
+        for attempt in context.isolated
+    }
+    assert found == {(crashes, isolated)}, found
+
+
 @behave.then('its task has {crashes:d} crashes, {isolated:d} of them isolated')
 def step_crash_counts(context, crashes, isolated):
     task = context.attempt.task
