Each suspect waits for an isolated start by itself

Cause: a suspect may start beside young runs after 2.5 s in which no worker had room for an isolated run. Change: the time is the task's; of a gang, which starts as a whole, it stays the step's.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
@@ -113,6 +113,8 @@
     :ivar attempts: the attempts that may still run.
     :ivar crashes: number of workers that it may have crashed.
     :ivar isolated_crashes: number of them that no other job explains.
+    :ivar suspect_since_s: since when it has waited for an isolated start, or
+        None.
     """
 
     key: model.TaskKey
@@ -125,6 +127,7 @@
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     crashes: int = 0
     isolated_crashes: int = 0
+    suspect_since_s: float | None = None
 
     @property
     def waiting(self) -> bool:
@@ -139,6 +142,7 @@
     def add_attempt(self, attempt: Attempt) -> None:
         """Adds an attempt and updates the number of waiting tasks."""
         self.step_run.waiting -= self.waiting
+        self.suspect_since_s = None
         self.attempts.append(attempt)
 
     def find_attempt(self, worker: ids.WorkerId, run: int) -> Attempt | None:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -1282,9 +1282,7 @@
 
         Returns False if a worker is missing.
         """
-        for task in step_run.tasks:
-            if not task.waiting or not task.crashes:
-                continue
+        for task in suspects.waiting(step_run, now_s):
             worker = suspects.choose(task, candidates, now_s)
             if worker is None:
                 if step_run.waiting_since_s is None:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/suspects.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/suspects.py
@@ -260,11 +260,24 @@
     return None
 
 
+def waiting(
+    step_run: execution.StepRun, now_s: float
+) -> list[execution.TaskRun]:
+    """Returns the waiting suspects of a step, and notes that they wait."""
+    found = [task for task in step_run.tasks if task.waiting and task.crashes]
+    for task in found:
+        if task.suspect_since_s is None:
+            task.suspect_since_s = now_s
+    return found
+
+
 def needs_isolation(task: execution.TaskRun, now_s: float) -> bool:
     """Returns whether the next run of a task has to be isolated."""
     if not task.crashes:
         return False
-    since_s = task.step_run.waiting_since_s
+    since_s = task.suspect_since_s
+    if task.step_run.step.gang:
+        since_s = task.step_run.waiting_since_s
     waited_s = 0.0 if since_s is None else now_s - since_s
     return (
         waited_s < _MAX_ISOLATION_WAIT_S
--- a/tests/amaranthflow_scheduler/decisions.feature
+++ b/tests/amaranthflow_scheduler/decisions.feature
@@ -439,6 +439,16 @@
       | 2        | 3      | 0       |
       | 3        | 2      | 1       |
 
+  # A task that had just crashed a worker was started beside others at once, as
+  # another task of its step had waited for long.
+  Scenario: A suspect waits for an isolated start for as long as it waits itself
+    Given a scheduler with 2 workers that answer
+    When each of them runs a task of one step, and they restart at 3.5 and 5.9 s
+    Then 0 of the tasks are started at 3.6 s
+    And 1 of the tasks are started at 6.2 s
+    And 0 of the tasks are started at 8.4 s
+    And 1 of the tasks are started at 8.8 s
+
   Scenario: A new leader stops the runs of a cancelled job
     Given a scheduler with 1 workers that answer
     When a job of 2 tasks is planned there
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -1468,6 +1468,45 @@
         core.on_report(core.workers[attempt.worker], report, 3.5, 3.5, 3500)
 
 
+@behave.when(
+    'each of them runs a task of one step, and they restart at {first:g} and '
+    '{second:g} s'
+)
+def step_restart_in_turn(context, first, second):
+    core = context.core
+    core.add_job(_job('d', _step(2, resources=_WHOLE_WORKER)))
+    core.plan(0.2, 0)
+    for start in core.take_commands():
+        core.on_sent(start.attempt)
+        core.on_started(start.attempt, 0.3)
+    context.restarts = dict(zip(core.workers, (first, second), strict=True))
+    context.running = {}
+
+
+@behave.then('{count:d} of the tasks are started at {now_s:g} s')
+def step_started_at(context, count, now_s):
+    core = context.core
+    for name, restarted_s in context.restarts.items():
+        if restarted_s < now_s:
+            report = ports.WorkerReport(
+                clock_ms=0,
+                born_ms=2,
+                running=context.running.get(name, []),
+                ended=[],
+            )
+            core.on_report(core.workers[name], report, now_s, now_s, 0)
+    core.plan(now_s, 0)
+    starts = core.take_commands()
+    for start in starts:
+        core.on_sent(start.attempt)
+        core.on_started(start.attempt, now_s)
+        key, run = start.attempt.task.key, start.attempt.run
+        context.running[start.attempt.worker] = [
+            ports.RunProgress(key, run, checkpoint='', percent=1, gauge=0)
+        ]
+    assert len(starts) == count, starts
+
+
 @behave.then(
     'the task of each isolated run has {crashes:d} crashes, {isolated:d} of '
     'them isolated'
