Fuzzer: workers that tasks crash are faults, too

Cause: a job has to be done 30 s after the last fault, counted from the last injected one. Change: the 30 s count from the last crash by a task if that is later.

--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_fuzz.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_fuzz.py
@@ -260,15 +260,20 @@
         worker.faults.delayed_share = 0.0
 
     async def _finish(self) -> list[str]:
-        """Waits for all jobs and returns a line for each unexpected state."""
+        """Waits for all jobs and returns a line for each unexpected state.
+
+        A worker that a task has crashed is a fault, which may follow the last
+        injected one.
+        """
         findings = []
-        end_s = self.fleet.loop.time() + _RECOVERY_LIMIT_S / 2
+        started_s = self.fleet.loop.time()
         for job_id in self.fleet.jobs:
             while True:
                 state = await self.fleet.query_state(job_id)
                 if state in model.TERMINAL_STATES:
                     break
-                if self.fleet.loop.time() > end_s:
+                quiet_s = max(started_s, self.fleet.last_crash_by_task_s())
+                if self.fleet.loop.time() > quiet_s + _RECOVERY_LIMIT_S / 2:
                     findings.append(f'{job_id} is {state} at the end')
                     break
                 await asyncio.sleep(0.2)
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_history.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_history.py
@@ -118,6 +118,11 @@
         findings.extend(self._crashed_too_often())
         return findings
 
+    def last_crash_by_task_s(self) -> float:
+        """Returns when a task last crashed its worker, or minus infinity."""
+        ended_s = [run.ended_s for _, run in self.runs if run.crashed_worker]
+        return max(ended_s, default=float('-inf'))
+
     def _crashes(self) -> list[model.TaskKey]:
         return [run.task for _, run in self.runs if run.crashed_worker]
 
