Second runs go to workers that have just ended a run

Cause: when workers begin to hang at the same time, a second run may be placed on another one of them, of which nothing is known before its own runs are due. Change: the history of a worker keeps the latest start of a run that has succeeded. Second runs go to workers where that is later than the start of the first run, and to other sound ones only if none of those has room. No record of it is kept for the next leader, which sees ends soon.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
@@ -107,6 +107,11 @@
             self.progressed_s = now_s
             self.percent = percent
 
+    @property
+    def began_s(self) -> float:
+        """When the run began, 0 if that is not known."""
+        return 0.0 if self.resumed else self.running_since_s
+
     @property
     def tail_ratio(self) -> float:
         """Tail latency of a service's run as a ratio to its target."""
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -696,7 +696,8 @@
         task.next_run = max(task.next_run, end.run + 1)
         task.checkpoint = end.checkpoint or task.checkpoint
         if end.ending is model.RunOutcome.DONE:
-            self._on_done(worker, task, now_ms)
+            worker.history.on_success(attempt.began_s if attempt else 0.0)
+            self._on_done(task, now_ms)
         elif end.ending is model.RunOutcome.FAILED:
             self._on_failed(worker, task, end.run, now_s, now_ms)
         self._deactivate_if_finished(job_run)
@@ -727,10 +728,7 @@
                     attempt.task.step_run.step, duration_s
                 )
 
-    def _on_done(
-        self, worker: workers.Worker, task: execution.TaskRun, now_ms: int
-    ) -> None:
-        worker.history.on_success()
+    def _on_done(self, task: execution.TaskRun, now_ms: int) -> None:
         step_run = task.step_run
         if step_run.step.service:
             return
@@ -1095,9 +1093,12 @@
         if self._is_held(task.key.job) or not second_tries.permitted(task):
             return False
         found = self._candidates(task, now_s)
+        worker = None
         if why == second_tries.WHY:
             found = second_tries.sound(found)
-        worker = placement.choose(task, found, self.tail_model)
+            proven = second_tries.proven(found, attempt)
+            worker = placement.choose(task, proven, self.tail_model)
+        worker = worker or placement.choose(task, found, self.tail_model)
         if worker is not None:
             self._place(task, worker, now_s, why)
         return worker is not None
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/second_tries.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/second_tries.py
@@ -5,7 +5,7 @@
 A second run starts only for a step that permits several at once, and only if
 it improves the standing of its job, see ``claims``: a job that is on time
 anyway, or late either way, gets none. Workers that are known as slow or
-failing get no second run.
+failing get no second run; those that have ended a younger run get it first.
 """
 
 import enum
@@ -224,6 +224,20 @@
     return [worker for worker in candidates if not worker.history.notable]
 
 
+def proven(
+    candidates: t.Iterable[workers.Worker], attempt: execution.Attempt
+) -> list[workers.Worker]:
+    """Returns the workers that have ended a run which began after another one.
+
+    What holds up that one may hold up runs of other workers as well, which
+    shows only once they should have ended.
+    """
+    began_s = attempt.running_since_s
+    return [
+        worker for worker in candidates if worker.history.proven_s >= began_s
+    ]
+
+
 class SecondTries:
     """Finds the runs beside which a second one improves their job.
 
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/worker_history.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/worker_history.py
@@ -58,6 +58,8 @@
     """What the leader has learned about one incarnation of a worker.
 
     :ivar successes: number of successful runs, also of earlier incarnations.
+    :ivar proven_s: latest start of a run that has succeeded here; 0 if none is
+        known.
     :ivar consecutive_failures: number of failed runs since the last success.
     :ivar failed_jobs: jobs of these runs.
     :ivar unanswered: number of consecutive unanswered starts.
@@ -66,6 +68,7 @@
     """
 
     successes: int = 0
+    proven_s: float = 0.0
     consecutive_failures: int = 0
     failed_jobs: set[ids.JobId] = dataclasses.field(default_factory=set)
     unanswered: int = 0
@@ -79,13 +82,18 @@
     def on_restart(self) -> None:
         """Forgets what held for the previous incarnation."""
         self.failed_jobs.clear()
+        self.proven_s = 0.0
         self.consecutive_failures = 0
         self.slowness = 1.0
         self.unanswered_share = 0.0
 
-    def on_success(self) -> None:
-        """Notes a successful run."""
+    def on_success(self, began_s: float = 0.0) -> None:
+        """Notes a successful run.
+
+        :param began_s: when it began, 0 if that is not known.
+        """
         self.successes += 1
+        self.proven_s = max(self.proven_s, began_s)
         self.consecutive_failures = 0
         self.failed_jobs.clear()
 
--- a/tests/amaranthflow_scheduler/second_tries.feature
+++ b/tests/amaranthflow_scheduler/second_tries.feature
@@ -115,6 +115,12 @@
     Given second tries for a job whose steps permit backups
     Then second tries reject workers that are slow, fail or leave starts unanswered
 
+  # Others that are held up as well are not known yet.
+  Scenario: Workers that have ended a younger run are preferred
+    Given second tries for a job whose steps permit backups
+    And second tries see a run at 10%, listed at 0.5 s
+    Then second tries prefer workers that have ended a younger run
+
   Scenario: A second run shows that the first worker is slow
     Given second tries for a job whose steps permit backups
     And second tries see a run at 10%, listed at 0.5 s
--- a/tests/amaranthflow_scheduler/uneven_workers.feature
+++ b/tests/amaranthflow_scheduler/uneven_workers.feature
@@ -38,4 +38,5 @@
       | 0.1   | end no run                          | 1     | 0.5     | 0.99    | 15   |
       | 0.1   | end no run                          | 10    | 0.5     | 0.97    | 20   |
       | 0.1   | end no run                          | 10    | 1.0     | 0.97    | 20   |
+      | 0.1   | end no run                          | 10    | 3.0     | 0.97    | 20   |
       | 0.1   | leave half of the orders unanswered | 10    | 0.5     | 0.99    | 5    |
--- a/tests/steps/second_tries_steps.py
+++ b/tests/steps/second_tries_steps.py
@@ -258,6 +258,19 @@
     assert found == [sound], [worker.id for worker in found]
 
 
+@behave.then('second tries prefer workers that have ended a younger run')
+def step_proven(context):
+    older, younger, without, reborn = map(_worker, ('w1', 'w2', 'w3', 'w4'))
+    older.history.on_success(_BEGAN_S - 0.1)
+    younger.history.on_success(_BEGAN_S + 0.1)
+    younger.history.on_success(_BEGAN_S - 0.1)
+    reborn.history.on_success(_BEGAN_S + 0.1)
+    reborn.history.on_restart()
+    every = [older, younger, without, reborn]
+    found = second_tries.proven(every, context.attempt)
+    assert found == [younger], [worker.id for worker in found]
+
+
 @behave.then('second tries count {count:d}')
 def step_count(context, count):
     assert context.tries.started == count
