--- a/tests/amaranthflow_scheduler/second_tries.feature
+++ b/tests/amaranthflow_scheduler/second_tries.feature
@@ -19,6 +19,9 @@
       | at 30%, listed at 1.7 s                       | backups          | 1.7     | nothing    |
       | at 2%, listed at 1.7 s                        | backups          | 1.7     | slow       |
       | at 30%, listed at 0.3 s and at 0.8 s          | backups          | 0.8     | stalled    |
+      | at 50%, listed at 0.5 s and at 0.7 s          | backups          | 0.7     | nothing    |
+      | at 50%, listed at 0.5 s and at 0.7 s          | backups          | 0.85    | stalled    |
+      | at 50%, listed at 0.5 s and at 0.9 s          | backups          | 0.9     | stalled    |
       | at 99%, listed at 1.0 s                       | backups          | 1.1     | nothing    |
       | at 99%, listed at 1.0 s                       | backups          | 1.4     | stalled    |
       | at 99%, listed at 1.0 s, with an unstored end | backups          | 1.4     | nothing    |
@@ -115,6 +118,12 @@
     Given second tries for a job whose steps permit backups
     Then second tries reject workers that are slow, fail or leave starts unanswered
 
+  # Others that are held up as well are not known yet.
+  Scenario: Workers that have ended a younger run are preferred
+    Given second tries for a job whose steps permit backups
+    And second tries see a run at 10%, listed at 0.5 s
+    Then second tries prefer workers that have ended a younger run
+
   Scenario: A second run shows that the first worker is slow
     Given second tries for a job whose steps permit backups
     And second tries see a run at 10%, listed at 0.5 s
--- a/tests/amaranthflow_scheduler/uneven_workers.feature
+++ b/tests/amaranthflow_scheduler/uneven_workers.feature
@@ -38,6 +38,7 @@
       | 0.1   | end no run                          | 1     | 0.5     | 0.99    | 15   |
       | 0.1   | end no run                          | 10    | 0.5     | 0.97    | 20   |
       | 0.1   | end no run                          | 10    | 1.0     | 0.97    | 20   |
+      | 0.1   | end no run                          | 10    | 3.0     | 0.97    | 20   |
       | 0.1   | leave half of the orders unanswered | 10    | 0.5     | 0.99    | 5    |
 
   # Reports wait at the worker for up to 0.5 s for the end of a run. A lost one
