Second runs: wait for the next report where the job can

Cause: a report without progress, 15% of the whole less than expected, counted as a stall at once. Change: such a stall is certain once the run is late by 0.3 of its time, as one whose end is overdue. Until then a second run starts only if one after the next report would end in a worse standing of the job.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/second_tries.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/second_tries.py
@@ -29,12 +29,12 @@
 _DEVIATIONS = 2.0
 # The speed of a run, or that it makes no progress, is known after this time.
 _MIN_OBSERVATION_S = 0.2
-# A run has stalled if by a later report it should have made this much progress
-# and has not.
+# A run may have stalled if by a later report it should have made this much
+# progress and has not, or if it should have ended.
 _STALL_PERCENT = 15.0
-# Or if it should have ended so long ago, as a share of its time; sooner where
-# the job cannot wait.
-_OVERDUE_RATIO = 0.3
+# It certainly has once it is late by this share of its time. Until then it
+# gets a second run only where the job cannot wait for the next report.
+_CERTAIN_RATIO = 0.3
 # Slowness of a worker that follows from a run that has stalled there.
 _STALLED_SLOWNESS = 4.0
 # From the decision to the start of a run.
@@ -140,9 +140,9 @@
     end_s = attempt.progressed_s + left * took_s / done
     still_s = listed_s - attempt.progressed_s
     missing = still_s * done / took_s
-    stalled = still_s >= _MIN_OBSERVATION_S and missing > _STALL_PERCENT
-    if stalled:
-        return Outlook(Cause.STALLED, _NEVER_S, _NEVER_S)
+    if still_s >= _MIN_OBSERVATION_S and missing > _STALL_PERCENT:
+        certain = missing > 100 * _CERTAIN_RATIO
+        return Outlook(Cause.STALLED, _NEVER_S, _NEVER_S, certain)
     due_s = _due_s(attempt, worker, end_s, now_s)
     overdue_s = now_s - due_s
     # The end of a run is reported like the response to a command. While other
@@ -150,7 +150,7 @@
     unreported = overdue_s <= worker.history.response_limit_s
     if unreported or worker.stored_end != worker.processed_end:
         return Outlook(Cause.SLOW, end_s, 100 * took_s / done)
-    certain = overdue_s > _OVERDUE_RATIO * (due_s - since_s)
+    certain = overdue_s > _CERTAIN_RATIO * (due_s - since_s)
     return Outlook(Cause.STALLED, _NEVER_S, _NEVER_S, certain)
 
 
--- a/tests/amaranthflow_scheduler/second_tries.feature
+++ b/tests/amaranthflow_scheduler/second_tries.feature
@@ -19,6 +19,9 @@
       | at 30%, listed at 1.7 s                       | backups          | 1.7     | nothing    |
       | at 2%, listed at 1.7 s                        | backups          | 1.7     | slow       |
       | at 30%, listed at 0.3 s and at 0.8 s          | backups          | 0.8     | stalled    |
+      | at 50%, listed at 0.5 s and at 0.7 s          | backups          | 0.7     | nothing    |
+      | at 50%, listed at 0.5 s and at 0.7 s          | backups          | 0.85    | stalled    |
+      | at 50%, listed at 0.5 s and at 0.9 s          | backups          | 0.9     | stalled    |
       | at 99%, listed at 1.0 s                       | backups          | 1.1     | nothing    |
       | at 99%, listed at 1.0 s                       | backups          | 1.4     | stalled    |
       | at 99%, listed at 1.0 s, with an unstored end | backups          | 1.4     | nothing    |
