--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -264,7 +264,7 @@
                 self.end_term(f'store: {exc}')
             except (TimeoutError, exceptions.AmaranthflowError) as exc:
                 logs.event('resignation_delayed', error=repr(exc))
-                await asyncio.sleep(min(left_s, _STORE_POLL_S))
+                await asyncio.sleep(min(left_s, _STORE_RETRY_S))
 
     def offer_term(self) -> bool:
         """Offers the term to an instance that reads the store.
