--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -10,7 +10,6 @@
 
 from . import admission
 from . import advice
-from . import batch_placement
 from . import commands
 from . import contacts
 from . import elections
@@ -1289,8 +1288,6 @@
             exposed = self.core.colocation.exposure.counts()
             for name, value in (counts._asdict() | exposed._asdict()).items():
                 self._deps.meters.gauge(name, value)
-            short = batch_placement.count_short(self.core.workers.values())
-            self._deps.meters.gauge('workers_short_of_cpu', short)
             await self._record_lessons()
             obsolete.update(self.core.retire_jobs())
             old = self.core.expired_jobs(self._clock.wall_ms())
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
@@ -6,7 +6,9 @@
 and not with others. Services of one image therefore share workers, so that
 most workers tolerate most opportunistic images. Among these workers a service
 leaves room for more of its size or next to none, since small pieces are of no
-use to most tasks. Where batch runs go, see ``batch_placement``.
+use to most tasks. Batch runs use the free
+capacity beside services, on the workers with the least of it first, so that
+large tasks find a worker; on workers without services they are spread.
 """
 
 import bisect
@@ -16,7 +18,6 @@
 
 from amaranthflow import ids
 
-from . import batch_placement
 from . import execution
 from . import model
 from . import sampling
@@ -397,4 +398,5 @@
         other_images = images and step.image not in images
         cost = _remainder_cost(step, worker)
         return cost + (_OTHER_IMAGES_COST if other_images else 0.0)
-    return batch_placement.cost(step, worker)
+    share = worker.free().cpu / capacity
+    return share if worker.service_count else 2.0 - share
