Store a resignation while the store is slow

Cause: a leader that is told to stop renews its term first, and the regular renewals go on beside that. Change: no renewal is sent once the leader resigns, and the time for it is four times the slowest recent call, 1.5 s at most.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -55,7 +55,11 @@
 # Keys in the progress table, whose other keys are job ids.
 _TAILS_KEY = b'tails'
 _HISTORIES_KEY = b'worker-histories'
+# A resignation takes two calls, a record of progress and that of the leader,
+# and two more if a renewal was under way.
 _RESIGN_TIMEOUT_S = 0.6
+_RESIGN_TIMEOUT_RATIO = 4.0
+_MAX_RESIGN_TIMEOUT_S = 1.5
 # A renewal takes a few ms, or a quarter of a second while the store is slow. A
 # lost one and its repetition fit into the time after which others claim.
 _RENEWAL_TIMEOUT_S = 0.6
@@ -224,14 +228,14 @@
             soon as possible.
         """
         if until_s is not None:
-            await self._wait_for_store(until_s - _RESIGN_TIMEOUT_S)
+            await self._wait_for_store(until_s - self._resign_timeout_s())
         if self._ended.is_set():
             return
         has_changes, self.ready = self.ready, False
         # Another instance may lead as soon as the store has the release.
         self._resigning = True
         try:
-            async with asyncio.timeout(_RESIGN_TIMEOUT_S):
+            async with asyncio.timeout(self._resign_timeout_s()):
                 if has_changes:
                     await self._progress_writer.flush()
                 await self._renew_term(released=True)
@@ -363,6 +367,8 @@
                     self._stalled_since_s = None
                 pause_s = _STORE_RETRY_S
                 continue
+            if self._resigning:
+                return
             self._failed_renewals = 0
             took_s = self._clock.monotonic() - started_s
             pause_s = max(0.0, elections.RENEW_INTERVAL_S - took_s)
@@ -371,6 +377,11 @@
                 await self.resign()
                 return
 
+    def _resign_timeout_s(self) -> float:
+        """Returns how long a resignation may take, likewise."""
+        usual_s = _RESIGN_TIMEOUT_RATIO * self._deps.store.slowest_s
+        return min(max(_RESIGN_TIMEOUT_S, usual_s), _MAX_RESIGN_TIMEOUT_S)
+
     def _renewal_timeout_s(self) -> float:
         """Returns how long a renewal may take; longer if the store is slow."""
         usual_s = _RENEWAL_TIMEOUT_RATIO * self._deps.store.slowest_s
@@ -391,6 +402,12 @@
         return now_s - self._stalled_since_s > _READ_STALL_S
 
     async def _renew_term(self, *, released: bool) -> None:
+        """Stores a record of this term.
+
+        :param released: the record is the last one, which ends the term.
+        """
+        if self._resigning and not released:
+            return
         recorded = released and self._is_recorded()
         term = dataclasses.replace(
             self.term,
--- a/tests/amaranthflow_scheduler/fleet.feature
+++ b/tests/amaranthflow_scheduler/fleet.feature
@@ -181,6 +181,26 @@
     Then another task instance leads within 1 s
     And it holds no job back
 
+  # The renewal that was to come first and the regular one took the time of the
+  # resignation.
+  Scenario Outline: A resignation is stored while the store takes <late> s more
+    Given task job "a1" with steps "8x0.5 8x0.5 8x0.5 8x0.5 8x0.5" is accepted
+    And the store's responses take <late> s more
+    And <seconds> s pass in the task fleet
+    When the task fleet's leader steps down within 4.4 s
+    Then the store has the resignation
+    And another task instance leads within 1.5 s
+    And the task fleet violated no invariant
+
+    Examples:
+      | late | seconds |
+      | 0.2  | 1.0     |
+      | 0.2  | 1.3     |
+      | 0.3  | 1.0     |
+      | 0.3  | 1.15    |
+      | 0.3  | 1.3     |
+      | 0.3  | 1.45    |
+
   # It led until its process was gone, and nobody knew that it did not any more.
   Scenario: An instance that is elected while it stops resigns at once
     Given 1 s pass in the task fleet
