--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -377,16 +377,16 @@
                 await self.resign()
                 return
 
-    def _resign_timeout_s(self) -> float:
-        """Returns how long a resignation may take, likewise."""
-        usual_s = _RESIGN_TIMEOUT_RATIO * self._deps.store.slowest_s
-        return min(max(_RESIGN_TIMEOUT_S, usual_s), _MAX_RESIGN_TIMEOUT_S)
-
     def _renewal_timeout_s(self) -> float:
         """Returns how long a renewal may take; longer if the store is slow."""
         usual_s = _RENEWAL_TIMEOUT_RATIO * self._deps.store.slowest_s
         return min(max(_RENEWAL_TIMEOUT_S, usual_s), _MAX_RENEWAL_TIMEOUT_S)
 
+    def _resign_timeout_s(self) -> float:
+        """Returns how long a resignation may take, also by the store."""
+        usual_s = _RESIGN_TIMEOUT_RATIO * self._deps.store.slowest_s
+        return min(max(_RESIGN_TIMEOUT_S, usual_s), _MAX_RESIGN_TIMEOUT_S)
+
     def _reads_stalled(self) -> bool:
         """Returns whether reads of the store have failed for too long.
 
