Log which incarnation of a worker carries out a call

Change: start_by_other_incarnation with both clocks, and a counter of it; worker_reborn has the latest deadline of the former incarnation, the calls without an answer and the new clock; run_gone tells whether the run was ever confirmed. An attempt holds when it was sent and whether it was confirmed. No decision uses them.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/command_sender.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/command_sender.py
@@ -104,17 +104,20 @@
         ):
             self._core.on_start_failed(attempt, now_s)
             return
+        min_clock_ms = worker.min_clock_ms(now_s)
         command = self._start_command(attempt, worker, now_s)
         worker.extend_lease(command.deadline_ms)
         void_s = worker.deadline_passed_s(command.deadline_ms)
-        self._core.on_sent(attempt)
+        self._core.on_sent(attempt, now_s)
         self._meters.count('starts')
         try:
-            await response_limits.within(
+            clock_ms = await response_limits.within(
                 worker.history.response_limit_s,
                 self._links.get(worker).start(command, self._token),
             )
             started_s = self._clock.monotonic()
+            if clock_ms < min_clock_ms:
+                self._log_other_incarnation(attempt, clock_ms, min_clock_ms)
             self._core.on_started(attempt, started_s, started_s - now_s)
             self._meters.observe('start', started_s - now_s)
             return
@@ -171,6 +174,20 @@
             and self._links.get(worker).connected()
         )
 
+    def _log_other_incarnation(
+        self, attempt: execution.Attempt, clock_ms: int, min_clock_ms: int
+    ) -> None:
+        """Logs that a later incarnation of a worker has started a run."""
+        self._meters.count('starts_by_other_incarnations')
+        logs.event(
+            'start_by_other_incarnation',
+            id=attempt.task.key.job,
+            run=attempt.run,
+            worker=attempt.worker,
+            clock_ms=clock_ms,
+            min_clock_ms=min_clock_ms,
+        )
+
     def _log_start_unanswered(
         self, attempt: execution.Attempt, exc: Exception
     ) -> None:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
@@ -50,6 +50,8 @@
     Times are in seconds of the leader's clock.
 
     :ivar run: number of the run, which increases with each run of the task.
+    :ivar sent_s: when its start command was sent; 0 if unknown.
+    :ivar confirmed: a worker has answered the start command or listed the run.
     :ivar visible_from_s: a report requested at this time or later that does
         not list the run proves that the worker does not have it; None while
         the start command may still arrive.
@@ -80,6 +82,8 @@
     worker: ids.WorkerId
     run: model.RunNumber
     state: AttemptState
+    sent_s: float = 0.0
+    confirmed: bool = False
     visible_from_s: float | None = None
     running_since_s: float = 0.0
     progressed_s: float = 0.0
@@ -617,6 +621,7 @@
             worker=ids.WorkerId(worker),
             run=model.RunNumber(run),
             state=AttemptState.RUNNING,
+            confirmed=True,
             visible_from_s=now_s,
             pace=UNKNOWN_PACE,
             slowed_since_s=now_s,
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -937,6 +937,7 @@
         if connected and all_stored:
             wait_ms = self._report_interval_ms(worker, sent_s)
             due_s = overdue_reports.due_s(worker, self.core.claims, sent_s)
+        worker.unanswered += 1
         call = response_limits.within(
             wait_ms / 1000 + worker.history.response_limit_s,
             link.renew_leases(
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -566,8 +566,9 @@
             self._on_crash(worker, report.born_ms, now_s, now_ms, known)
             if now_s - self._elected_s > _JOB_DISCOVERY_S:
                 worker.up_since_s = now_s
-            self._reset_restarted(worker, report.born_ms)
+            self._reset_restarted(worker, report)
         worker.lapsed.clear()
+        worker.unanswered = 0
         worker.sync_clock(report.clock_ms, now_s)
         worker.last_report_s = now_s
         ended = {(end.task, end.run) for end in report.ended}
@@ -627,8 +628,11 @@
         silent_from_s = now_s - self._max_report_age_s
         return suspects.Losses(self.workers.values(), silent_from_s)
 
-    def _reset_restarted(self, worker: workers.Worker, born_ms: int) -> None:
+    def _reset_restarted(
+        self, worker: workers.Worker, report: ports.WorkerReport
+    ) -> None:
         """Resets what is known about the previous incarnation of a worker."""
+        born_ms = report.born_ms
         if worker.born_ms:
             logs.event(
                 'worker_reborn',
@@ -636,8 +640,12 @@
                 before=worker.born_ms,
                 born_ms=born_ms,
                 runs=len(worker.attempts),
+                clock_ms=report.clock_ms,
+                former_deadline_ms=worker.deadline_ms,
+                unanswered=worker.unanswered,
             )
         worker.born_ms = born_ms
+        worker.deadline_ms = 0
         worker.processed_end = worker.stored_end = 0
         worker.backoff_until_s = 0.0
         worker.history.on_restart()
@@ -850,6 +858,7 @@
         ):
             attempt.state = execution.AttemptState.RUNNING
             attempt.visible_from_s = now_s
+        attempt.confirmed = True
         if not attempt.reported:
             attempt.reported = True
             if attempt.resumed or not attempt.running_since_s:
@@ -913,9 +922,10 @@
 
     # results of commands
 
-    def on_sent(self, attempt: execution.Attempt) -> None:
+    def on_sent(self, attempt: execution.Attempt, now_s: float = 0.0) -> None:
         """Notes that a start command is being sent."""
         attempt.state = execution.AttemptState.SENT
+        attempt.sent_s = now_s
         attempt.born_ms = self.workers[attempt.worker].born_ms
 
     def on_started(
@@ -923,6 +933,7 @@
     ) -> None:
         """Notes that a worker has started a run ``took_s`` after the call."""
         attempt.task.step_run.job_run.started = True
+        attempt.confirmed = True
         if attempt.state is execution.AttemptState.SENT:
             attempt.state = execution.AttemptState.RUNNING
         attempt.visible_from_s = now_s
@@ -1255,7 +1266,7 @@
         if attempt.checkpoint:
             attempt.task.checkpoint = attempt.checkpoint
         self.dirty.add(attempt.task.key.job)
-        _log('run_gone', attempt, why=why)
+        _log('run_gone', attempt, why=why, confirmed=attempt.confirmed)
         if attempt.task.step_run.step.gang:
             self._stop_gang(attempt.task.step_run, attempt.run)
         self._deactivate_if_finished(attempt.task.step_run.job_run)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
@@ -53,6 +53,8 @@
     :ivar clock_ms: last reading of the worker's clock.
     :ivar clock_s: when that reading arrived.
     :ivar born_ms: start time of the worker process; 0 if unknown.
+    :ivar deadline_ms: latest lease deadline that was sent to this incarnation.
+    :ivar unanswered: calls for reports since the last answer.
     :ivar processed_end: number of the last processed end of a run.
     :ivar stored_end: number of the last end whose effect is stored.
     :ivar used: resources in use; opportunistic runs use no processors here.
@@ -90,6 +92,8 @@
     clock_ms: int = 0
     clock_s: float = 0.0
     born_ms: int = 0
+    deadline_ms: int = 0
+    unanswered: int = 0
     processed_end: int = 0
     stored_end: int = 0
     attempts: list[execution.Attempt] = dataclasses.field(default_factory=list)
@@ -155,6 +159,7 @@
 
     def extend_lease(self, deadline_ms: int) -> None:
         """Notes that a call which sets this lease deadline is being sent."""
+        self.deadline_ms = max(self.deadline_ms, deadline_ms)
         self.lease_end_s = max(
             self.lease_end_s, self.deadline_passed_s(deadline_ms)
         )
