A test of calls that a worker's next incarnation executes; it fails

The stand-in workers dropped each call that had no response as their process ended, so no test could show what a new incarnation does with it.

Change: with the fault keeps_calls, calls that come while a stand-in worker is down, and those that wait for a response as it crashes, are executed by its next incarnation, up to 0.8 s after its start.

--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_worker.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_worker.py
@@ -1,6 +1,7 @@
 """Stand-in for a worker that runs tasks under leases and fencing tokens."""
 
 import asyncio
+import contextlib
 import dataclasses
 import random
 import typing as t
@@ -22,6 +23,8 @@
 # A task that crashes its worker does so this long after its start.
 _CRASH_DELAY_S = 0.01
 _RESTART_S = 3.3
+# A call that waits for a restart is executed up to this time after it.
+_MAX_KEPT_S = 0.8
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -36,6 +39,9 @@
     :ivar lost_reply_share: share of commands that are executed but whose
         reply is lost.
     :ivar lost_report_share: share of calls for a report without a response.
+    :ivar keeps_calls: calls that come while the worker is down, and those
+        that wait for a response as it crashes, are executed by its next
+        incarnation.
     :ivar fails: all runs fail.
     :ivar fail_share: share of the runs that fail.
     :ivar hangs: runs that start now never end.
@@ -47,6 +53,7 @@
     delayed_share: float = 0.0
     lost_reply_share: float = 0.0
     lost_report_share: float = 0.0
+    keeps_calls: bool = False
     fails: bool = False
     fail_share: float = 0.0
     hangs: bool = False
@@ -90,6 +97,7 @@
 
     :param history: list to which each run is added, for checks.
     :param clock_rate: seconds that its clock advances in one second.
+    :ivar restarted: is set with each restart.
     :ivar incarnation: number of starts of the worker's process.
     :ivar capacities: each capacity and the time from which it was in effect.
     """
@@ -115,6 +123,8 @@
         self._clock_rate = clock_rate
         self._loop = asyncio.get_running_loop()
         self._changed = asyncio.Event()
+        self.restarted = asyncio.Event()
+        self._kept_calls: list[t.Callable[[], t.Any]] = []
         self._reset()
 
     def _reset(self) -> None:
@@ -171,6 +181,28 @@
         if labels is not None:
             self.entry = dataclasses.replace(self.entry, labels=labels)
         self._reset()
+        self.restarted.set()
+        kept, self._kept_calls = self._kept_calls, []
+        for call in kept:
+            self.keep(call)
+
+    def keep(self, call: t.Callable[[], t.Any]) -> None:
+        """Keeps a call for the incarnation that runs next, or runs now."""
+        if not self.up:
+            self._kept_calls.append(call)
+            return
+        delay_s = self._rng.uniform(0.0, _MAX_KEPT_S)
+        self._loop.call_later(delay_s, self._execute_kept, call)
+
+    def _execute_kept(self, call: t.Callable[[], t.Any]) -> None:
+        if not self.up:
+            self.keep(call)
+            return
+        try:
+            call()
+        except ports.CommandRefused:
+            # The sender has timed out and does not see the refusal.
+            return
 
     def replace(self) -> None:
         """Crashes permanently; another worker takes over its address."""
@@ -272,6 +304,15 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def renew(
+        self, token: int, acknowledged: int, deadline_ms: int | None
+    ) -> None:
+        """Extends leases and drops ends; see ``renew_leases``."""
+        self._check(token)
+        if deadline_ms is not None:
+            self._extend(deadline_ms)
+        self._ends = [end for end in self._ends if end.number > acknowledged]
+
     async def renew_leases(
         self,
         token: int,
@@ -287,10 +328,7 @@
             to leave them unchanged.
         :param wait_ms: how long to wait for an end where none is pending.
         """
-        self._check(token)
-        if deadline_ms is not None:
-            self._extend(deadline_ms)
-        self._ends = [end for end in self._ends if end.number > acknowledged]
+        self.renew(token, acknowledged, deadline_ms)
         incarnation = self.incarnation
         if wait_ms and not self._ends:
             try:
@@ -328,7 +366,7 @@
     store: record_store.RecordStore,
     encode: t.Callable[[TaskWorker, int], bytes],
 ) -> None:
-    """Writes a worker's entry to the store with each heartbeat.
+    """Writes a worker's entry to the store with each heartbeat and restart.
 
     The entry is removed after three missed heartbeats.
 
@@ -347,7 +385,15 @@
             missed += 1
             if missed == _MAX_MISSED_HEARTBEATS:
                 store.put(ports.Table.WORKERS, key, b'')
-        await asyncio.sleep(_HEARTBEAT_S)
+        await _wait(worker.restarted, _HEARTBEAT_S)
+        worker.restarted.clear()
+
+
+async def _wait(event: asyncio.Event, timeout_s: float) -> None:
+    """Returns once an event is set or the time is over."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
 
 
 class TaskWorkerLink:
@@ -367,9 +413,17 @@
             self._incarnation == self._worker.incarnation and self._worker.up
         )
 
-    def _reachable(self) -> bool:
+    def _disconnected(self) -> bool:
         unreachable_from = self._worker.faults.unreachable_from
-        return self._worker.up and not unreachable_from & {'*', self._instance}
+        return bool(unreachable_from & {'*', self._instance})
+
+    def _reachable(self) -> bool:
+        return self._worker.up and not self._disconnected()
+
+    def _keep(self, call: t.Callable[..., t.Any], *args: t.Any) -> None:
+        """Keeps a call that found the worker down, if the fault is set."""
+        if self._worker.faults.keeps_calls and not self._disconnected():
+            self._worker.keep(lambda: call(*args))
 
     async def renew_leases(
         self,
@@ -385,6 +439,7 @@
             raise ports.CommandRefused(ports.Refusal.OTHER_INCARNATION)
         if not self._reachable():
             self._incarnation = None
+            self._keep(self._worker.renew, token, acknowledged, deadline_ms)
             await asyncio.sleep(_HOLD_TIMEOUT_S)
             raise exceptions.PlatformUncertain('no response')
         await asyncio.sleep(_LATENCY_S)
@@ -392,9 +447,13 @@
         self._incarnation = None
         await self._lose_report(wait_ms / 1000)
         self._incarnation = self._worker.incarnation
-        report = await self._worker.renew_leases(
-            token, acknowledged, deadline_ms, wait_ms
-        )
+        try:
+            report = await self._worker.renew_leases(
+                token, acknowledged, deadline_ms, wait_ms
+            )
+        except exceptions.PlatformUncertain:
+            self._keep(self._worker.renew, token, acknowledged, deadline_ms)
+            raise
         if not self._reachable():
             self._incarnation = None
             raise exceptions.PlatformUncertain('no response')
@@ -442,12 +501,14 @@
         self, command: t.Callable[..., int], *args: t.Any
     ) -> int:
         if not self._reachable():
+            self._keep(command, *args)
             await asyncio.sleep(_COMMAND_TIMEOUT_S)
             raise exceptions.PlatformUncertain('no response')
         incarnation = self._worker.incarnation
         await asyncio.sleep(_LATENCY_S)
         if not self._worker.up or self._worker.incarnation != incarnation:
             # The process that the command was sent to has ended meanwhile.
+            self._keep(command, *args)
             await asyncio.sleep(_COMMAND_TIMEOUT_S)
             raise exceptions.PlatformUncertain('no response')
         if self._rng.random() < self._worker.faults.delayed_share:
--- /dev/null
+++ b/tests/steps/incarnations_steps.py
@@ -0,0 +1,88 @@
+"""Steps for the scheduler's incarnations.feature."""
+
+import asyncio
+import itertools
+
+import behave
+
+from amaranthflow_scheduler import model
+
+_JOBS_PER_S = 4
+# Run times of the tasks in seconds; the long ones outlast any lease.
+_RUN_TIMES_S = (0.3, 1.5, 12.0)
+_BACK_S = 3.0
+
+
+def _steps(count, seconds):
+    resources = model.Resources(1_000, 100, 0)
+    return [
+        model.Step(
+            count=count, resources=resources, estimate_ms=round(seconds * 1000)
+        )
+    ]
+
+
+async def _submit_jobs(fleet):
+    run_times = itertools.cycle(_RUN_TIMES_S)
+    for number in itertools.count():
+        steps = _steps(2, next(run_times))
+        fleet.jobs_steps[f'b{number}'] = steps
+        await fleet.submit(f'b{number}', steps)
+        await asyncio.sleep(1 / _JOBS_PER_S)
+
+
+@behave.given(
+    'calls that come while a task worker is down are executed after its '
+    'restart'
+)
+def step_keep(context):
+    for worker in context.fleet.workers.values():
+        worker.faults.keeps_calls = True
+
+
+@behave.given('task jobs of short and long tasks arrive')
+def step_load(context):
+    context.jobs = context.loop.create_task(_submit_jobs(context.fleet))
+
+
+def _cut_off(workers, cut):
+    for worker in workers:
+        worker.faults.reaches_store = not cut
+        if cut:
+            worker.faults.unreachable_from.add('*')
+        else:
+            worker.faults.unreachable_from.discard('*')
+
+
+async def _restart(context, workers, down_s):
+    for worker in workers:
+        worker.crash()
+    await asyncio.sleep(down_s)
+    for worker in workers:
+        worker.restart()
+
+
+async def _restart_and_cut(context, names, times, down_s, later_s, cut_s):
+    workers = [context.fleet.workers[name] for name in names.split()]
+    for _ in range(times):
+        await _restart(context, workers, down_s)
+        await asyncio.sleep(later_s)
+        _cut_off(workers, True)
+        await asyncio.sleep(cut_s)
+        _cut_off(workers, False)
+        await asyncio.sleep(_BACK_S)
+
+
+@behave.when(
+    'task workers "{names}" restart after {down:g} s and are cut off '
+    '{later:g} s later for {cut:g} s, {times:d} times'
+)
+def step_restart_and_cut(context, names, down, later, cut, times):
+    context.loop.run_until_complete(
+        _restart_and_cut(context, names, times, down, later, cut)
+    )
+
+
+@behave.when('no more task jobs arrive')
+def step_no_load(context):
+    context.jobs.cancel()
