Tests of starts that a worker's next life executes; they fail

A start without an answer is taken for void by its lease, by an accepted stop or by a report, each of which holds for one life of the worker only.

Change: three scenarios, in which starts alone are kept while a worker is down: it is cut off as it is up again, so that the lease is taken for over; the life that accepted the stop ends before the start arrives; its stops are delayed, and the first report of the new life comes before the start. Faults of the stand-in worker: keeps_only_starts, kept_s, and two for the next tests: keeps_connections and drops_later_ends. It counts the calls of a former life that it executes, which the scenarios check.

Ruled out: a stop of the same life that arrives first hides the start, as that life then refuses it; without the second restart or the delayed stops no run was doubled.

Conclusion: hypothesis 2 holds. Neither the lease of the start, nor an accepted stop, nor a report proves anything of a life that begins later.

--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_worker.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_worker.py
@@ -42,6 +42,11 @@
     :ivar keeps_calls: calls that come while the worker is down, and those
         that wait for a response as it crashes, are executed by its next
         incarnation.
+    :ivar kept_s: how long after its start, in seconds, at least and at most.
+    :ivar keeps_only_starts: of these calls, the others are lost.
+    :ivar keeps_connections: open connections outlast a restart.
+    :ivar drops_later_ends: an acknowledgement also holds for ends that get
+        their numbers after it.
     :ivar fails: all runs fail.
     :ivar fail_share: share of the runs that fail.
     :ivar hangs: runs that start now never end.
@@ -54,6 +59,10 @@
     lost_reply_share: float = 0.0
     lost_report_share: float = 0.0
     keeps_calls: bool = False
+    kept_s: tuple[float, float] = (0.0, _MAX_KEPT_S)
+    keeps_only_starts: bool = False
+    keeps_connections: bool = False
+    drops_later_ends: bool = False
     fails: bool = False
     fail_share: float = 0.0
     hangs: bool = False
@@ -99,6 +108,8 @@
     :param clock_rate: seconds that its clock advances in one second.
     :ivar restarted: is set with each restart.
     :ivar incarnation: number of starts of the worker's process.
+    :ivar kept_calls_executed: number of calls that were meant for an earlier
+        incarnation.
     :ivar capacities: each capacity and the time from which it was in effect.
     """
 
@@ -116,6 +127,7 @@
         self.up = True
         self.replaced = False
         self.incarnation = 1
+        self.kept_calls_executed = 0
         self.capacities = [(0.0, entry.capacity)]
         self._plan = plan
         self._rng = rng
@@ -134,6 +146,7 @@
         self.running: dict[model.TaskKey, StandinRun] = {}
         self._ends: list[ports.RunEnd] = []
         self._end_number = 0
+        self._acknowledged = 0
         self._blocked_runs: dict[model.TaskKey, int] = {}
         self._deadline_ms = 0
         self._lease_timer: asyncio.TimerHandle | None = None
@@ -191,13 +204,14 @@
         if not self.up:
             self._kept_calls.append(call)
             return
-        delay_s = self._rng.uniform(0.0, _MAX_KEPT_S)
+        delay_s = self._rng.uniform(*self.faults.kept_s)
         self._loop.call_later(delay_s, self._execute_kept, call)
 
     def _execute_kept(self, call: t.Callable[[], t.Any]) -> None:
         if not self.up:
             self.keep(call)
             return
+        self.kept_calls_executed += 1
         try:
             call()
         except ports.CommandRefused:
@@ -300,7 +314,10 @@
         )
         self._end_number += 1
         end = ports.RunEnd(self._end_number, run.task, run.run, outcome, '')
-        self._ends.append(end)
+        if not self.faults.drops_later_ends or (
+            end.number > self._acknowledged
+        ):
+            self._ends.append(end)
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -311,6 +328,7 @@
         self._check(token)
         if deadline_ms is not None:
             self._extend(deadline_ms)
+        self._acknowledged = max(self._acknowledged, acknowledged)
         self._ends = [end for end in self._ends if end.number > acknowledged]
 
     async def renew_leases(
@@ -409,8 +427,11 @@
 
     def connected(self) -> bool:
         """Returns whether the worker has reported on the open connection."""
+        if self._incarnation is None or not self._worker.up:
+            return False
         return (
-            self._incarnation == self._worker.incarnation and self._worker.up
+            self._incarnation == self._worker.incarnation
+            or self._worker.faults.keeps_connections
         )
 
     def _disconnected(self) -> bool:
@@ -422,7 +443,10 @@
 
     def _keep(self, call: t.Callable[..., t.Any], *args: t.Any) -> None:
         """Keeps a call that found the worker down, if the fault is set."""
-        if self._worker.faults.keeps_calls and not self._disconnected():
+        faults = self._worker.faults
+        if faults.keeps_only_starts and call != self._worker.start:
+            return
+        if faults.keeps_calls and not self._disconnected():
             self._worker.keep(lambda: call(*args))
 
     async def renew_leases(
--- a/tests/amaranthflow_scheduler/incarnations.feature
+++ b/tests/amaranthflow_scheduler/incarnations.feature
@@ -17,3 +17,49 @@
       | 3    | 0.3  | 0.8   |
       | 1    | 0.6  | 0.2   |
       | 4    | 0.9  | 1.2   |
+
+  Scenario Outline: No task runs twice after a start that is executed once its lease has been taken for over
+    Given a task fleet of 3 instances and 2 workers with seed 1
+    And starts that come while a task worker is down are executed <late> s after its restart
+    And 9 s pass in the task fleet
+    When task worker "w1" goes down
+    And task job "a" with steps "4x12" is accepted
+    And <down> s pass in the task fleet
+    And task worker "w1" is up again, cut off for 9 s
+    And 30 s pass in the task fleet
+    Then task worker "w1" has executed a call of a former life
+    And the task fleet violated no invariant
+
+    Examples:
+      | down | late |
+      | 0.2  | 0.0  |
+      | 0.2  | 0.8  |
+      | 0.9  | 0.8  |
+      | 5.0  | 0.8  |
+
+  Scenario: No task runs twice after a start that outlasts the life that accepted its stop
+    Given a task fleet of 3 instances and 2 workers with seed 1
+    And starts that come while a task worker is down are executed 0.8 s after its restart
+    When task worker "w1" goes down
+    And task job "a" with steps "4x12" is accepted
+    And 0.2 s pass in the task fleet
+    And task worker "w1" is up again
+    And 0.7 s pass in the task fleet
+    And task worker "w1" goes down
+    And 0.3 s pass in the task fleet
+    And task worker "w1" is up again
+    And 30 s pass in the task fleet
+    Then task worker "w1" has executed a call of a former life
+    And the task fleet violated no invariant
+
+  Scenario: No task runs twice after a start that a report of the next life does not list yet
+    Given a task fleet of 3 instances and 2 workers with seed 1
+    And starts that come while a task worker is down are executed 0.8 s after its restart
+    And commands to task worker "w1" are executed late
+    When task worker "w1" goes down
+    And task job "a" with steps "4x12" is accepted
+    And 1.5 s pass in the task fleet
+    And task worker "w1" is up again
+    And 30 s pass in the task fleet
+    Then task worker "w1" has executed a call of a former life
+    And the task fleet violated no invariant
--- a/tests/steps/incarnations_steps.py
+++ b/tests/steps/incarnations_steps.py
@@ -86,3 +86,53 @@
 @behave.when('no more task jobs arrive')
 def step_no_load(context):
     context.jobs.cancel()
+
+
+@behave.given(
+    'calls that come while a task worker is down are executed {seconds:g} s '
+    'after its restart'
+)
+def step_keep_for(context, seconds):
+    for worker in context.fleet.workers.values():
+        worker.faults.keeps_calls = True
+        worker.faults.kept_s = (seconds, seconds)
+
+
+@behave.given(
+    'starts that come while a task worker is down are executed {seconds:g} s '
+    'after its restart'
+)
+def step_keep_starts(context, seconds):
+    step_keep_for(context, seconds)
+    for worker in context.fleet.workers.values():
+        worker.faults.keeps_only_starts = True
+
+
+@behave.when('task worker "{name}" goes down')
+def step_down(context, name):
+    context.fleet.workers[name].crash()
+
+
+@behave.when('task worker "{name}" is up again')
+def step_up(context, name):
+    context.fleet.workers[name].restart()
+
+
+@behave.when('task worker "{name}" is up again, cut off for {cut:g} s')
+def step_up_cut(context, name, cut):
+    worker = context.fleet.workers[name]
+    worker.restart()
+    _cut_off([worker], True)
+    context.loop.call_later(cut, _cut_off, [worker], False)
+
+
+@behave.when('task worker "{name}" is cut off for {cut:g} s')
+def step_cut(context, name, cut):
+    worker = context.fleet.workers[name]
+    _cut_off([worker], True)
+    context.loop.call_later(cut, _cut_off, [worker], False)
+
+
+@behave.then('task worker "{name}" has executed a call of a former life')
+def step_executed_kept(context, name):
+    assert context.fleet.workers[name].kept_calls_executed
