Tests of a change of the leader while a worker restarts; they fail

The next leader waits for leases as the former one counted them, from its own election: 4.74 s if that has certainly ended, 6.27 s otherwise. A start of the former leader that the worker's next life executes later has the longest lease, 6 s, from then.

Change: a scenario in which a worker goes down, gets two starts, its leader ends, and the worker is up again but cut off, so that it has seen no higher token. All instances are killed and are back at once, once and twice; the leader steps down; the leader is killed. Starts alone are kept.

Ruled out: the length of the recorded lease alone. Where the next leader's renewals are kept too, they carry its token and the start is refused if it comes after them.

Conclusion: hypothesis 4 holds with both waits. Neither counts from the restart of the worker, which the next leader cannot see.

--- a/tests/amaranthflow_scheduler/incarnations.feature
+++ b/tests/amaranthflow_scheduler/incarnations.feature
@@ -63,3 +63,26 @@
     And 30 s pass in the task fleet
     Then task worker "w1" has executed a call of a former life
     And the task fleet violated no invariant
+
+  Scenario Outline: No task runs twice after its leader ended while its worker restarted: <how>
+    Given a task fleet of 3 instances and 2 workers with seed 1
+    And starts that come while a task worker is down are executed <late> s after its restart
+    And 9 s pass in the task fleet
+    When task worker "w1" goes down
+    And task job "a" with steps "4x12" is accepted
+    And 0.1 s pass in the task fleet
+    And <how>
+    And <more> s pass in the task fleet
+    And task worker "w1" is up again, cut off for 20 s
+    And 30 s pass in the task fleet
+    Then task worker "w1" has executed a call of a former life
+    And the task fleet violated no invariant
+
+    Examples:
+      | how                                                          | more | late |
+      | all task instances are killed and start again at once        | 0    | 0.0  |
+      | all task instances are killed and start again at once        | 0    | 0.8  |
+      | the task fleet's leader steps down                           | 0    | 0.8  |
+      | all task instances are killed and start again at once, twice | 0    | 0.8  |
+      | all task instances are killed and start again at once, twice | 1.2  | 0.8  |
+      | the task fleet's leader is killed                            | 2.0  | 0.8  |
--- a/tests/steps/incarnations_steps.py
+++ b/tests/steps/incarnations_steps.py
@@ -136,3 +136,23 @@
 @behave.then('task worker "{name}" has executed a call of a former life')
 def step_executed_kept(context, name):
     assert context.fleet.workers[name].kept_calls_executed
+
+
+async def _restart_instances(fleet, times):
+    for _ in range(times):
+        names = list(fleet.nodes)
+        for name in names:
+            await fleet.kill(name)
+        for name in names:
+            fleet.start_node(name)
+        await fleet.wait_leader()
+
+
+@behave.when('all task instances are killed and start again at once')
+def step_restart_all(context):
+    context.loop.run_until_complete(_restart_instances(context.fleet, 1))
+
+
+@behave.when('all task instances are killed and start again at once, twice')
+def step_restart_all_twice(context):
+    context.loop.run_until_complete(_restart_instances(context.fleet, 2))
