--- a/tests/amaranthflow_scheduler/incarnations.feature
+++ b/tests/amaranthflow_scheduler/incarnations.feature
@@ -86,3 +86,20 @@
       | all task instances are killed and start again at once, twice | 0    | 0.8  |
       | all task instances are killed and start again at once, twice | 1.2  | 0.8  |
       | the task fleet's leader is killed                            | 2.0  | 0.8  |
+
+  Scenario Outline: No task runs twice after a start that a later life has answered
+    Given a task fleet of 3 instances and 2 workers with seed 1
+    And 9 s pass in the task fleet
+    When task worker "w1" goes down
+    And task worker "w1" is up again
+    And task job "a" with steps "4x12" is accepted
+    And <later> s pass in the task fleet
+    And task worker "w1" is cut off for 9 s
+    And 30 s pass in the task fleet
+    Then the start of a run on "w1" was answered by a later life
+    And the task fleet violated no invariant
+
+    Examples:
+      | later |
+      | 0.015 |
+      | 0.1   |
--- a/tests/steps/incarnations_steps.py
+++ b/tests/steps/incarnations_steps.py
@@ -156,3 +156,33 @@
 @behave.when('all task instances are killed and start again at once, twice')
 def step_restart_all_twice(context):
     context.loop.run_until_complete(_restart_instances(context.fleet, 2))
+
+
+@behave.given('connections to task workers outlast their restarts')
+def step_keep_connections(context):
+    for worker in context.fleet.workers.values():
+        worker.faults.keeps_connections = True
+
+
+@behave.then('the start of a run on "{name}" was answered by a later life')
+def step_later_life(context, name):
+    worker = context.fleet.workers[name]
+    runs = [run for other, run in context.fleet.runs if other is worker]
+    assert any(run.started_s > worker.started_s for run in runs), runs
+
+
+@behave.given(
+    'ends below an acknowledged number are dropped later, too: {answer}'
+)
+def step_drop_later(context, answer):
+    for worker in context.fleet.workers.values():
+        worker.faults.drops_later_ends = answer == 'yes'
+
+
+@behave.then('no task of the task fleet has run again after it was done')
+def step_done_once(context):
+    ended = {}
+    for _, run in context.fleet.runs:
+        assert run.task not in ended, (run, ended[run.task])
+        if run.outcome is model.RunOutcome.DONE:
+            ended[run.task] = run
