Give each incarnation of a worker a fencing token of its own

Cause: a lease deadline is a time on the worker's clock, which begins anew with each start. A renewal or start for the former incarnation carries a deadline far ahead of the new clock, so the new incarnation grants the longest lease, 6 s, which a later deadline does not shorten. Nothing let it reject such a call: it had seen no fencing token, and the header has only its id. The leader counted the 4.5 s that it asks for, and started the tasks of a silent worker again up to 1.5 s before their leases had ended.

Change: incarnations.py. After a restart the leader calls the worker with a higher token: the offset of its newest record in the table of leaders, which lies between its claim and the next one. Once the new incarnation has answered such a call it rejects what was sent to earlier ones. Until then it gets no runs, and from that answer on its leases count as the longest ones, once. A refusal of a call with an outdated token of the same term does not end the term. The bookkeeping of restarts moved there from scheduler.py.

Cost: one more look at a worker after its restart, some ms. Work of a worker that is cut off less than 1.5 s after that waits up to 1.5 s longer. A worker that restarts twice between two renewals of the term waits for the next one (0.5 s); one that restarts twice while the store is away gets no runs until it is back.

A fixture of the tests sets the new field, another passes the new argument on.

Ruled out: tokens multiplied by a factor, to have numbers in between: leaders of the former version would be rejected by all workers during an update.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/command_sender.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/command_sender.py
@@ -15,6 +15,7 @@
 from . import commands
 from . import contacts as contacts_lib
 from . import execution
+from . import incarnations
 from . import links as links_lib
 from . import logs
 from . import metrics
@@ -51,6 +52,7 @@
 class CommandSender:
     """Sends the commands of one term.
 
+    :param tokens: fencing tokens of the term.
     :param core: is told what became of each command.
     """
 
@@ -58,7 +60,7 @@
         self,
         *,
         term: Term,
-        token: model.Token,
+        tokens: incarnations.Tokens,
         core: scheduler.Scheduler,
         links: links_lib.Links,
         contacts: contacts_lib.Contacts,
@@ -66,7 +68,7 @@
         clock: clock_lib.Clock,
     ):
         self._term = term
-        self._token = token
+        self._tokens = tokens
         self._core = core
         self._links = links
         self._contacts = contacts
@@ -99,11 +101,14 @@
         if attempt not in worker.attempts:
             return
         now_s = self._clock.monotonic()
-        if not self._term.may_start() or not self._has_label(
-            worker, attempt.task
+        if (
+            not self._term.may_start()
+            or not worker.fenced
+            or not self._has_label(worker, attempt.task)
         ):
             self._core.on_start_failed(attempt, now_s)
             return
+        token = self._tokens.for_call(worker)
         min_clock_ms = worker.min_clock_ms(now_s)
         command = self._start_command(attempt, worker, now_s)
         worker.extend_lease(command.deadline_ms)
@@ -113,7 +118,7 @@
         try:
             clock_ms = await response_limits.within(
                 worker.history.response_limit_s,
-                self._links.get(worker).start(command, self._token),
+                self._links.get(worker).start(command, token),
             )
             started_s = self._clock.monotonic()
             if clock_ms < min_clock_ms:
@@ -122,8 +127,7 @@
             self._meters.observe('start', started_s - now_s)
             return
         except ports.CommandRefused as exc:
-            if exc.refusal is ports.Refusal.STALE_TOKEN:
-                self._term.end_term(f'worker {worker.id} has a higher token')
+            if self._ends_term(exc, worker, token):
                 return
             now_s = self._clock.monotonic()
             self._core.on_start_refused(attempt, exc.refusal, now_s)
@@ -220,14 +224,14 @@
 
         The next report would tell as well, but later.
         """
+        token = self._tokens.for_call(worker)
         try:
             report = await response_limits.within(
                 worker.history.response_limit_s,
-                self._links.get(worker).list_runs(self._token),
+                self._links.get(worker).list_runs(token),
             )
         except ports.CommandRefused as exc:
-            if exc.refusal is ports.Refusal.STALE_TOKEN:
-                self._term.end_term(f'worker {worker.id} has a higher token')
+            self._ends_term(exc, worker, token)
             return
         except exceptions.AmaranthflowError as exc:
             logs.event('runs_not_listed', worker=worker.id, error=str(exc))
@@ -252,15 +256,15 @@
     ) -> bool:
         if not worker.entry.address:
             return False
+        token = self._tokens.for_call(worker)
         try:
             await response_limits.within(
                 worker.history.response_limit_s,
-                self._links.get(worker).stop(task, run, self._token),
+                self._links.get(worker).stop(task, run, token),
             )
             return True
         except ports.CommandRefused as exc:
-            if exc.refusal is ports.Refusal.STALE_TOKEN:
-                self._term.end_term(f'worker {worker.id} has a higher token')
+            if self._ends_term(exc, worker, token):
                 return False
             logs.event(
                 'stop_refused',
@@ -285,13 +289,13 @@
         worker = self._core.workers.get(attempt.worker)
         if worker is None or attempt not in worker.attempts:
             return
+        token = self._tokens.for_call(worker)
         try:
             await self._links.get(worker).pace(
-                attempt.task.key, attempt.run, change.percent, self._token
+                attempt.task.key, attempt.run, change.percent, token
             )
         except ports.CommandRefused as exc:
-            if exc.refusal is ports.Refusal.STALE_TOKEN:
-                self._term.end_term(f'worker {worker.id} has a higher token')
+            self._ends_term(exc, worker, token)
         except exceptions.AmaranthflowError as exc:
             logs.event(
                 'pace_unanswered',
@@ -303,3 +307,17 @@
             )
             # The next report shows the pace.
             attempt.pace = execution.UNKNOWN_PACE
+
+    def _ends_term(
+        self,
+        exc: ports.CommandRefused,
+        worker: workers.Worker,
+        token: model.Token,
+    ) -> bool:
+        """Ends the term if a refusal tells that another one has begun."""
+        if exc.refusal is not ports.Refusal.STALE_TOKEN:
+            return False
+        if incarnations.is_outdated(exc, worker, token):
+            return False
+        self._term.end_term(f'worker {worker.id} has a higher token')
+        return True
--- /dev/null
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/incarnations.py
@@ -0,0 +1,110 @@
+"""Which incarnation of a worker a call can still reach.
+
+Answers workers that start again under their ids. A call without a response
+may still be executed, also by the worker's next incarnation. That one knows no
+fencing token, and its clock and the numbers of its ends begin anew: it starts
+a run that was meant for the former one, and takes a deadline of the former
+clock for the longest lease.
+
+So each incarnation gets a higher fencing token than those before. Once it has
+answered a call with this token it rejects everything that was sent to
+an earlier one. Until then it gets no runs, and its reports do not prove that a
+start has had no effect.
+"""
+
+from . import logs
+from . import model
+from . import ports
+from . import workers
+
+
+class Tokens:
+    """Fencing tokens of one term, in increasing order.
+
+    Each record of the term in the table of leaders follows the term's claim
+    and precedes the next one. So its offset gives a token between those of
+    the two terms.
+
+    :ivar newest: the highest token so far.
+    """
+
+    def __init__(self, term: model.Token):
+        self.newest = term
+
+    def on_stored(self, offset: int) -> None:
+        """Notes that the store has a record of the term at an offset."""
+        self.newest = max(self.newest, model.Token(offset + 1))
+
+    def for_call(self, worker: workers.Worker) -> model.Token:
+        """Returns the token of the next call to a worker."""
+        if not worker.fenced:
+            worker.token = self.newest
+        return worker.token
+
+    def can_fence(self, worker: workers.Worker) -> bool:
+        """Returns whether the newest token is too high for earlier calls."""
+        return self.newest > worker.former_token
+
+
+def on_restart(worker: workers.Worker, report: ports.WorkerReport) -> None:
+    """Resets what is known about a worker's previous incarnation.
+
+    :param report: first report of the present one.
+    """
+    if worker.born_ms:
+        logs.event(
+            'worker_reborn',
+            worker=worker.id,
+            before=worker.born_ms,
+            born_ms=report.born_ms,
+            runs=len(worker.attempts),
+            clock_ms=report.clock_ms,
+            former_deadline_ms=worker.deadline_ms,
+            unanswered=worker.unanswered,
+        )
+        worker.fenced = False
+        worker.former_token = worker.token
+    worker.born_ms = report.born_ms
+    worker.deadline_ms = 0
+    worker.processed_end = worker.stored_end = 0
+    worker.backoff_until_s = 0.0
+    worker.history.on_restart()
+
+
+def on_answer(
+    worker: workers.Worker,
+    token: model.Token,
+    now_s: float,
+    max_lease_s: float,
+) -> None:
+    """Handles that the present incarnation has answered a call.
+
+    :param token: token of the call.
+    :param max_lease_s: longest lease that a worker grants. Calls for an
+        earlier incarnation may have set it until now.
+    """
+    if worker.fenced or token <= worker.former_token:
+        return
+    worker.fenced = True
+    worker.lease_end_s = max(
+        worker.lease_end_s, workers.lease_end_s(now_s, max_lease_s)
+    )
+    if worker.former_token:
+        logs.event(
+            'worker_fenced',
+            worker=worker.id,
+            born_ms=worker.born_ms,
+            token=token,
+            former_token=worker.former_token,
+        )
+
+
+def is_outdated(
+    exc: ports.CommandRefused, worker: workers.Worker, token: model.Token
+) -> bool:
+    """Returns whether a call was refused for a later token of this term.
+
+    :param token: token of the call.
+    """
+    stale = exc.refusal is ports.Refusal.STALE_TOKEN
+    return stale and token < worker.token
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -13,6 +13,7 @@
 from . import contacts
 from . import elections
 from . import evacuations as evacuations_lib
+from . import incarnations
 from . import job_memory
 from . import jobrecord
 from . import links
@@ -168,11 +169,12 @@
         self._job_memory = job_memory.JobMemory(
             max_bytes=deps.limits.jobs_bytes
         )
+        self._tokens = incarnations.Tokens(term.token)
         self._links = links.Links(factory=deps.link_factory)
         self._contacts = contacts.Contacts()
         self._sender = command_sender.CommandSender(
             term=self,
-            token=term.token,
+            tokens=self._tokens,
             core=self.core,
             links=self._links,
             contacts=self._contacts,
@@ -435,8 +437,7 @@
                 # What the store has is a renewal, which keeps the term.
                 await self._renew_term(released=True)
             return
-        self._leaders_end = max(self._leaders_end, offset + 1)
-        self._tenure.on_stored(offset)
+        self._on_term_stored(offset)
 
     def _lease_ms(self) -> int | None:
         """Returns the longest lease that exists from now on.
@@ -458,8 +459,13 @@
         for offset, term in elections.read_terms(records):
             if term.token == self.term.token:
                 self._failed_renewals = 0
-                self._tenure.on_stored(offset)
-                self._leaders_end = max(self._leaders_end, offset + 1)
+                self._on_term_stored(offset)
+
+    def _on_term_stored(self, offset: int) -> None:
+        """Notes that the store has a record of this term at an offset."""
+        self._tenure.on_stored(offset)
+        self._tokens.on_stored(offset)
+        self._leaders_end = max(self._leaders_end, offset + 1)
 
     def _may_command(self) -> bool:
         """Returns whether runs may be started and leases renewed.
@@ -926,6 +932,7 @@
         # The first call on a connection may reach another incarnation of the
         # worker. It must neither acknowledge ends nor rely on the known clock.
         connected = link.connected() and worker.born_ms != 0
+        token = self._tokens.for_call(worker)
         sent_s = self._clock.monotonic()
         deadline_ms = None
         if connected and extend and self._may_command():
@@ -934,31 +941,37 @@
         all_stored = worker.stored_end == worker.processed_end
         wait_ms = 0
         due_s = None
-        if connected and all_stored:
+        if connected and worker.fenced and all_stored:
             wait_ms = self._report_interval_ms(worker, sent_s)
             due_s = overdue_reports.due_s(worker, self.core.claims, sent_s)
         worker.unanswered += 1
         call = response_limits.within(
             wait_ms / 1000 + worker.history.response_limit_s,
             link.renew_leases(
-                token=self.term.token,
+                token=token,
                 acknowledged=worker.stored_end if connected else 0,
                 deadline_ms=deadline_ms,
                 wait_ms=wait_ms,
             ),
         )
-        if due_s is None:
-            report = await call
-        else:
-            report, asked_s = await self._ask_again(worker, call, due_s)
-            sent_s = asked_s or sent_s
-        before = (worker.born_ms, worker.processed_end)
+        try:
+            if due_s is None:
+                report = await call
+            else:
+                report, asked_s = await self._ask_again(worker, call, due_s)
+                sent_s = asked_s or sent_s
+        except ports.CommandRefused as exc:
+            if not incarnations.is_outdated(exc, worker, token):
+                raise
+            return
+        before = (worker.born_ms, worker.fenced)
         self.core.on_report(
             worker,
             report,
             sent_s,
             self._clock.monotonic(),
             self._clock.wall_ms(),
+            token=token,
         )
         self.dispatch()
         if worker.stored_end != worker.processed_end:
@@ -966,8 +979,10 @@
             await self._flush_briefly()
             if worker.stored_end != worker.processed_end:
                 await asyncio.sleep(_RENEWAL_PAUSE_S)
-        elif before[0] != worker.born_ms:
+        elif before != (worker.born_ms, worker.fenced):
             self.request_plans()
+        if not worker.fenced and not self._tokens.can_fence(worker):
+            await asyncio.sleep(_RENEWAL_PAUSE_S)
 
     async def _ask_again(
         self,
@@ -994,7 +1009,7 @@
             try:
                 other = await response_limits.within(
                     worker.history.response_limit_s,
-                    self._links.get(worker).list_runs(self.term.token),
+                    self._links.get(worker).list_runs(worker.token),
                 )
             except (exceptions.AmaranthflowError, ports.CommandRefused):
                 # The first call tells the state of the worker.
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -20,6 +20,7 @@
 from . import crashes
 from . import evacuations as evacuations_lib
 from . import execution
+from . import incarnations
 from . import job_memory
 from . import job_ranking
 from . import logs
@@ -472,6 +473,8 @@
             return False
         if not worker.entry_is_current or worker.probation:
             return False
+        if not worker.fenced:
+            return False
         last_report_s = worker.last_report_s
         if last_report_s is None:
             return False
@@ -555,10 +558,14 @@
         sent_s: float,
         now_s: float,
         now_ms: int,
+        *,
+        token: model.Token | None = None,
     ) -> None:
         """Handles a worker's report.
 
         :param sent_s: time at which the report was requested.
+        :param token: token of that call; None if it is higher than those of
+            all calls to earlier incarnations.
         """
         if report.born_ms != worker.born_ms:
             known = {(row.task, row.run) for row in report.running}
@@ -566,7 +573,13 @@
             self._on_crash(worker, report.born_ms, now_s, now_ms, known)
             if now_s - self._elected_s > _JOB_DISCOVERY_S:
                 worker.up_since_s = now_s
-            self._reset_restarted(worker, report)
+            incarnations.on_restart(worker, report)
+            key = (worker.id, report.born_ms)
+            history = self._known_histories.pop(key, None)
+            worker.history = history or worker.history
+        if token is None:
+            token = model.Token(worker.former_token + 1)
+        incarnations.on_answer(worker, token, now_s, self._limits.hold_max_s)
         worker.lapsed.clear()
         worker.unanswered = 0
         worker.sync_clock(report.clock_ms, now_s)
@@ -628,31 +641,6 @@
         silent_from_s = now_s - self._max_report_age_s
         return suspects.Losses(self.workers.values(), silent_from_s)
 
-    def _reset_restarted(
-        self, worker: workers.Worker, report: ports.WorkerReport
-    ) -> None:
-        """Resets what is known about the previous incarnation of a worker."""
-        born_ms = report.born_ms
-        if worker.born_ms:
-            logs.event(
-                'worker_reborn',
-                worker=worker.id,
-                before=worker.born_ms,
-                born_ms=born_ms,
-                runs=len(worker.attempts),
-                clock_ms=report.clock_ms,
-                former_deadline_ms=worker.deadline_ms,
-                unanswered=worker.unanswered,
-            )
-        worker.born_ms = born_ms
-        worker.deadline_ms = 0
-        worker.processed_end = worker.stored_end = 0
-        worker.backoff_until_s = 0.0
-        worker.history.on_restart()
-        known = self._known_histories.pop((worker.id, born_ms), None)
-        if known is not None:
-            worker.history = known
-
     def _remove_unlisted(
         self,
         worker: workers.Worker,
@@ -830,6 +818,7 @@
             pace=execution.UNKNOWN_PACE,
             slowed_since_s=now_s,
             resumed=True,
+            confirmed=True,
             born_ms=worker.born_ms,
         )
         task.add_attempt(attempt)
@@ -924,9 +913,10 @@
 
     def on_sent(self, attempt: execution.Attempt, now_s: float = 0.0) -> None:
         """Notes that a start command is being sent."""
+        worker = self.workers[attempt.worker]
         attempt.state = execution.AttemptState.SENT
         attempt.sent_s = now_s
-        attempt.born_ms = self.workers[attempt.worker].born_ms
+        attempt.born_ms = worker.born_ms
 
     def on_started(
         self, attempt: execution.Attempt, now_s: float, took_s: float = 0.0
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
@@ -53,6 +53,9 @@
     :ivar clock_ms: last reading of the worker's clock.
     :ivar clock_s: when that reading arrived.
     :ivar born_ms: start time of the worker process; 0 if unknown.
+    :ivar token: fencing token of the calls to this incarnation.
+    :ivar former_token: highest token of calls to earlier ones.
+    :ivar fenced: it has answered a call with a higher token than those.
     :ivar deadline_ms: latest lease deadline that was sent to this incarnation.
     :ivar unanswered: calls for reports since the last answer.
     :ivar processed_end: number of the last processed end of a run.
@@ -92,6 +95,9 @@
     clock_ms: int = 0
     clock_s: float = 0.0
     born_ms: int = 0
+    token: model.Token = model.Token(0)
+    former_token: model.Token = model.Token(0)
+    fenced: bool = False
     deadline_ms: int = 0
     unanswered: int = 0
     processed_end: int = 0
--- a/tests/amaranthflow_scheduler/incarnations.feature
+++ b/tests/amaranthflow_scheduler/incarnations.feature
@@ -103,3 +103,23 @@
       | later |
       | 0.015 |
       | 0.1   |
+
+  Scenario Outline: Workers that restart in quick succession get runs again under the same leader
+    Given a task fleet of 3 instances and 3 workers with seed 4
+    And calls that come while a task worker is down are executed after its restart
+    And <event>
+    When task worker "w1" crashes and restarts after 0.1 s
+    And task worker "w1" crashes and restarts after 0.1 s
+    And task worker "w2" crashes and restarts after 0.2 s
+    And task worker "w3" crashes and restarts after 0.1 s
+    And task worker "w3" crashes and restarts after 0.3 s
+    And the store is back
+    And task job "a1" with steps "24x1.0 24x1.0" is accepted
+    Then task job "a1" is completed within 8 s
+    And the task fleet has had 1 term
+    And the task fleet violated no invariant
+
+    Examples:
+      | event                                               |
+      | 1 s pass in the task fleet                          |
+      | the store does not respond to all task instances    |
--- a/tests/steps/incarnations_steps.py
+++ b/tests/steps/incarnations_steps.py
@@ -36,6 +36,7 @@
     'restart'
 )
 def step_keep(context):
+    context.before = context.fleet.leader()
     for worker in context.fleet.workers.values():
         worker.faults.keeps_calls = True
 
--- a/tests/steps/tail_latency_steps.py
+++ b/tests/steps/tail_latency_steps.py
@@ -209,6 +209,7 @@
         now_s = 10.0 + tick * 0.5
         for worker in context.core.workers.values():
             worker.last_report_s = now_s
+            worker.fenced = True
         context.core.plan_opportunistic(now_s, round(now_s * 1000))
 
 
--- a/tests/steps/task_fleet_steps.py
+++ b/tests/steps/task_fleet_steps.py
@@ -1126,10 +1126,10 @@
     context.before = context.fleet.leader()
     on_report = scheduler.Scheduler.on_report
 
-    def raise_for_one(core, worker, *args):
+    def raise_for_one(core, worker, *args, **kwargs):
         if worker.id == name:
             raise OverflowError('int too large to convert to float')
-        on_report(core, worker, *args)
+        on_report(core, worker, *args, **kwargs)
 
     patch = mock.patch.object(scheduler.Scheduler, 'on_report', raise_for_one)
     patch.start()
