Hold a task whose start may reach a later incarnation of its worker

Cause: a start without an answer was taken for void by facts that hold for one incarnation of its worker only: the deadline on its clock, the end of its leases, a report. The worker's next incarnation may execute it later, and grants its run the longest lease.

Change: an attempt knows whether its worker has ever confirmed it. If not, a report proves its absence only if it comes from the incarnation that the start was sent to, or answers a call with a higher token than the start's.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
@@ -51,6 +51,7 @@
 
     :ivar run: number of the run, which increases with each run of the task.
     :ivar sent_s: when its start command was sent; 0 if unknown.
+    :ivar token: fencing token of that command.
     :ivar confirmed: a worker has answered the start command or listed the run.
     :ivar visible_from_s: a report requested at this time or later that does
         not list the run proves that the worker does not have it; None while
@@ -83,6 +84,7 @@
     run: model.RunNumber
     state: AttemptState
     sent_s: float = 0.0
+    token: model.Token = model.Token(0)
     confirmed: bool = False
     visible_from_s: float | None = None
     running_since_s: float = 0.0
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/incarnations.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/incarnations.py
@@ -12,11 +12,18 @@
 start has had no effect.
 """
 
+from . import execution
 from . import logs
 from . import model
 from . import ports
 from . import workers
 
+# Age up to which a call without a response is taken to be executed. The
+# platform names no limit, but permits a task of a service to be without a run
+# for 9 s, of which the longest lease takes 6.3 s.
+_MAX_CALL_AGE_S = 3.5
+_MAX_SERVICE_CALL_AGE_S = 2.0
+
 
 class Tokens:
     """Fencing tokens of one term, in increasing order.
@@ -99,6 +106,39 @@
         )
 
 
+def is_gone(
+    attempt: execution.Attempt,
+    worker: workers.Worker,
+    token: model.Token,
+    sent_s: float,
+) -> bool:
+    """Returns whether a complete report without a run proves its absence.
+
+    :param token: token of the call that was answered with the report.
+    :param sent_s: when that call was sent.
+    """
+    if attempt.state is execution.AttemptState.PLANNED:
+        return False
+    if not attempt.confirmed and attempt.born_ms != worker.born_ms:
+        return token > attempt.token
+    visible_from_s = attempt.visible_from_s
+    return visible_from_s is not None and visible_from_s <= sent_s
+
+
+def may_run_unseen(
+    attempt: execution.Attempt, now_s: float, max_lease_s: float
+) -> bool:
+    """Returns whether a silent worker may run what it has not confirmed.
+
+    It may have restarted and executed the start later than it was sent.
+    """
+    if attempt.confirmed:
+        return False
+    is_service = attempt.task.step_run.step.service
+    age_s = _MAX_SERVICE_CALL_AGE_S if is_service else _MAX_CALL_AGE_S
+    return now_s <= workers.lease_end_s(attempt.sent_s + age_s, max_lease_s)
+
+
 def is_outdated(
     exc: ports.CommandRefused, worker: workers.Worker, token: model.Token
 ) -> bool:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -594,7 +594,7 @@
         for row in report.running:
             self._on_running(worker, row, sent_s, now_s)
         if len(report.ended) < _MAX_ENDS_PER_REPORT:
-            self._remove_unlisted(worker, ended, sent_s, now_s)
+            self._remove_unlisted(worker, ended, token, sent_s, now_s)
         worker.history.fade(now_s)
         for change in self.colocation.on_report(worker, now_s, now_ms):
             self._set_pace(worker, change, now_s)
@@ -645,18 +645,19 @@
         self,
         worker: workers.Worker,
         ended: set[tuple[model.TaskKey, model.RunNumber]],
+        token: model.Token,
         sent_s: float,
         now_s: float,
     ) -> None:
         """Removes the attempts that a complete report shows to be gone.
 
         :param ended: the runs whose ends the report lists.
+        :param token: token of the call that requested the report.
         """
         for attempt in list(worker.attempts):
-            visible_from_s = attempt.visible_from_s
             if attempt.last_listed_s == now_s:
                 continue
-            if visible_from_s is None or visible_from_s > sent_s:
+            if not incarnations.is_gone(attempt, worker, token, sent_s):
                 continue
             if (attempt.task.key, attempt.run) not in ended:
                 self._remove(attempt, 'not-listed')
@@ -847,7 +848,9 @@
         ):
             attempt.state = execution.AttemptState.RUNNING
             attempt.visible_from_s = now_s
-        attempt.confirmed = True
+        if not attempt.confirmed:
+            attempt.confirmed = True
+            attempt.born_ms = self.workers[attempt.worker].born_ms
         if not attempt.reported:
             attempt.reported = True
             if attempt.resumed or not attempt.running_since_s:
@@ -916,6 +919,7 @@
         worker = self.workers[attempt.worker]
         attempt.state = execution.AttemptState.SENT
         attempt.sent_s = now_s
+        attempt.token = worker.token
         attempt.born_ms = worker.born_ms
 
     def on_started(
@@ -1069,8 +1073,12 @@
     def _may_still_start(
         self, attempt: execution.Attempt, now_s: float
     ) -> bool:
-        """Returns whether a start command may still be executed."""
-        return attempt.visible_from_s is None or attempt.visible_from_s > now_s
+        """Returns whether a silent worker may execute a start command."""
+        if attempt.visible_from_s is None or attempt.visible_from_s > now_s:
+            return True
+        return incarnations.may_run_unseen(
+            attempt, now_s, self._limits.hold_max_s
+        )
 
     def _drain(self, worker: workers.Worker, now_s: float) -> None:
         """Stops the runs that lose no work or would not end by themselves."""
