--- a/tests/amaranthflow_scheduler/incarnations.feature
+++ b/tests/amaranthflow_scheduler/incarnations.feature
@@ -123,3 +123,25 @@
       | event                                               |
       | 1 s pass in the task fleet                          |
       | the store does not respond to all task instances    |
+
+  Scenario Outline: No task is done twice after a former life's renewal has dropped ends, later ones <later>
+    Given a task fleet of 3 instances and 2 workers with seed 1
+    And calls that come while a task worker is down are executed <seconds> s after its restart
+    And ends below an acknowledged number are dropped later, too: <later>
+    And task job "b" with steps "16x0.3" is accepted
+    And 9.35 s pass in the task fleet
+    When task worker "w1" goes down
+    And task worker "w1" is up again
+    And task job "a" with steps "4x0.3" is accepted
+    And 0.1 s pass in the task fleet
+    And task worker "w1" is cut off for <cut> s
+    And 9 s pass in the task fleet
+    Then the start of a run on "w1" was answered by a later life
+    And task worker "w1" has executed a call of a former life
+    And no task of the task fleet has run again after it was done
+    And the task fleet violated no invariant
+
+    Examples:
+      | later | seconds | cut |
+      | no    | 0.5     | 1.0 |
+      | yes   | 0.0     | 0.0 |
