Tests of connections that outlast a restart of their worker; they fail

A renewal carries a deadline and acknowledged ends only on a connection on which the worker has reported, as a new connection may reach another life. That is no protection where a connection outlasts a restart.

The new life answers a renewal for the former one: it grants the longest lease before its first run, and runs that start and a cut follow; or it drops the ends of two short runs whose starts it has answered.

The renewal is executed at 12.087 s and the lease lasts until 18.087 s; the leader takes the runs for lapsed at 17.34 s and starts one again there. Two tasks that ended `done` at 12.37 s run again at 12.48 and 12.78 s, and count as suspects of a crash.

Ruled out: a late execution, all calls are answered at once.

Conclusion: what a renewal may carry cannot depend on the connection alone. The answer tells the life, but its effect has then taken place.

--- a/tests/amaranthflow_scheduler/incarnations.feature
+++ b/tests/amaranthflow_scheduler/incarnations.feature
@@ -145,3 +145,30 @@
       | later | seconds | cut |
       | no    | 0.5     | 1.0 |
       | yes   | 0.0     | 0.0 |
+
+  Scenario: No task runs twice after a connection that outlasts the restart of its worker
+    Given a task fleet of 3 instances and 2 workers with seed 1
+    And connections to task workers outlast their restarts
+    And 9 s pass in the task fleet
+    When task worker "w1" goes down
+    And task worker "w1" is up again
+    And 0.6 s pass in the task fleet
+    And task job "a" with steps "4x12" is accepted
+    And 0.1 s pass in the task fleet
+    And task worker "w1" is cut off for 9 s
+    And 30 s pass in the task fleet
+    Then the start of a run on "w1" was answered by a later life
+    And the task fleet violated no invariant
+
+  Scenario: No task is done twice after a connection that outlasts the restart of its worker
+    Given a task fleet of 3 instances and 2 workers with seed 1
+    And connections to task workers outlast their restarts
+    And task job "b" with steps "16x0.3" is accepted
+    And 9 s pass in the task fleet
+    When task worker "w1" goes down
+    And task worker "w1" is up again
+    And task job "a" with steps "4x0.3" is accepted
+    And 9 s pass in the task fleet
+    Then the start of a run on "w1" was answered by a later life
+    And no task of the task fleet has run again after it was done
+    And the task fleet violated no invariant
