Tests of starts that later lives execute against a decision; they fail

The deadline of a start on the former clock also bounds how late a start may take effect: after its job was cancelled, after its zone was evacuated (START_VALID_MS), on a worker of another kind.

Change: three scenarios. A start is kept while its worker is down for 6 s and its job is cancelled, or its zone evacuated. A worker restarts as another kind on a connection that outlasts it, before its new entry is read.

Two starts are executed 6.8 s after the cancellation, and two 6.8 s after the evacuation, for which 5 s are permitted. Each runs for 0.4 s, until a report lists it and it is stopped. The worker of another kind runs all four tasks.

Ruled out: the stop. It is repeated until the leader takes the lease for over, and no longer.

Conclusion: the same cause outside rule TWICE.

--- a/tests/amaranthflow_scheduler/incarnations.feature
+++ b/tests/amaranthflow_scheduler/incarnations.feature
@@ -178,3 +178,40 @@
     When a report of its former life, requested at 1 s, arrives at 2.5 s
     Then the task has no other start and no crash
     And the worker's clock is held to be 1 s at most
+
+  Scenario: No task starts after its job was cancelled while its worker was down
+    Given a task fleet of 3 instances and 2 workers with seed 1
+    And starts that come while a task worker is down are executed 0.8 s after its restart
+    When task worker "w1" goes down
+    And task job "a" with steps "4x12" is accepted
+    And 0.1 s pass in the task fleet
+    And task job "a" is cancelled
+    And 6 s pass in the task fleet
+    And task worker "w1" is up again
+    And 9 s pass in the task fleet
+    Then task worker "w1" has executed a call of a former life
+    And the task fleet violated no invariant
+
+  Scenario: No task starts in a zone that was evacuated while its worker was down
+    Given a task fleet of 3 instances and 2 workers with seed 1
+    And task workers "w1" are in zone "z2"
+    And starts that come while a task worker is down are executed 0.8 s after its restart
+    When task worker "w1" goes down
+    And task job "a" with steps "4x12" is accepted
+    And 0.1 s pass in the task fleet
+    And the operator evacuates zone "z2"
+    And 6 s pass in the task fleet
+    And task worker "w1" is up again
+    And 9 s pass in the task fleet
+    Then task worker "w1" has executed a call of a former life
+    And no run starts in zone "z2" later than 5 s after that
+
+  Scenario: No task starts on a worker that has restarted as another kind
+    Given a task fleet of 3 instances and 2 workers with seed 1
+    And connections to task workers outlast their restarts
+    And task worker "w1" is of kind "b"
+    And 3 s pass in the task fleet
+    When task worker "w1" crashes and restarts as kind "a"
+    And task job "a" that requires kind "b" is submitted with steps "4x0.5"
+    And 9 s pass in the task fleet
+    Then no task of the task fleet has run on a worker of kind "a"
--- a/tests/steps/incarnations_steps.py
+++ b/tests/steps/incarnations_steps.py
@@ -254,3 +254,9 @@
 def step_clock(context):
     clock_ms = context.worker.min_clock_ms(2.5)
     assert clock_ms <= 1_000, clock_ms
+
+
+@behave.then('no task of the task fleet has run on a worker of kind "{kind}"')
+def step_other_kind(context, kind):
+    found = [r for w, r in context.fleet.runs if kind in w.entry.labels]
+    assert not found, found
