--- a/tests/amaranthflow_scheduler/incarnations.feature
+++ b/tests/amaranthflow_scheduler/incarnations.feature
@@ -215,3 +215,16 @@
     And task job "a" that requires kind "b" is submitted with steps "4x0.5"
     And 9 s pass in the task fleet
     Then no task of the task fleet has run on a worker of kind "a"
+
+  Scenario: No task runs twice after a new life has forgotten the next leader's token
+    Given a task fleet of 3 instances and 2 workers with seed 1
+    And the leader cannot reach task worker "w2"
+    And 2 s pass in the task fleet
+    And task job "a" with steps "8x30" is accepted
+    And 1 s pass in the task fleet
+    When the leader can neither write to the store nor be asked
+    And task job "b" with steps "1x12" is accepted
+    And task worker "w1" restarts as soon as "b" runs
+    And 30 s pass in the task fleet
+    Then the start of a run on "w1" was answered by a later life
+    And the task fleet violated no invariant
--- a/tests/steps/incarnations_steps.py
+++ b/tests/steps/incarnations_steps.py
@@ -260,3 +260,32 @@
 def step_other_kind(context, kind):
     found = [r for w, r in context.fleet.runs if kind in w.entry.labels]
     assert not found, found
+
+
+@behave.given('the leader cannot reach task worker "{name}"')
+def step_unreachable(context, name):
+    fleet = context.fleet
+    fleet.workers[name].faults.unreachable_from.add(fleet.leader())
+
+
+@behave.when('the leader can neither write to the store nor be asked')
+def step_no_renewal(context):
+    fleet = context.fleet
+    leader = fleet.leader()
+    for table in (ports.Table.LEADERS, ports.Table.PROGRESS):
+        fleet.store.faults.silent_tables.add((leader, table))
+    fleet.frozen.add(leader)
+
+
+async def _restart_once_run(fleet, name, job_id):
+    while not any(run.task.job == job_id for _, run in fleet.runs):
+        await asyncio.sleep(0.001)
+    fleet.workers[name].crash()
+    fleet.workers[name].restart()
+
+
+@behave.when('task worker "{name}" restarts as soon as "{job_id}" runs')
+def step_restart_once_run(context, name, job_id):
+    context.loop.run_until_complete(
+        _restart_once_run(context.fleet, name, job_id)
+    )
