Take a start that a later incarnation answers for unanswered

Cause: a worker's answer to a start counted for the incarnation that the start was meant for. If the worker had restarted just before, the leader held the run's lease by the former clock, and the next renewal still acknowledged ends by the former numbers, which dropped the run's own end.

Change: each answer has the worker's clock, which goes back only with a restart. Such a start counts as unanswered, so that its run is stopped or found in a report, and its task is held as long. Until the next report no call acknowledges ends or sets a deadline.

Ruled out: to adopt the run at once. Its lease and the number of its end are not known before a report.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/command_sender.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/command_sender.py
@@ -122,7 +122,11 @@
             )
             started_s = self._clock.monotonic()
             if clock_ms < min_clock_ms:
+                worker.restart_suspected = True
                 self._log_other_incarnation(attempt, clock_ms, min_clock_ms)
+                # That run has another lease, and its end another number.
+                reason = 'a later incarnation has answered'
+                raise exceptions.PlatformUncertain(reason)
             self._core.on_started(attempt, started_s, started_s - now_s)
             self._meters.observe('start', started_s - now_s)
             return
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -931,7 +931,11 @@
         link = self._links.get(worker)
         # The first call on a connection may reach another incarnation of the
         # worker. It must neither acknowledge ends nor rely on the known clock.
-        connected = link.connected() and worker.born_ms != 0
+        connected = (
+            link.connected()
+            and worker.born_ms != 0
+            and not worker.restart_suspected
+        )
         token = self._tokens.for_call(worker)
         sent_s = self._clock.monotonic()
         deadline_ms = None
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -582,6 +582,7 @@
         incarnations.on_answer(worker, token, now_s, self._limits.hold_max_s)
         worker.lapsed.clear()
         worker.unanswered = 0
+        worker.restart_suspected = False
         worker.sync_clock(report.clock_ms, now_s)
         worker.last_report_s = now_s
         ended = {(end.task, end.run) for end in report.ended}
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
@@ -56,6 +56,8 @@
     :ivar token: fencing token of the calls to this incarnation.
     :ivar former_token: highest token of calls to earlier ones.
     :ivar fenced: it has answered a call with a higher token than those.
+    :ivar restart_suspected: a later incarnation has answered a start; cleared
+        by the next report.
     :ivar deadline_ms: latest lease deadline that was sent to this incarnation.
     :ivar unanswered: calls for reports since the last answer.
     :ivar processed_end: number of the last processed end of a run.
@@ -98,6 +100,7 @@
     token: model.Token = model.Token(0)
     former_token: model.Token = model.Token(0)
     fenced: bool = False
+    restart_suspected: bool = False
     deadline_ms: int = 0
     unanswered: int = 0
     processed_end: int = 0
