Drop a report that a later incarnation's report has overtaken

Change: a report of another incarnation counts only if it was requested after the first report of the known one had arrived. Start times are not compared, since a worker's time of day may be set back.

Today's leader asks for one report of a worker at a time, so that it could not happen; no case of the incident.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/incarnations.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/incarnations.py
@@ -53,7 +53,29 @@
         return self.newest > worker.former_token
 
 
-def on_restart(worker: workers.Worker, report: ports.WorkerReport) -> None:
+def is_overtaken(
+    worker: workers.Worker, report: ports.WorkerReport, sent_s: float
+) -> bool:
+    """Returns whether a report of an earlier incarnation has arrived late.
+
+    :param sent_s: when the report was requested. After the first report of
+        the present incarnation had arrived, only that one or a later one can
+        answer.
+    """
+    if report.born_ms == worker.born_ms or sent_s >= worker.born_reported_s:
+        return False
+    logs.event(
+        'report_overtaken',
+        worker=worker.id,
+        born_ms=report.born_ms,
+        present_born_ms=worker.born_ms,
+    )
+    return True
+
+
+def on_restart(
+    worker: workers.Worker, report: ports.WorkerReport, now_s: float
+) -> None:
     """Resets what is known about a worker's previous incarnation.
 
     :param report: first report of the present one.
@@ -72,6 +94,7 @@
         worker.fenced = False
         worker.former_token = worker.token
     worker.born_ms = report.born_ms
+    worker.born_reported_s = now_s
     worker.deadline_ms = 0
     worker.processed_end = worker.stored_end = 0
     worker.backoff_until_s = 0.0
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -567,13 +567,15 @@
         :param token: token of that call; None if it is higher than those of
             all calls to earlier incarnations.
         """
+        if incarnations.is_overtaken(worker, report, sent_s):
+            return
         if report.born_ms != worker.born_ms:
             known = {(row.task, row.run) for row in report.running}
             known.update((end.task, end.run) for end in report.ended)
             self._on_crash(worker, report.born_ms, now_s, now_ms, known)
             if now_s - self._elected_s > _JOB_DISCOVERY_S:
                 worker.up_since_s = now_s
-            incarnations.on_restart(worker, report)
+            incarnations.on_restart(worker, report, now_s)
             key = (worker.id, report.born_ms)
             history = self._known_histories.pop(key, None)
             worker.history = history or worker.history
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
@@ -53,6 +53,7 @@
     :ivar clock_ms: last reading of the worker's clock.
     :ivar clock_s: when that reading arrived.
     :ivar born_ms: start time of the worker process; 0 if unknown.
+    :ivar born_reported_s: when that incarnation first reported.
     :ivar token: fencing token of the calls to this incarnation.
     :ivar former_token: highest token of calls to earlier ones.
     :ivar fenced: it has answered a call with a higher token than those.
@@ -97,6 +98,7 @@
     clock_ms: int = 0
     clock_s: float = 0.0
     born_ms: int = 0
+    born_reported_s: float = float('-inf')
     token: model.Token = model.Token(0)
     former_token: model.Token = model.Token(0)
     fenced: bool = False
