Start nothing on a worker that restarts while the term is not confirmed

Cause: a leader whose renewals fail may start tasks for a while, since a newer leader sets its token at each worker before it starts anything.

Change: a leader that may have been replaced gives a new incarnation no token, so that it gets no runs until a renewal of the term is stored.

Cost: during an outage of the store a worker that restarts gets no runs until the store is back.

Not covered: a worker that the leader meets for the first time in that state.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/incarnations.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/incarnations.py
@@ -12,6 +12,8 @@
 start has had no effect.
 """
 
+import typing as t
+
 from . import execution
 from . import logs
 from . import model
@@ -33,10 +35,17 @@
     the two terms.
 
     :ivar newest: the highest token so far.
+
+    :param is_exclusive: tells whether no other leader can have been elected. A
+        new incarnation knows no newer leader's token, so that its answer does
+        not tell.
     """
 
-    def __init__(self, term: model.Token):
+    def __init__(
+        self, term: model.Token, *, is_exclusive: t.Callable[[], bool]
+    ):
         self.newest = term
+        self._is_exclusive = is_exclusive
 
     def on_stored(self, offset: int) -> None:
         """Notes that the store has a record of the term at an offset."""
@@ -44,13 +53,15 @@
 
     def for_call(self, worker: workers.Worker) -> model.Token:
         """Returns the token of the next call to a worker."""
-        if not worker.fenced:
+        if not worker.token or self.can_fence(worker):
             worker.token = self.newest
         return worker.token
 
     def can_fence(self, worker: workers.Worker) -> bool:
-        """Returns whether the newest token is too high for earlier calls."""
-        return self.newest > worker.former_token
+        """Returns whether a worker may get a higher token than before."""
+        if worker.fenced or self.newest <= worker.former_token:
+            return False
+        return self._is_exclusive()
 
 
 def is_overtaken(
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -169,7 +169,9 @@
         self._job_memory = job_memory.JobMemory(
             max_bytes=deps.limits.jobs_bytes
         )
-        self._tokens = incarnations.Tokens(term.token)
+        self._tokens = incarnations.Tokens(
+            term.token, is_exclusive=self._is_exclusive
+        )
         self._links = links.Links(factory=deps.link_factory)
         self._contacts = contacts.Contacts()
         self._sender = command_sender.CommandSender(
@@ -520,6 +522,9 @@
         A newer leader would start them at once, on workers that still report
         to this one.
         """
+        return self._is_exclusive()
+
+    def _is_exclusive(self) -> bool:
         return self._tenure.is_exclusive(self._clock.monotonic())
 
     def _log_suspension(self) -> None:
