Review: fill in the settings' template as the deploy page says; test it

Cause: all scripts of review/ exited with 2 before anything was played. The stand-ins' rendering knew no section with a dotted name, as the template has since bounds.evacuate_ms, and they gave neither limits.memory_mb nor limits.max_fds.

Change: templates.py renders values, JSON, sections, inverted sections, keys, commas and names of the entry first; instances give the two limits, with the values of the deploy page's example. The checks in case.py are as they were. tests/platform/review.feature renders the real template with the fields of a review instance and lets the program's own parser read the result; no process starts. A value as JSON that is not among the fields is an error that names it: that is how a field that the template newly needs shows.

--- a/review/standins/instances.py
+++ b/review/standins/instances.py
@@ -4,15 +4,14 @@
 import json
 import os
 import pathlib
-import re
 import signal
 import socket
 import tomllib
 
+from . import templates
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 _START_TIMEOUT_S = 20.0
-_PLACEHOLDER = re.compile(r'\{\{([a-z_.]+)\|json\}\}')
-_SECTION = re.compile(r'\{\{#([a-z_]+)\}\}.*?\{\{/\1\}\}', re.DOTALL)
 
 
 def loopback_net() -> str:
@@ -27,19 +26,6 @@
         return sock.getsockname()[1]
 
 
-def _render(template: str, fields: dict) -> str:
-    """Fills in the template of the settings; no section applies here."""
-    text = _SECTION.sub('', template)
-
-    def value(match: re.Match) -> str:
-        found = fields
-        for name in match[1].split('.'):
-            found = found[name]
-        return json.dumps(found)
-
-    return _PLACEHOLDER.sub(value, text)
-
-
 class Instance:
     """An instance on a loopback address of its own."""
 
@@ -60,9 +46,9 @@
             (ROOT / 'deploy' / 'system.toml').read_text()
         )
 
-    def _write_settings(self, seeds: list[str]) -> None:
-        role = self._deploy['roles']['instance']
-        fields = {
+    def fields(self, seeds: list[str]) -> dict:
+        """Returns the fields that the template of the settings may use."""
+        return {
             'node_name': self.name,
             'listen': {
                 'front': self.front,
@@ -70,20 +56,32 @@
                 'control': self.control,
             },
             'seeds': seeds,
+            'advice': None,
             'platform': {'address': self._store},
             'bounds': {
                 'hold_max_ms': 6_000,
                 'status_s': 120,
                 'grace_s': 6,
             },
-            'limits': {'cpu_share': 0.537, 'cores': 2, 'link_mbps': 1000.0},
+            'limits': {
+                'cpu_share': 0.537,
+                'cores': 2,
+                'memory_mb': 300,
+                'max_fds': 4_100,
+                'link_mbps': 1000.0,
+            },
         }
+
+    def write_settings(self, fields: dict) -> pathlib.Path:
+        """Writes the settings that the process reads; returns their path."""
+        role = self._deploy['roles']['instance']
         template = (ROOT / role['template']).read_text()
-        self._settings.write_text(_render(template, fields))
+        self._settings.write_text(templates.render(template, fields))
+        return self._settings
 
     async def start(self, seeds: list[str]) -> None:
         """Starts the process; returns once it listens."""
-        self._write_settings(seeds)
+        self.write_settings(self.fields(seeds))
         words = self._deploy['roles']['instance']['run'].split()
         env = {
             name: os.environ[name]
