Record which starts no worker has confirmed

Cause: the next leader took each recorded run on a silent worker for over once the leases of its predecessor had ended, counted from its own election. If the start had not been answered, a later incarnation of the worker might execute it afterwards, with the longest lease.

Change: a job's progress record lists its unconfirmed attempts. The next leader holds them like its own: until the worker reports, or 3.5 s (2 s) and the longest lease have passed since its election.

Not covered: a start that was sent in the last 20 to 60 ms before the leader ended and is in no record; restored jobs wait 6.3 s for silent workers as before.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
@@ -440,6 +440,16 @@
         suspects=[
             _encode_suspect(task) for task in job_run.tasks() if task.crashes
         ],
+        unconfirmed=[
+            [
+                attempt.task.key.occurrence,
+                attempt.task.key.step,
+                attempt.task.key.index,
+                attempt.run,
+            ]
+            for attempt in job_run.attempts()
+            if not attempt.confirmed
+        ],
     )
 
 
@@ -450,6 +460,7 @@
     complete_steps: list,
     tasks: list,
     suspects: t.Sequence[list] = (),
+    unconfirmed: t.Sequence[list] = (),
 ) -> bytes:
     fields = [
         _FORMAT,
@@ -461,9 +472,11 @@
         complete_steps,
         tasks,
     ]
-    if suspects:
-        # Earlier versions cannot read records with this field.
+    if suspects or unconfirmed:
+        # Earlier versions cannot read records with these fields.
         fields.append(suspects)
+    if unconfirmed:
+        fields.append(unconfirmed)
     return msgspec.json.encode(fields)
 
 
@@ -533,6 +546,9 @@
             list[tuple[str, _Number, _Number, bool]],
         ]
     ] = []
+    # Occurrence, step, index and number of the attempts that no worker has
+    # confirmed.
+    unconfirmed: list[tuple[_Number, _Number, _Number, _Number]] = []
 
 
 def decode_ended(job_id: ids.JobId, value: bytes) -> EndedJob:
@@ -574,6 +590,8 @@
             _restore_task(job_run, row, now_s)
         for row in fields.suspects:
             _restore_suspect(job_run, row)
+        for row in fields.unconfirmed:
+            _restore_unconfirmed(job_run, row, now_s)
 
 
 @contextlib.contextmanager
@@ -644,3 +662,13 @@
         born_ms, isolated = sent.get((attempt.worker, attempt.run), (0, False))
         attempt.born_ms = born_ms
         attempt.isolated = isolated
+
+
+def _restore_unconfirmed(job_run: JobRun, row: tuple, now_s: float) -> None:
+    """Marks an attempt whose start may have been sent until now."""
+    occurrence, number, index, run = row
+    step_run = _find_or_open_step(job_run, occurrence, number)
+    for attempt in step_run.tasks[index].attempts:
+        if attempt.run == run:
+            attempt.confirmed = False
+            attempt.sent_s = now_s
