A test of a start later than its stop and a restart

The life that accepted the stop and listed no run (`start-void`) is not the one that executes the start.

Change: a scenario. With keeps_calls, the stand-in worker no longer forgets such a command at its restart; without that fault it does as before.

Ruled out: the deadline.

Conclusion: `start-void` holds for one life of the worker, like the other proofs.

--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_worker.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_worker.py
@@ -552,8 +552,9 @@
     def _execute_late(
         self, incarnation: int, command: t.Callable[..., int], *args: t.Any
     ) -> None:
-        # A restarted worker does not know the commands sent before.
         if not self._worker.up or self._worker.incarnation != incarnation:
+            # The process that the command was sent to has ended meanwhile.
+            self._keep(command, *args)
             return
         try:
             command(*args)
--- a/tests/amaranthflow_scheduler/incarnations.feature
+++ b/tests/amaranthflow_scheduler/incarnations.feature
@@ -52,6 +52,21 @@
     Then task worker "w1" has executed a call of a former life
     And the task fleet violated no invariant
 
+  Scenario: No task runs twice after a start that comes later than its stop and a restart
+    Given a task fleet of 3 instances and 2 workers with seed 1
+    And starts that come while a task worker is down are executed 0.0 s after its restart
+    And 15 s pass in the task fleet
+    And commands to task worker "w1" are executed late
+    When task job "a" with steps "4x30" is accepted
+    And 0.1 s pass in the task fleet
+    And commands to task worker "w1" are executed at once again
+    And 1 s pass in the task fleet
+    And task worker "w1" goes down
+    And task worker "w1" is up again
+    And 30 s pass in the task fleet
+    Then task worker "w1" has executed a call of a former life
+    And the task fleet violated no invariant
+
   Scenario: No task runs twice after a start that a report of the next life does not list yet
     Given a task fleet of 3 instances and 2 workers with seed 1
     And starts that come while a task worker is down are executed 0.8 s after its restart
--- a/tests/steps/incarnations_steps.py
+++ b/tests/steps/incarnations_steps.py
@@ -116,6 +116,11 @@
         worker.faults.keeps_only_starts = True
 
 
+@behave.when('commands to task worker "{name}" are executed at once again')
+def step_at_once(context, name):
+    context.fleet.workers[name].faults.delayed_share = 0.0
+
+
 @behave.when('task worker "{name}" goes down')
 def step_down(context, name):
     context.fleet.workers[name].crash()
