--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/incarnations.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/incarnations.py
@@ -159,13 +159,16 @@
     return visible_from_s is not None and visible_from_s <= sent_s
 
 
-def may_run_unseen(
+def may_still_run(
     attempt: execution.Attempt, now_s: float, max_lease_s: float
 ) -> bool:
-    """Returns whether a silent worker may run what it has not confirmed.
+    """Returns whether a run may exist on a worker whose leases have ended.
 
-    It may have restarted and executed the start later than it was sent.
+    The worker is silent. It may still execute the start, or have restarted and
+    executed it later than it was sent.
     """
+    if attempt.visible_from_s is None or attempt.visible_from_s > now_s:
+        return True
     if attempt.confirmed:
         return False
     is_service = attempt.task.step_run.step.service
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -1057,7 +1057,9 @@
                 found = crashes.on_silence(worker, losses)
                 self.dirty.update(attempt.task.key.job for attempt in found)
                 for attempt in list(worker.attempts):
-                    if self._may_still_start(attempt, now_s):
+                    if incarnations.may_still_run(
+                        attempt, now_s, self._limits.hold_max_s
+                    ):
                         continue
                     self._remove(attempt, 'lease-lapsed')
             if worker.entry.state is model.WorkerState.DRAINING:
@@ -1069,16 +1071,6 @@
         self._apply_remedies(now_s, now_ms)
         self._move_slowed(now_s)
 
-    def _may_still_start(
-        self, attempt: execution.Attempt, now_s: float
-    ) -> bool:
-        """Returns whether a silent worker may execute a start command."""
-        if attempt.visible_from_s is None or attempt.visible_from_s > now_s:
-            return True
-        return incarnations.may_run_unseen(
-            attempt, now_s, self._limits.hold_max_s
-        )
-
     def _drain(self, worker: workers.Worker, now_s: float) -> None:
         """Stops the runs that lose no work or would not end by themselves."""
         for attempt in worker.attempts:
--- a/tests/amaranthflow_scheduler/incarnations.feature
+++ b/tests/amaranthflow_scheduler/incarnations.feature
@@ -27,7 +27,7 @@
     And <down> s pass in the task fleet
     And task worker "w1" is up again, cut off for 9 s
     And 30 s pass in the task fleet
-    Then task worker "w1" has executed a call of a former life
+    Then task worker "w1" has executed a call of a former incarnation
     And the task fleet violated no invariant
 
     Examples:
@@ -37,7 +37,7 @@
       | 0.9  | 0.8  |
       | 5.0  | 0.8  |
 
-  Scenario: No task runs twice after a start that outlasts the life that accepted its stop
+  Scenario: No task runs twice after a start that outlasts the incarnation that accepted its stop
     Given a task fleet of 3 instances and 2 workers with seed 1
     And starts that come while a task worker is down are executed 0.8 s after its restart
     When task worker "w1" goes down
@@ -49,7 +49,7 @@
     And 0.3 s pass in the task fleet
     And task worker "w1" is up again
     And 30 s pass in the task fleet
-    Then task worker "w1" has executed a call of a former life
+    Then task worker "w1" has executed a call of a former incarnation
     And the task fleet violated no invariant
 
   Scenario: No task runs twice after a start that comes later than its stop and a restart
@@ -64,10 +64,10 @@
     And task worker "w1" goes down
     And task worker "w1" is up again
     And 30 s pass in the task fleet
-    Then task worker "w1" has executed a call of a former life
+    Then task worker "w1" has executed a call of a former incarnation
     And the task fleet violated no invariant
 
-  Scenario: No task runs twice after a start that a report of the next life does not list yet
+  Scenario: No task runs twice after a start that a report of the next incarnation does not list yet
     Given a task fleet of 3 instances and 2 workers with seed 1
     And starts that come while a task worker is down are executed 0.8 s after its restart
     And commands to task worker "w1" are executed late
@@ -76,7 +76,7 @@
     And 1.5 s pass in the task fleet
     And task worker "w1" is up again
     And 30 s pass in the task fleet
-    Then task worker "w1" has executed a call of a former life
+    Then task worker "w1" has executed a call of a former incarnation
     And the task fleet violated no invariant
 
   Scenario Outline: No task runs twice after its leader ended while its worker restarted: <how>
@@ -90,7 +90,7 @@
     And <more> s pass in the task fleet
     And task worker "w1" is up again, cut off for 20 s
     And 30 s pass in the task fleet
-    Then task worker "w1" has executed a call of a former life
+    Then task worker "w1" has executed a call of a former incarnation
     And the task fleet violated no invariant
 
     Examples:
@@ -102,7 +102,7 @@
       | all task instances are killed and start again at once, twice | 1.2  | 0.8  |
       | the task fleet's leader is killed                            | 2.0  | 0.8  |
 
-  Scenario Outline: No task runs twice after a start that a later life has answered
+  Scenario Outline: No task runs twice after a start that a later incarnation has answered
     Given a task fleet of 3 instances and 2 workers with seed 1
     And 9 s pass in the task fleet
     When task worker "w1" goes down
@@ -111,7 +111,7 @@
     And <later> s pass in the task fleet
     And task worker "w1" is cut off for 9 s
     And 30 s pass in the task fleet
-    Then the start of a run on "w1" was answered by a later life
+    Then the start of a run on "w1" was answered by a later incarnation
     And the task fleet violated no invariant
 
     Examples:
@@ -139,7 +139,7 @@
       | 1 s pass in the task fleet                          |
       | the store does not respond to all task instances    |
 
-  Scenario Outline: No task is done twice after a former life's renewal has dropped ends, later ones <later>
+  Scenario Outline: No task is done twice after a former incarnation's renewal has dropped ends, later ones <later>
     Given a task fleet of 3 instances and 2 workers with seed 1
     And calls that come while a task worker is down are executed <seconds> s after its restart
     And ends below an acknowledged number are dropped later, too: <later>
@@ -151,8 +151,8 @@
     And 0.1 s pass in the task fleet
     And task worker "w1" is cut off for <cut> s
     And 9 s pass in the task fleet
-    Then the start of a run on "w1" was answered by a later life
-    And task worker "w1" has executed a call of a former life
+    Then the start of a run on "w1" was answered by a later incarnation
+    And task worker "w1" has executed a call of a former incarnation
     And no task of the task fleet has run again after it was done
     And the task fleet violated no invariant
 
@@ -172,7 +172,7 @@
     And 0.1 s pass in the task fleet
     And task worker "w1" is cut off for 9 s
     And 30 s pass in the task fleet
-    Then the start of a run on "w1" was answered by a later life
+    Then the start of a run on "w1" was answered by a later incarnation
     And the task fleet violated no invariant
 
   Scenario: No task is done twice after a connection that outlasts the restart of its worker
@@ -184,13 +184,13 @@
     And task worker "w1" is up again
     And task job "a" with steps "4x0.3" is accepted
     And 9 s pass in the task fleet
-    Then the start of a run on "w1" was answered by a later life
+    Then the start of a run on "w1" was answered by a later incarnation
     And no task of the task fleet has run again after it was done
     And the task fleet violated no invariant
 
-  Scenario: A report of a former life that comes late changes nothing for the present one
+  Scenario: A report of a former incarnation that comes late changes nothing for the present one
     Given a scheduler's worker that restarted at 1.5 s and runs a task since 2 s
-    When a report of its former life, requested at 1 s, arrives at 2.5 s
+    When a report of its former incarnation, requested at 1 s, arrives at 2.5 s
     Then the task has no other start and no crash
     And the worker's clock is held to be 1 s at most
 
@@ -204,7 +204,7 @@
     And 6 s pass in the task fleet
     And task worker "w1" is up again
     And 9 s pass in the task fleet
-    Then task worker "w1" has executed a call of a former life
+    Then task worker "w1" has executed a call of a former incarnation
     And the task fleet violated no invariant
 
   Scenario: No task starts in a zone that was evacuated while its worker was down
@@ -218,7 +218,7 @@
     And 6 s pass in the task fleet
     And task worker "w1" is up again
     And 9 s pass in the task fleet
-    Then task worker "w1" has executed a call of a former life
+    Then task worker "w1" has executed a call of a former incarnation
     And no run starts in zone "z2" later than 5 s after that
 
   Scenario: No task starts on a worker that has restarted as another kind
@@ -231,7 +231,7 @@
     And 9 s pass in the task fleet
     Then no task of the task fleet has run on a worker of kind "a"
 
-  Scenario: No task runs twice after a new life has forgotten the next leader's token
+  Scenario: No task runs twice after a new incarnation has forgotten the next leader's token
     Given a task fleet of 3 instances and 2 workers with seed 1
     And the leader cannot reach task worker "w2"
     And 2 s pass in the task fleet
@@ -241,7 +241,7 @@
     And task job "b" with steps "1x12" is accepted
     And task worker "w1" restarts as soon as "b" runs
     And 30 s pass in the task fleet
-    Then the start of a run on "w1" was answered by a later life
+    Then the start of a run on "w1" was answered by a later incarnation
     And the task fleet violated no invariant
 
   Scenario Outline: No task runs twice after a former clock's deadline and a change of the leader: <how>
--- a/tests/steps/incarnations_steps.py
+++ b/tests/steps/incarnations_steps.py
@@ -146,7 +146,9 @@
     context.loop.call_later(cut, _cut_off, [worker], False)
 
 
-@behave.then('task worker "{name}" has executed a call of a former life')
+@behave.then(
+    'task worker "{name}" has executed a call of a former incarnation'
+)
 def step_executed_kept(context, name):
     assert context.fleet.workers[name].kept_calls_executed
 
@@ -177,7 +179,9 @@
         worker.faults.keeps_connections = True
 
 
-@behave.then('the start of a run on "{name}" was answered by a later life')
+@behave.then(
+    'the start of a run on "{name}" was answered by a later incarnation'
+)
 def step_later_life(context, name):
     worker = context.fleet.workers[name]
     runs = [run for other, run in context.fleet.runs if other is worker]
@@ -241,7 +245,9 @@
     _report(context, 1_500, 600, [row], 2.1, 2.1)
 
 
-@behave.when('a report of its former life, requested at 1 s, arrives at 2.5 s')
+@behave.when(
+    'a report of its former incarnation, requested at 1 s, arrives at 2.5 s'
+)
 def step_late_report(context):
     _report(context, 1, _FORMER_CLOCK_MS + 1_000, [], 1.0, 2.5)
 
