Start nothing on workers that are met while the term is not confirmed

Change: such a worker gets runs once it has answered a call with the token of a later record of the term, like one that restarts.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/incarnations.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/incarnations.py
@@ -53,7 +53,11 @@
 
     def for_call(self, worker: workers.Worker) -> model.Token:
         """Returns the token of the next call to a worker."""
-        if not worker.token or self.can_fence(worker):
+        if not worker.token:
+            worker.token = self.newest
+            if not self._is_exclusive():
+                worker.former_token = self.newest
+        if self.can_fence(worker):
             worker.token = self.newest
         return worker.token
 
--- a/tests/amaranthflow_scheduler/incarnations.feature
+++ b/tests/amaranthflow_scheduler/incarnations.feature
@@ -266,3 +266,12 @@
       | all task instances are killed and start again at once | 0.4   |
       | the task fleet's leader steps down                    | 0.3   |
       | the task fleet's leader is killed                     | 0.3   |
+
+  Scenario: A worker that is met while another leader may have been elected gets no runs
+    Given the tokens of a term whose renewals fail
+    When a worker of the term answers its first call
+    Then the worker of the term is not fenced
+    When the store has a record of the term and the worker answers a call
+    Then the worker of the term is not fenced
+    When the term is confirmed and the worker answers a call
+    Then the worker of the term is fenced
--- a/tests/steps/incarnations_steps.py
+++ b/tests/steps/incarnations_steps.py
@@ -7,9 +7,11 @@
 
 from amaranthflow import ids
 from amaranthflow_scheduler import commands
+from amaranthflow_scheduler import incarnations
 from amaranthflow_scheduler import model
 from amaranthflow_scheduler import ports
 from amaranthflow_scheduler import scheduler
+from amaranthflow_scheduler import workers
 from amaranthflow_standins import task_fleet
 
 _JOBS_PER_S = 4
@@ -306,3 +308,48 @@
     context.loop.run_until_complete(
         _restart_once_run(context.fleet, name, job_id)
     )
+
+
+@behave.given('the tokens of a term whose renewals fail')
+def step_tokens(context):
+    context.confirmed = False
+    context.tokens = incarnations.Tokens(
+        model.Token(7), is_exclusive=lambda: context.confirmed
+    )
+    entry = task_fleet.worker_entry('w1', address='w1')
+    context.worker = workers.Worker(entry=entry, lease_end_s=0.0)
+
+
+def _answer(context):
+    worker = context.worker
+    token = context.tokens.for_call(worker)
+    incarnations.on_answer(worker, token, 1.0, 6.0)
+
+
+@behave.when('a worker of the term answers its first call')
+def step_first_answer(context):
+    _answer(context)
+
+
+@behave.when(
+    'the store has a record of the term and the worker answers a call'
+)
+def step_later_answer(context):
+    context.tokens.on_stored(7)
+    _answer(context)
+
+
+@behave.when('the term is confirmed and the worker answers a call')
+def step_confirmed_answer(context):
+    context.confirmed = True
+    _answer(context)
+
+
+@behave.then('the worker of the term is fenced')
+def step_fenced(context):
+    assert context.worker.fenced
+
+
+@behave.then('the worker of the term is not fenced')
+def step_not_fenced(context):
+    assert not context.worker.fenced
