Soak restarts of workers while calls wait; it fails

Change: a series of faults in the soak restarts half of the workers under their ids (down 0.3 to 0.9 s), calls that wait are executed by the next incarnation, and 0.2 to 1.0 s later cuts them off for about 9 s. Its callers get no response. It has random generators of its own. RestartSoak plays only this fault: three instances, six workers with room left, tasks of 0.3, 1.5 and 12 s. soak.feature plays it three times in a row, and once with the leader killed and back at once; another scenario shows that a waiting start is executed after the restart and neither it nor a renewal gets a response. It fails if the server answers.

--- a/tests/platform/soak.feature
+++ b/tests/platform/soak.feature
@@ -4,6 +4,20 @@
     When the real program is soaked for 8 s with seed 1
     Then callers got responses, tasks ran and no invariant was violated
 
+  Scenario Outline: No task runs twice when workers restart while calls wait and are then cut off
+    When half of the workers of the real program restart <rounds> times with seed <seed> and <killed> is killed
+    Then callers got responses, tasks ran and no invariant was violated
+
+    Examples:
+      | rounds | seed | killed     |
+      | 3      | 1    | no process |
+      | 1      | 1    | the leader |
+
+  Scenario: A call that waits while a worker restarts is executed by its next incarnation
+    Given a stand-in worker behind an HTTP server that keeps calls
+    When it restarts after 0.3 s while a start and a renewal wait for it
+    Then neither of them gets a response and the start is executed within 1 s
+
   Scenario: A run of a refused job is detected
     Given a history in which a task of a refused job ran
     Then 1 violation names the job
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -2,19 +2,26 @@
 
 import asyncio
 import pathlib
+import random
 import tempfile
 
+from amaranthflow_platform_standins import restart_soak
 from amaranthflow_platform_standins import servers
 from amaranthflow_platform_standins import soak
 import behave
 
 from amaranthflow import ids
+from amaranthflow_platform import worker_links
 from amaranthflow_scheduler import model
+from amaranthflow_scheduler import ports
 from amaranthflow_standins import proxy
+from amaranthflow_standins import task_fleet
 from amaranthflow_standins import task_history
+from amaranthflow_standins import task_shapes
 from amaranthflow_standins import task_worker
 
 _HOST = '127.0.0.1'
+_KEY = model.TaskKey(ids.JobId(servers.job_id(1)), 0, 0, 0)
 
 
 @behave.when('the real program is soaked for {seconds:g} s with seed {seed:d}')
@@ -28,6 +35,21 @@
         )
 
 
+@behave.when(
+    'half of the workers of the real program restart {rounds:d} times with '
+    'seed {seed:d} and {killed} is killed'
+)
+def step_restarts(context, rounds, seed, killed):
+    with tempfile.TemporaryDirectory() as folder:
+        context.report = soak.run_soak(
+            seed,
+            folder=pathlib.Path(folder),
+            kind=restart_soak.RestartSoak,
+            rounds=rounds,
+            kills_leader=killed == 'the leader',
+        )
+
+
 @behave.then('callers got responses, tasks ran and no invariant was violated')
 def step_soaked(context):
     report = context.report
@@ -37,13 +59,87 @@
     assert report.jobs and report.runs and report.answers.get(200), report
 
 
+@behave.given('a stand-in worker behind an HTTP server that keeps calls')
+def step_worker(context):
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    context.add_cleanup(lambda: _run(context, _close_worker(context)))
+    _run(context, _open_worker(context))
+
+
+async def _open_worker(context):
+    rng = random.Random(1)
+    plan = task_shapes.RandomPlan(rng=rng, fail_share=0.0)
+    plan.steps[servers.job_id(1)] = [
+        model.Step(
+            count=1, resources=model.Resources(1, 1, 0), estimate_ms=9_000
+        )
+    ]
+    context.worker = task_worker.TaskWorker(
+        entry=task_fleet.worker_entry('w1', address=''),
+        plan=plan,
+        rng=rng,
+        history=[],
+    )
+    context.worker.faults.keeps_calls = True
+    handler = servers.WorkerHandler(worker=context.worker, rng=rng)
+    context.server, port = await servers.serve(handler, _HOST)
+    context.link = worker_links.WorkerLink(
+        worker=context.worker.id, address=f'{_HOST}:{port}'
+    )
+
+
+async def _close_worker(context):
+    context.link.close()
+    context.server.stop()
+    for task in asyncio.all_tasks() - {asyncio.current_task()}:
+        task.cancel()
+    await asyncio.sleep(0.02)
+
+
+@behave.when(
+    'it restarts after {seconds:g} s while a start and a renewal wait for it'
+)
+def step_calls_wait(context, seconds):
+    async def send():
+        link, token = context.link, model.Token(1)
+        renewal = context.loop.create_task(
+            link.renew_leases(
+                token=token, acknowledged=0, deadline_ms=None, wait_ms=500
+            )
+        )
+        # The connection for commands is open before the process ends, too.
+        await link.stop(_KEY, model.RunNumber(0), token)
+        context.worker.crash()
+        context.loop.call_later(seconds, context.worker.restart)
+        command = ports.StartCommand(
+            task=_KEY, run=model.RunNumber(1), payload='', deadline_ms=5_000
+        )
+        return await asyncio.gather(
+            link.start(command, token), renewal, return_exceptions=True
+        )
+
+    context.answers = _run(context, send())
+
+
+@behave.then(
+    'neither of them gets a response and the start is executed within '
+    '{seconds:g} s'
+)
+def step_start_executed(context, seconds):
+    for answer in context.answers:
+        assert str(answer).startswith('no response within'), context.answers
+    _run(context, asyncio.sleep(seconds))
+    assert context.worker.incarnation == 2, context.worker.incarnation
+    assert list(context.worker.running) == [_KEY], context.worker.running
+
+
 @behave.given('a history in which a task of a refused job ran')
 def step_refused_ran(context):
     context.history = task_history.TaskHistory()
     job_id = servers.job_id(1)
-    key = model.TaskKey(ids.JobId(job_id), 0, 0, 0)
     run = task_worker.StandinRun(
-        task=key, run=1, token=1, started_s=1.0, duration_s=1.0
+        task=_KEY, run=1, token=1, started_s=1.0, duration_s=1.0
     )
     context.history.refused.add(job_id)
     context.history.runs.append((None, run))
