Count the leases of a restarted worker as the longest ones before it is fenced

Cause: a run that a new incarnation lists before it is fenced counted as confirmed, and its lease as the leader had asked for it. Calls for the former incarnation might have set it up to 1.5 s later. Found by review, shown on the scheduler alone: the run was taken for gone 1.7 s early.

Change: each answer of an incarnation that is not fenced yet moves the end of its leases, not only the one that fences it.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/incarnations.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/incarnations.py
@@ -128,12 +128,14 @@
     :param max_lease_s: longest lease that a worker grants. Calls for an
         earlier incarnation may have set it until now.
     """
-    if worker.fenced or token <= worker.former_token:
+    if worker.fenced:
         return
-    worker.fenced = True
     worker.lease_end_s = max(
         worker.lease_end_s, workers.lease_end_s(now_s, max_lease_s)
     )
+    if token <= worker.former_token:
+        return
+    worker.fenced = True
     if worker.former_token:
         logs.event(
             'worker_fenced',
--- a/tests/amaranthflow_scheduler/incarnations.feature
+++ b/tests/amaranthflow_scheduler/incarnations.feature
@@ -276,6 +276,12 @@
     When the term is confirmed and the worker answers a call
     Then the worker of the term is fenced
 
+  Scenario: The lease of a restarted worker counts as the longest one before it is fenced
+    Given the tokens of a term whose renewals fail
+    When a worker of the term answers its first call
+    Then the worker of the term is not fenced
+    And its leases count until second 7.27
+
   Scenario Outline: Random failures beside workers that restart under their ids violate no invariant
     Given only a seed
     When the fleet fuzzer runs seed <seed> with workers that restart and are cut off
--- a/tests/steps/incarnations_steps.py
+++ b/tests/steps/incarnations_steps.py
@@ -353,3 +353,9 @@
 @behave.then('the worker of the term is not fenced')
 def step_not_fenced(context):
     assert not context.worker.fenced
+
+
+@behave.then('its leases count until second {second:g}')
+def step_leases(context, second):
+    end_s = context.worker.lease_end_s
+    assert round(end_s, 2) == second, end_s
