Record a job again once a start that was recorded as unconfirmed is answered

Cause: a record is written 20 to 60 ms after a start. Where the answer took longer, the record went on calling the run unconfirmed, and the next leader held a sound run on a silent worker for 9.8 s instead of 6.3 s.

Change: a confirmation marks the job for its record if the newest one says otherwise.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
@@ -53,6 +53,7 @@
     :ivar sent_s: when its start command was sent; 0 if unknown.
     :ivar token: fencing token of that command.
     :ivar confirmed: a worker has answered the start command or listed the run.
+    :ivar recorded_unconfirmed: the newest record says that none has.
     :ivar visible_from_s: a report requested at this time or later that does
         not list the run proves that the worker does not have it; None while
         the start command may still arrive.
@@ -86,6 +87,7 @@
     sent_s: float = 0.0
     token: model.Token = model.Token(0)
     confirmed: bool = False
+    recorded_unconfirmed: bool = False
     visible_from_s: float | None = None
     running_since_s: float = 0.0
     progressed_s: float = 0.0
@@ -440,16 +442,7 @@
         suspects=[
             _encode_suspect(task) for task in job_run.tasks() if task.crashes
         ],
-        unconfirmed=[
-            [
-                attempt.task.key.occurrence,
-                attempt.task.key.step,
-                attempt.task.key.index,
-                attempt.run,
-            ]
-            for attempt in job_run.attempts()
-            if not attempt.confirmed
-        ],
+        unconfirmed=_encode_unconfirmed(job_run),
     )
 
 
@@ -494,6 +487,16 @@
     ]
 
 
+def _encode_unconfirmed(job_run: JobRun) -> list[list[int]]:
+    rows = []
+    for attempt in job_run.attempts():
+        attempt.recorded_unconfirmed = not attempt.confirmed
+        if not attempt.confirmed:
+            key = attempt.task.key
+            rows.append([key.occurrence, key.step, key.index, attempt.run])
+    return rows
+
+
 def _encode_task(task: TaskRun) -> list:
     return [
         task.key.occurrence,
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -848,7 +848,7 @@
             attempt.state = execution.AttemptState.RUNNING
             attempt.visible_from_s = now_s
         if not attempt.confirmed:
-            attempt.confirmed = True
+            self._confirm(attempt)
             attempt.born_ms = self.workers[attempt.worker].born_ms
         if not attempt.reported:
             attempt.reported = True
@@ -926,7 +926,7 @@
     ) -> None:
         """Notes that a worker has started a run ``took_s`` after the call."""
         attempt.task.step_run.job_run.started = True
-        attempt.confirmed = True
+        self._confirm(attempt)
         if attempt.state is execution.AttemptState.SENT:
             attempt.state = execution.AttemptState.RUNNING
         attempt.visible_from_s = now_s
@@ -936,6 +936,11 @@
         if worker is not None:
             worker.history.on_answer(took_s)
 
+    def _confirm(self, attempt: execution.Attempt) -> None:
+        attempt.confirmed = True
+        if attempt.recorded_unconfirmed:
+            self.dirty.add(attempt.task.key.job)
+
     def on_start_refused(
         self, attempt: execution.Attempt, refusal: ports.Refusal, now_s: float
     ) -> None:
--- a/tests/amaranthflow_scheduler/incarnations.feature
+++ b/tests/amaranthflow_scheduler/incarnations.feature
@@ -293,3 +293,8 @@
       | 32   |
       | 34   |
       | 50   |
+
+  Scenario: A record tells that a start is confirmed, also if it was written before
+    Given a scheduler's worker that restarted at 1.5 s and runs a task since 2 s
+    When the start of another task is recorded and answered 0.1 s later
+    Then its job is recorded again, without an unconfirmed start
--- a/tests/steps/incarnations_steps.py
+++ b/tests/steps/incarnations_steps.py
@@ -1,9 +1,11 @@
 """Steps for the scheduler's incarnations.feature."""
 
 import asyncio
+import dataclasses
 import itertools
 
 import behave
+import msgspec
 
 from amaranthflow import ids
 from amaranthflow_scheduler import commands
@@ -359,3 +361,27 @@
 def step_leases(context, second):
     end_s = context.worker.lease_end_s
     assert round(end_s, 2) == second, end_s
+
+
+@behave.when(
+    'the start of another task is recorded and answered {seconds:g} s later'
+)
+def step_recorded(context, seconds):
+    core = context.core
+    job = dataclasses.replace(core.jobs[ids.JobId('a')].job, id=ids.JobId('b'))
+    core.add_job(job)
+    core.plan(2.2, 2_200)
+    (start,) = core.take_commands()
+    core.on_sent(start.attempt, 2.2)
+    context.before = core.progress_record(job.id)
+    core.dirty.clear()
+    core.on_started(start.attempt, 2.2 + seconds)
+
+
+@behave.then('its job is recorded again, without an unconfirmed start')
+def step_recorded_again(context):
+    core = context.core
+    assert core.dirty == {ids.JobId('b')}, core.dirty
+    after = core.progress_record(ids.JobId('b'))
+    assert len(msgspec.json.decode(context.before)) == 10, context.before
+    assert len(msgspec.json.decode(after)) == 8, after
