--- a/tests/amaranthflow_scheduler/incarnations.feature
+++ b/tests/amaranthflow_scheduler/incarnations.feature
@@ -67,6 +67,29 @@
     Then task worker "w1" has executed a call of a former incarnation
     And the task fleet violated no invariant
 
+  Scenario Outline: No task runs twice after a start that outlasts two restarts of its worker
+    Given a task fleet of 3 instances and 2 workers with seed 1
+    And starts that come while a task worker is down are executed 0.8 s after its restart
+    And 9 s pass in the task fleet
+    When task worker "w1" goes down
+    And task job "a" with steps "4x12" is accepted
+    And 0.2 s pass in the task fleet
+    And task worker "w1" is up again
+    And <up> s pass in the task fleet
+    And task worker "w1" goes down
+    And <down> s pass in the task fleet
+    And task worker "w1" is up again
+    And 30 s pass in the task fleet
+    Then task worker "w1" has executed a call of a former incarnation
+    And the task fleet violated no invariant
+
+    Examples:
+      | up   | down |
+      | 0.7  | 0.0  |
+      | 0.75 | 0.0  |
+      | 0.79 | 0.0  |
+      | 0.7  | 0.3  |
+
   Scenario: No task runs twice after a start that a report of the next incarnation does not list yet
     Given a task fleet of 3 instances and 2 workers with seed 1
     And starts that come while a task worker is down are executed 0.8 s after its restart
