--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/command_sender.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/command_sender.py
@@ -121,15 +121,14 @@
                 self._links.get(worker).start(command, token),
             )
             started_s = self._clock.monotonic()
-            if clock_ms < min_clock_ms:
-                worker.restart_suspected = True
-                self._log_other_incarnation(attempt, clock_ms, min_clock_ms)
-                # That run has another lease, and its end another number.
-                reason = 'a later incarnation has answered'
-                raise exceptions.PlatformUncertain(reason)
-            self._core.on_started(attempt, started_s, started_s - now_s)
-            self._meters.observe('start', started_s - now_s)
-            return
+            if clock_ms >= min_clock_ms:
+                self._core.on_started(attempt, started_s, started_s - now_s)
+                self._meters.observe('start', started_s - now_s)
+                return
+            # That run has another lease, and its end another number.
+            worker.restart_suspected = True
+            self._log_other_incarnation(attempt, clock_ms, min_clock_ms)
+            self._core.on_start_uncertain(attempt, void_s, started_s)
         except ports.CommandRefused as exc:
             if self._ends_term(exc, worker, token):
                 return
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
@@ -107,6 +107,15 @@
     crash_counted: bool = False
     last_listed_s: float | None = None
 
+    def confirm(self) -> bool:
+        """Notes that a worker has answered the start or listed the run.
+
+        Returns whether a record that says otherwise has to be replaced.
+        """
+        outdated = self.recorded_unconfirmed and not self.confirmed
+        self.confirmed = True
+        return outdated
+
     def on_progress(self, percent: float, now_s: float) -> None:
         """Notes the progress in a report."""
         if percent > self.percent:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/incarnations.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/incarnations.py
@@ -1,15 +1,15 @@
 """Which incarnation of a worker a call can still reach.
 
-Answers workers that start again under their ids. A call without a response
-may still be executed, also by the worker's next incarnation. That one knows no
-fencing token, and its clock and the numbers of its ends begin anew: it starts
-a run that was meant for the former one, and takes a deadline of the former
-clock for the longest lease.
+The load are workers that start again under their ids. A call without a
+response may still be executed, also by the worker's next incarnation. That one
+knows no fencing token, and its clock and the numbers of its ends begin anew:
+it starts a run that was meant for the former one, and takes a deadline of the
+former clock for the longest lease.
 
 So each incarnation gets a higher fencing token than those before. Once it has
-answered a call with this token it rejects everything that was sent to
-an earlier one. Until then it gets no runs, and its reports do not prove that a
-start has had no effect.
+answered a call with this token it rejects what was sent to earlier ones. Until
+then it gets no runs, and its reports do not prove that a start has had no
+effect.
 """
 
 import typing as t
@@ -119,13 +119,13 @@
 
 def on_answer(
     worker: workers.Worker,
-    token: model.Token,
+    token: model.Token | None,
     now_s: float,
     max_lease_s: float,
 ) -> None:
     """Handles that the present incarnation has answered a call.
 
-    :param token: token of the call.
+    :param token: token of the call; None if it is higher than all before.
     :param max_lease_s: longest lease that a worker grants. Calls for an
         earlier incarnation may have set it until now.
     """
@@ -134,7 +134,7 @@
     worker.lease_end_s = max(
         worker.lease_end_s, workers.lease_end_s(now_s, max_lease_s)
     )
-    if token <= worker.former_token:
+    if token is not None and token <= worker.former_token:
         return
     worker.fenced = True
     if worker.former_token:
@@ -150,7 +150,7 @@
 def is_gone(
     attempt: execution.Attempt,
     worker: workers.Worker,
-    token: model.Token,
+    token: model.Token | None,
     sent_s: float,
 ) -> bool:
     """Returns whether a complete report without a run proves its absence.
@@ -158,13 +158,14 @@
     A start that was sent to an earlier incarnation may be executed by the next
     one, if this one ends, until the start is too old.
 
-    :param token: token of the call that was answered with the report.
+    :param token: token of the call that was answered with the report; None if
+        it is higher than all before.
     :param sent_s: when that call was sent.
     """
     if attempt.state is execution.AttemptState.PLANNED:
         return False
     if not attempt.confirmed and attempt.born_ms != worker.born_ms:
-        if token <= attempt.token:
+        if token is not None and token <= attempt.token:
             return False
         # A start of an earlier leader was sent to an unknown incarnation.
         return not attempt.token or sent_s >= _last_execution_s(attempt)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -575,8 +575,6 @@
             key = (worker.id, report.born_ms)
             history = self._known_histories.pop(key, None)
             worker.history = history or worker.history
-        if token is None:
-            token = model.Token(worker.former_token + 1)
         incarnations.on_answer(worker, token, now_s, self._limits.hold_max_s)
         worker.lapsed.clear()
         worker.unanswered = 0
@@ -644,14 +642,14 @@
         self,
         worker: workers.Worker,
         ended: set[tuple[model.TaskKey, model.RunNumber]],
-        token: model.Token,
+        token: model.Token | None,
         sent_s: float,
         now_s: float,
     ) -> None:
         """Removes the attempts that a complete report shows to be gone.
 
         :param ended: the runs whose ends the report lists.
-        :param token: token of the call that requested the report.
+        :param token: token of the call for the report, see ``on_report``.
         """
         for attempt in list(worker.attempts):
             if attempt.last_listed_s == now_s:
@@ -848,8 +846,9 @@
             attempt.state = execution.AttemptState.RUNNING
             attempt.visible_from_s = now_s
         if not attempt.confirmed:
-            self._confirm(attempt)
             attempt.born_ms = self.workers[attempt.worker].born_ms
+        if attempt.confirm():
+            self.dirty.add(attempt.task.key.job)
         if not attempt.reported:
             attempt.reported = True
             if attempt.resumed or not attempt.running_since_s:
@@ -926,7 +925,8 @@
     ) -> None:
         """Notes that a worker has started a run ``took_s`` after the call."""
         attempt.task.step_run.job_run.started = True
-        self._confirm(attempt)
+        if attempt.confirm():
+            self.dirty.add(attempt.task.key.job)
         if attempt.state is execution.AttemptState.SENT:
             attempt.state = execution.AttemptState.RUNNING
         attempt.visible_from_s = now_s
@@ -936,11 +936,6 @@
         if worker is not None:
             worker.history.on_answer(took_s)
 
-    def _confirm(self, attempt: execution.Attempt) -> None:
-        attempt.confirmed = True
-        if attempt.recorded_unconfirmed:
-            self.dirty.add(attempt.task.key.job)
-
     def on_start_refused(
         self, attempt: execution.Attempt, refusal: ports.Refusal, now_s: float
     ) -> None:
--- a/tests/steps/incarnations_steps.py
+++ b/tests/steps/incarnations_steps.py
@@ -385,3 +385,42 @@
     after = core.progress_record(ids.JobId('b'))
     assert len(msgspec.json.decode(context.before)) == 10, context.before
     assert len(msgspec.json.decode(after)) == 8, after
+
+
+@behave.given('a start with token 5 to a worker that has restarted since')
+def step_unconfirmed(context):
+    step_restarted(context)
+    context.worker.former_token = context.attempt.token = model.Token(5)
+    context.worker.token = model.Token(6)
+    context.attempt.confirmed = False
+    context.attempt.born_ms = 1
+
+
+@behave.when(
+    'a report without its run answers a call with token {token:d}, {age:g} s '
+    'after the start'
+)
+def step_absent(context, token, age):
+    sent_s = context.attempt.sent_s + age
+    context.proved = incarnations.is_gone(
+        context.attempt, context.worker, model.Token(token), sent_s
+    )
+
+
+@behave.then('the absence of the run is proved: {expected}')
+def step_proved(context, expected):
+    assert context.proved is (expected == 'yes')
+
+
+@behave.when('the worker refuses a call with token {token:d} for its token')
+def step_refused(context, token):
+    context.outdated = incarnations.is_outdated(
+        ports.CommandRefused(ports.Refusal.STALE_TOKEN),
+        context.worker,
+        model.Token(token),
+    )
+
+
+@behave.then('the refusal is outdated: {expected}')
+def step_outdated(context, expected):
+    assert context.outdated is (expected == 'yes')
