Review: a start carried out late repeats a task that was done

Rule: TWICE, a start after a run has ended done, if that end is taken note of. Disruptions: applied_late and srv_crash, the worker is back under its id.

Order of events: a start gets no answer; the same start is sent again, and the run ends done, which is taken note of. The worker crashes and is back. It carries the first copy out as it comes up, and the task runs again.

Code at fault: command_sender._send_again sends the same start while the first copy is out; unanswered_starts holds a task only while it isn't done.

--- a/review/standins_2/fleet.py
+++ b/review/standins_2/fleet.py
@@ -41,6 +41,8 @@
 _PAGE_BYTES = 1_048_576
 _MISSED_HEARTBEATS = 3
 _MAX_WAITING = 32
+# Longer than any caller waits for a worker's response.
+_SILENCE_S = 15.0
 # Connections of a worker and of the store live as long as their peers.
 _READ_LIMIT = 8_388_608
 _START_TIMEOUT_S = 20.0
@@ -402,8 +404,8 @@
     """One worker, which may crash and start again under its id.
 
     :param guards: rejects what does not fit.
-    :ivar listed: ends that were listed to a caller.
-    :ivar noted: ends that were taken note of.
+    :ivar late_s: the next start gets no answer and is carried out so many
+        seconds later, also by the next incarnation; None for no such start.
     """
 
     def __init__(self, *, fleet: Fleet, name: str, guards: bool):
@@ -413,7 +415,8 @@
         self.capacity: dict[str, int] = {}
         self.rack = f'r{int(name[1:]) % 4}'
         self.up = False
-        self.listed = self.noted = 0
+        self.late_s: float | None = None
+        self._late: list[dict] = []
         self._server = Server(self.handle, fleet.host)
         self._beats: asyncio.Task | None = None
         self._reset()
@@ -444,6 +447,9 @@
         else:
             self._write_entry()
         self.fleet.record.write(f'{self.id} is up, cpu {self.capacity}')
+        late, self._late = self._late, []
+        for fields in late:
+            self._carry_out(fields)
 
     def crash(self) -> None:
         """Ends the process of the worker with all that runs there."""
@@ -502,6 +508,33 @@
         if path == '/healthz':
             return as_json(200)
         fields = json.loads(body)
+        if path == '/amaranthflow/run-start' and self.late_s is not None:
+            self.fleet.record.write(
+                f'{self.id} leaves the start of {fields["task"]} run '
+                f'{fields["run"]} unanswered for {self.late_s} s'
+            )
+            asyncio.get_running_loop().call_later(
+                self.late_s, self._carry_out, fields
+            )
+            self.late_s = None
+            await asyncio.sleep(_SILENCE_S)
+        return await self._execute(path, fields)
+
+    def _carry_out(self, fields: dict) -> None:
+        if not self.up:
+            # The next incarnation takes it.
+            self._late.append(fields)
+            return
+        self.fleet.record.write(
+            f'{self.id} carries the start of {fields["task"]} run '
+            f'{fields["run"]} out late'
+        )
+        if fields['fencing_token'] >= self.token:
+            self.token = fields['fencing_token']
+            self._extend(fields['deadline_ms'])
+            self._start_run(fields)
+
+    async def _execute(self, path: str, fields: dict) -> Reply:
         if fields.get('fencing_token', 0) < self.token:
             return self._refuse('fence')
         self.token = fields.get('fencing_token', 0)
