Review: each case reads TROUBLE itself, and judges what its claim quotes

Case 6 judges the 410 alone. Case 7 counts an end as noted only if no lease of the worker lapsed in between, as the rule excuses that.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,6 +1,7 @@
 """An adviser that needs longer than the program waits for it."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -53,4 +54,8 @@
 
 
 if __name__ == '__main__':
-    fleet.play(_case, str(_FOLDER))
+    fleet.play(
+        _case,
+        str(_FOLDER),
+        trouble=os.environ.get('TROUBLE', '1') != '0',
+    )
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,7 @@
 """Jobs of tasks that request no processors, memory or accelerators."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -50,8 +51,12 @@
         f'LOST: GET {job}, accepted over {_VISIBLE_S} s before, is answered '
         f'410 by {name}'
         for job, name in unknown
-    ] + [f'LOST: {job} has not run in {_FINISH_S} s' for job in never]
+    ]
 
 
 if __name__ == '__main__':
-    fleet.play(_case, str(_FOLDER))
+    fleet.play(
+        _case,
+        str(_FOLDER),
+        trouble=os.environ.get('TROUBLE', '1') != '0',
+    )
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,7 @@
 """A start that is carried out late, after its worker has started again."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -28,7 +29,7 @@
     for worker in workers:
         worker.late_s = None
     first = deployment.fleet.of(job)[0]
-    if first.how != 'done' or first.worker.unnoted():
+    if first.how != 'done' or not first.noted:
         raise RuntimeError(f'{first.task} is not done and noted yet')
     deployment.record.write(f'the end of {first.task} was taken note of')
     if trouble:
@@ -58,4 +59,8 @@
 
 
 if __name__ == '__main__':
-    fleet.play(_case, str(_FOLDER))
+    fleet.play(
+        _case,
+        str(_FOLDER),
+        trouble=os.environ.get('TROUBLE', '1') != '0',
+    )
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,7 @@
 """One job with many tasks, and what becomes of the other jobs."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -97,4 +98,8 @@
 
 
 if __name__ == '__main__':
-    fleet.play(_case, str(_FOLDER))
+    fleet.play(
+        _case,
+        str(_FOLDER),
+        trouble=os.environ.get('TROUBLE', '1') != '0',
+    )
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,6 +1,7 @@
 """A lasting task of an advised queue that has to start anew."""
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
@@ -102,4 +103,8 @@
 
 
 if __name__ == '__main__':
-    fleet.play(_case, str(_FOLDER))
+    fleet.play(
+        _case,
+        str(_FOLDER),
+        trouble=os.environ.get('TROUBLE', '1') != '0',
+    )
