Send no start again while a later incarnation may execute it

Cause: a start without an answer was sent again to its worker, under its run number. The present incarnation executes a run number once; the next one knows neither the number nor its end. Nothing that a start carries is rejected by a fresh incarnation, and no call reaches it earlier.

Change: the task of a start without an answer waits until its worker lists the run, or until the start is 12 s old. Tasks of services are never done and keep the former way. To keep such waits rare, a worker that has not answered a start for 5 s is checked with one that it has to reject, a worker whose answer is late gets no other start, and a start that found all connections busy counts as not sent.

Scenarios whose starts wait at a worker send it others just before, as a check would wait otherwise; the one on an evacuated zone passes without that, and its form with it is listed instead.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/command_sender.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/command_sender.py
@@ -1,8 +1,9 @@
 """Sends commands to workers and handles their responses.
 
 A start without a response may have been executed: a run that its worker lists
-goes on. Otherwise the start is sent again some times, and its run stopped in
-the end. Stops are repeated until a worker accepts them.
+goes on. Otherwise the start of a service's task is sent again some times, and
+its run stopped in the end. The start of any other task is not sent again, see
+``unanswered_starts``. Stops are repeated until a worker accepts them.
 """
 
 import asyncio
@@ -26,6 +27,7 @@
 from . import ports
 from . import response_limits
 from . import scheduler
+from . import start_checks
 from . import unanswered_starts
 from . import workers
 
@@ -93,7 +95,14 @@
         self._contacts = contacts
         self._meters = meters
         self._clock = clock
-        self._checks = incarnation_checks.IncarnationChecks(
+        self._incarnation_checks = incarnation_checks.IncarnationChecks(
+            tokens=tokens,
+            links=links,
+            meters=meters,
+            clock=clock,
+            on_refused=self._ends_term,
+        )
+        self._start_checks = start_checks.StartChecks(
             tokens=tokens,
             links=links,
             meters=meters,
@@ -121,17 +130,30 @@
             if worker is None:
                 return
             permitted = self._may_send(attempt, worker)
-            if permitted and attempt.task.step_run.step.label:
-                passed = await self._checks.passes(worker)
+            if permitted:
+                permitted = await self._passes_checks(attempt, worker)
                 # Much may have changed while the worker was asked.
                 if self._planned_worker(attempt) is not worker:
                     return
-                permitted = passed and self._may_send(attempt, worker)
+                permitted = permitted and self._may_send(attempt, worker)
             if not permitted:
                 self._core.on_start_failed(attempt, self._clock.monotonic())
                 return
             await self._send_start(attempt, worker)
 
+    async def _passes_checks(
+        self, attempt: execution.Attempt, worker: workers.Worker
+    ) -> bool:
+        """Returns whether what a start depends on is known of a worker."""
+        task = attempt.task
+        if unanswered_starts.holds(task):
+            command = self._command(attempt, worker, self._clock.monotonic())
+            if not await self._start_checks.passes(worker, command):
+                return False
+        if not task.step_run.step.label:
+            return True
+        return await self._incarnation_checks.passes(worker)
+
     def _planned_worker(
         self, attempt: execution.Attempt
     ) -> workers.Worker | None:
@@ -163,10 +185,7 @@
         self._core.on_sent(attempt, now_s)
         self._meters.count('starts')
         try:
-            clock_ms = await response_limits.within(
-                worker.history.response_limit_s,
-                self._links.get(worker).start(command, token),
-            )
+            clock_ms = await self._start_call(attempt, worker, command, token)
             started_s = self._clock.monotonic()
             if clock_ms >= min_clock_ms:
                 self._core.on_started(attempt, started_s, started_s - now_s)
@@ -192,6 +211,27 @@
         self._term.request_plans()
         self._term.dispatch()
 
+    async def _start_call(
+        self,
+        attempt: execution.Attempt,
+        worker: workers.Worker,
+        command: ports.StartCommand,
+        token: model.Token,
+    ) -> int:
+        """Sends a start; returns the worker's clock in ms.
+
+        Other tasks avoid the worker as soon as the answer is late.
+        """
+        slow = asyncio.get_running_loop().call_later(
+            worker.history.retry_limit_s, self._core.on_start_slow, attempt
+        )
+        try:
+            return await self._links.get(worker).start(
+                command, token, limit_s=worker.history.response_limit_s
+            )
+        finally:
+            slow.cancel()
+
     def _prepare(
         self,
         attempt: execution.Attempt,
@@ -200,8 +240,20 @@
     ) -> '_StartCall':
         """Returns a start command that is sent now, and extends the lease."""
         token = self._tokens.for_call(worker)
+        command = self._command(attempt, worker, now_s)
+        worker.extend_lease(command.deadline_ms)
+        return _StartCall(
+            command,
+            token,
+            worker.min_clock_ms(now_s),
+            worker.deadline_passed_s(command.deadline_ms),
+        )
+
+    def _command(
+        self, attempt: execution.Attempt, worker: workers.Worker, now_s: float
+    ) -> ports.StartCommand:
         task = attempt.task
-        command = ports.StartCommand(
+        return ports.StartCommand(
             task=task.key,
             run=attempt.run,
             payload=task.step_run.job_run.job.payload,
@@ -214,13 +266,6 @@
                 now_s,
             ),
         )
-        worker.extend_lease(command.deadline_ms)
-        return _StartCall(
-            command,
-            token,
-            worker.min_clock_ms(now_s),
-            worker.deadline_passed_s(command.deadline_ms),
-        )
 
     def _has_label(
         self, worker: workers.Worker, task: execution.TaskRun
@@ -266,18 +311,21 @@
         )
 
     async def _resolve(self, attempt: execution.Attempt) -> None:
-        """Finds out what became of a start, and sends it again if nothing did.
+        """Finds out what became of a start without an answer.
 
-        The run is stopped if that does not help.
+        The worker is asked until it lists the run, or will not execute the
+        start any more. The start of a service's task is sent again meanwhile,
+        and its run is stopped if that does not help.
         """
         pause_s = _FIRST_REPEAT_S
         repeats = 0
+        repeatable = unanswered_starts.may_repeat(attempt.task)
         while attempt.state is execution.AttemptState.UNCERTAIN:
             worker = self._core.workers.get(attempt.worker)
             if worker is None or attempt not in worker.attempts:
                 return
             report = await self._look_for(worker, attempt)
-            if report is not None:
+            if report is not None and repeatable:
                 repeats += 1
                 if repeats > _MAX_REPEATS or not await self._send_again(
                     attempt, worker, report
@@ -316,9 +364,8 @@
         self._core.on_sent_again(attempt, void_s, now_s)
         self._meters.count('starts_repeated')
         try:
-            clock_ms = await response_limits.within(
-                worker.history.retry_limit_s,
-                self._links.get(worker).start(command, token),
+            clock_ms = await self._links.get(worker).start(
+                command, token, limit_s=worker.history.retry_limit_s
             )
         except ports.CommandRefused as exc:
             unanswered_starts.on_answer(attempt)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/httpclient.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/httpclient.py
@@ -274,14 +274,16 @@
     ) -> Response:
         """Sends a request on any connection and returns its response.
 
-        Raises PlatformError if nothing was sent, and PlatformUncertain if no
-        response started within ``timeout_s`` seconds.
+        Raises PlatformError if nothing was sent within ``timeout_s`` seconds,
+        and PlatformUncertain if no response started within that time.
         """
         head = self.head(method, path, body, headers, content_type)
         loop = asyncio.get_running_loop()
         end_s = loop.time() + timeout_s
-        async with self._slots:
-            conn = await self._acquire(min(_CONNECT_TIMEOUT_S, timeout_s))
+        await self._wait_for_slot(timeout_s)
+        try:
+            left_s = max(0.01, end_s - loop.time())
+            conn = await self._acquire(min(_CONNECT_TIMEOUT_S, left_s))
             try:
                 left_s = max(0.01, end_s - loop.time())
                 return await conn.call(head, body, left_s)
@@ -292,6 +294,18 @@
                     self._all.discard(conn)
                 if conn.timed_out:
                     self._drop_idle()
+        finally:
+            self._slots.release()
+
+    async def _wait_for_slot(self, timeout_s: float) -> None:
+        """Waits until another connection may be used. Raises PlatformError."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._slots.acquire()
+        except TimeoutError as exc:
+            raise exceptions.PlatformError(
+                f'all connections to {self.address} are busy'
+            ) from exc
 
     def head(
         self,
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/incarnation_checks.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/incarnation_checks.py
@@ -6,13 +6,11 @@
 one of them.
 """
 
-import asyncio
-import dataclasses
+import functools
 import typing as t
 
 from amaranthflow import clock as clock_lib
 from amaranthflow import exceptions
-from amaranthflow import ids
 
 from . import incarnations
 from . import links as links_lib
@@ -21,15 +19,10 @@
 from . import model
 from . import ports
 from . import response_limits
+from . import shared_checks
 from . import workers
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
-class _Check:
-    done: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
-    passed: bool = False
-
-
 class IncarnationChecks:
     """Checks of workers, at most one of each at a time.
 
@@ -52,7 +45,7 @@
         self._meters = meters
         self._clock = clock
         self._on_refused = on_refused
-        self._pending: dict[ids.WorkerId, _Check] = {}
+        self._shared = shared_checks.SharedChecks()
 
     async def passes(self, worker: workers.Worker) -> bool:
         """Returns whether the incarnation that last reported answers a call.
@@ -60,17 +53,9 @@
         All who ask before the answer arrives share it, as it is no older for
         them.
         """
-        pending = self._pending.get(worker.id)
-        if pending is not None:
-            await pending.done.wait()
-            return pending.passed
-        check = self._pending[worker.id] = _Check()
-        try:
-            check.passed = await self._check(worker)
-        finally:
-            del self._pending[worker.id]
-            check.done.set()
-        return check.passed
+        return await self._shared.passes(
+            worker, functools.partial(self._check, worker)
+        )
 
     async def _check(self, worker: workers.Worker) -> bool:
         sent_s = self._clock.monotonic()
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/ports.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/ports.py
@@ -239,8 +239,21 @@
         other.
         """
 
-    async def start(self, command: StartCommand, token: model.Token) -> int:
-        """Starts a run; returns the worker's clock in ms."""
+    async def start(
+        self,
+        command: StartCommand,
+        token: model.Token,
+        *,
+        limit_s: float | None = None,
+    ) -> int:
+        """Starts a run; returns the worker's clock in ms.
+
+        Raises ``PlatformError`` also if the command could not be sent in
+        time, for instance since other calls take all connections.
+
+        :param limit_s: how long to wait for a connection, and then for the
+            response; None for the usual time.
+        """
 
     async def stop(
         self, task: model.TaskKey, run: model.RunNumber, token: model.Token
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -945,6 +945,18 @@
         attempt.born_ms = worker.born_ms
         self._bindings.on_sent(attempt)
 
+    def on_start_slow(self, attempt: execution.Attempt) -> None:
+        """Notes that the answer to a start takes longer than usual.
+
+        Until it comes, or is given up, other tasks wait for no such answer.
+        """
+        worker = self.workers.get(attempt.worker)
+        if worker is not None:
+            worker.back_off(
+                attempt.sent_s + worker.history.retry_limit_s,
+                worker.history.response_limit_s,
+            )
+
     def on_sent_again(
         self, attempt: execution.Attempt, expired_s: float, now_s: float
     ) -> None:
@@ -958,12 +970,7 @@
         self._bindings.on_sent(attempt)
 
     def may_send_again(self, attempt: execution.Attempt, now_s: float) -> bool:
-        """Returns whether an unanswered start may be sent again.
-
-        A task that may have several runs starts elsewhere instead.
-        """
-        if attempt.task.step_run.step.backups:
-            return False
+        """Returns whether a worker may get an unanswered start again now."""
         worker = self.workers[attempt.worker]
         if worker.probation not in (None, attempt):
             return False
@@ -1039,7 +1046,7 @@
             return
         worker = self.workers.get(attempt.worker)
         if worker is not None:
-            worker.back_off(now_s, worker.history.on_no_answer())
+            worker.on_no_answer(now_s)
         attempt.state = execution.AttemptState.UNCERTAIN
         attempt.visible_from_s = expired_s
         resolve = commands.Stop if answered else commands.Resolve
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/unanswered_starts.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/unanswered_starts.py
@@ -10,10 +10,16 @@
 time and runs nothing of former ones, so that a late start never runs beside
 another run, however often the worker restarts.
 
-The same start is sent again, under its run number, while the worker lists no
-such run: an incarnation executes a run number once, so that the copies do no
-harm there. The task gets another number once the present incarnation rejects
-the former one, and waits only while its worker can run nothing.
+Nor does the task start there again. A worker that restarts knows no stop, no
+token and no end of before, so that its next incarnation would execute a start
+that waits there although the task has been done meanwhile. No call can reach
+that incarnation earlier, and a start names none. The task waits until the
+worker lists its run, or until the start is too old to be executed.
+
+Tasks of services are never done. Their starts are sent again, under their run
+numbers, while the worker lists no such run: an incarnation executes a run
+number once. They get another number once the present incarnation rejects the
+former one, and wait only while their worker can run nothing.
 """
 
 import typing as t
@@ -30,7 +36,7 @@
 # Together with the longest lease, 6.3 s: a gang whose workers are lost starts
 # again within 10 s, and a task of a service, which may be without a run for
 # 9 s, earlier.
-_MAX_GANG_AGE_S = 3.5
+_MAX_SILENT_GANG_AGE_S = 3.5
 _MAX_SERVICE_AGE_S = 2.0
 
 
@@ -151,13 +157,14 @@
         A worker that has reported since it became too old would have listed
         its run; on a silent one that run ends with the longest lease.
         """
-        executed_s = _last_execution_s(start, step)
-        if now_s <= executed_s:
-            return False
         worker = self._fleet.get(start.worker)
+        reported_s = None
         if worker is not None and worker.fenced:
             reported_s = worker.last_report_s
-            if reported_s is not None and reported_s > executed_s:
+        executed_s = start.sent_s + _max_age_s(step, silent=True)
+        if reported_s is not None and reported_s > executed_s:
+            executed_s = start.sent_s + _max_age_s(step)
+            if reported_s > executed_s:
                 return True
         return now_s > workers.lease_end_s(executed_s, self._max_lease_s)
 
@@ -204,18 +211,34 @@
     The worker has to have answered a start since, or to be in another
     incarnation, which has rejected none yet.
     """
-    if now_s < worker.refused_until_s:
-        return False
-    if worker.id in task.failed_on and not task.step_run.step.service:
+    if not may_repeat(task) or now_s < worker.refused_until_s:
         return False
     newest_s = max(start.sent_s for start in task.unanswered)
     return max(worker.born_reported_s, worker.answered_s) > newest_s
 
 
-def _last_execution_s(
-    start: execution.UnansweredStart, step: model.Step
-) -> float:
-    """Returns until when a start is taken to be executed."""
+def may_repeat(task: execution.TaskRun) -> bool:
+    """Returns whether a start without an answer may be sent again.
+
+    A task with backups starts elsewhere instead.
+    """
+    step = task.step_run.step
+    return step.service and not step.backups
+
+
+def holds(task: execution.TaskRun) -> bool:
+    """Returns whether a task has to wait while a start is unanswered."""
+    step = task.step_run.step
+    return not step.service and not step.backups
+
+
+def _max_age_s(step: model.Step, *, silent: bool = False) -> float:
+    """Returns the age up to which a start is taken to be executed.
+
+    :param silent: its worker has not reported since.
+    """
     if step.service:
-        return start.sent_s + _MAX_SERVICE_AGE_S
-    return start.sent_s + (_MAX_GANG_AGE_S if step.gang else _MAX_AGE_S)
+        return _MAX_SERVICE_AGE_S
+    if step.gang and silent:
+        return _MAX_SILENT_GANG_AGE_S
+    return _MAX_AGE_S
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/workers.py
@@ -185,6 +185,11 @@
         self.backoff_since_s = now_s
         self.backoff_until_s = max(self.backoff_until_s, now_s + seconds)
 
+    def on_no_answer(self, now_s: float) -> None:
+        """Backs off after a start without an answer."""
+        self.answered_s = float('-inf')
+        self.back_off(now_s, self.history.on_no_answer())
+
     def shun(self, now_s: float, seconds: float, why: str) -> None:
         """Backs off from a worker that seems to be faulty, and logs it."""
         self.back_off(now_s, seconds)
--- a/tests/amaranthflow_scheduler/httpclient.feature
+++ b/tests/amaranthflow_scheduler/httpclient.feature
@@ -19,6 +19,11 @@
     When its server sends a response of 1000 bytes
     Then the HTTP client's call has status 200
 
+  Scenario: A call that finds all connections busy was certainly not sent
+    Given an HTTP client that reads responses of up to 1000 bytes
+    When a second call has to wait for the first one's response
+    Then the HTTP client's second call was not sent, "all connections to * are busy"
+
   Scenario Outline: Clients of many addresses keep few connections together
     Given HTTP clients of 12 addresses that keep up to <most> connections
     When each of them makes <calls> calls at the same time, twice
--- a/tests/amaranthflow_scheduler/incarnations.feature
+++ b/tests/amaranthflow_scheduler/incarnations.feature
@@ -22,6 +22,7 @@
     Given a task fleet of 3 instances and 2 workers with seed 1
     And starts that come while a task worker is down are executed <late> s after its restart
     And 9 s pass in the task fleet
+    And task workers have just answered starts
     When task worker "w1" goes down
     And task job "a" with steps "4x12" is accepted
     And <down> s pass in the task fleet
@@ -40,6 +41,7 @@
   Scenario: No task runs twice after a start that outlasts the incarnation that accepted its stop
     Given a task fleet of 3 instances and 2 workers with seed 1
     And starts that come while a task worker is down are executed 0.8 s after its restart
+    And task workers have just answered starts
     When task worker "w1" goes down
     And task job "a" with steps "4x12" is accepted
     And 0.2 s pass in the task fleet
@@ -56,6 +58,7 @@
     Given a task fleet of 3 instances and 2 workers with seed 1
     And starts that come while a task worker is down are executed 0.0 s after its restart
     And 15 s pass in the task fleet
+    And task workers have just answered starts
     And commands to task worker "w1" are executed late
     When task job "a" with steps "4x30" is accepted
     And 0.1 s pass in the task fleet
@@ -77,6 +80,7 @@
     Given a task fleet of 3 instances and 2 workers with seed 1
     And starts that come while a task worker is down are executed 0.8 s after its restart
     And 9 s pass in the task fleet
+    And task workers have just answered starts
     When task worker "w1" goes down
     And task job "a" with steps "4x12" is accepted
     And 0.2 s pass in the task fleet
@@ -100,6 +104,7 @@
     Given a task fleet of 3 instances and 2 workers with seed 1
     And starts that come while a task worker is down are executed <late> s after its restart
     And 9 s pass in the task fleet
+    And task workers have just answered starts
     When only starts wait at task worker "w1"
     And task job "a" with steps "4x12" is accepted
     And <stall> s pass in the task fleet
@@ -128,6 +133,7 @@
     Given a task fleet of 3 instances and 2 workers with seed 1
     And starts that come while a task worker is down are executed 0.8 s after its restart
     And 9 s pass in the task fleet
+    And task workers have just answered starts
     When only starts wait at task worker "w1"
     And task job "a" with steps "4x12" is accepted
     And <stall> s pass in the task fleet
@@ -157,6 +163,7 @@
     Given a task fleet of 3 instances and 2 workers with seed 1
     And starts that come while a task worker is down are executed 0.8 s after its restart
     And 9 s pass in the task fleet
+    And task workers have just answered starts
     When only starts wait at task worker "w1"
     And task job "a" with steps "4x12" is accepted
     And <stall> s pass in the task fleet
@@ -178,6 +185,40 @@
       | 1.0   | 0.7 | 9   |
       | 0.5   | 0.7 | 0   |
 
+  # review/7: the copy began again at the next incarnation, after the end of
+  # the run had been acknowledged.
+  Scenario Outline: No task that is done runs again after a restart of a worker where a start of it waits: <jobs> jobs, <workers> workers
+    Given a task fleet of 3 instances and <workers> workers with seed 1
+    And starts that come while a task worker is down are executed <late> s after its restart
+    And 9 s pass in the task fleet
+    And task workers have just answered starts
+    When the next start at each task worker waits
+    And <jobs> task jobs with steps "1x0.5" are accepted
+    And <later> s pass in the task fleet
+    And all task workers restart after 1 s
+    And 40 s pass in the task fleet
+    Then a task worker has executed a call of a former incarnation
+    And no task of the task fleet has run again after it was done
+    And all task jobs are completed
+    And the task fleet violated no invariant
+
+    Examples:
+      | jobs | workers | later | late |
+      | 1    | 1       | 3.5   | 0.0  |
+      | 1    | 2       | 3.5   | 0.0  |
+      | 4    | 2       | 3.5   | 0.8  |
+      | 4    | 4       | 1.0   | 0.0  |
+      | 1    | 1       | 9.5   | 0.8  |
+
+  Scenario: A worker that lets starts wait is found before a task depends on it
+    Given a task fleet of 3 instances and 2 workers with seed 1
+    And 9 s pass in the task fleet
+    When only starts wait at task worker "w1"
+    And 4 task jobs with steps "1x0.5" are accepted
+    And 2 s pass in the task fleet
+    Then all task jobs are completed
+    And the task fleet has left no start unanswered
+
   Scenario Outline: Short tasks start in time though a worker <fault>
     Given a task fleet of 3 instances and 2 workers with seed <seed>
     And 4 small task jobs of 0.3 s arrive each second
@@ -397,6 +438,21 @@
     Then task worker "w1" has executed a call of a former incarnation
     And no run starts in zone "z2" later than 5 s after that
 
+  Scenario: No task starts in an evacuated zone as soon as a worker that has just answered starts is up again
+    Given a task fleet of 3 instances and 2 workers with seed 1
+    And task workers "w1" are in zone "z2"
+    And starts that come while a task worker is down are executed 0.0 s after its restart
+    And task workers have just answered starts
+    When task worker "w1" goes down
+    And task job "a" with steps "4x12" is accepted
+    And 0.1 s pass in the task fleet
+    And the operator evacuates zone "z2"
+    And 6 s pass in the task fleet
+    And task worker "w1" is up again
+    And 9 s pass in the task fleet
+    Then task worker "w1" has executed a call of a former incarnation
+    And no run starts in zone "z2" later than 5 s after that
+
   Scenario: Tasks that require a kind start again under the same leader after a restart as the same kind
     Given a task fleet of 3 instances and 2 workers with seed 1
     And connections to task workers outlast their restarts
--- a/tests/steps/httpclient_steps.py
+++ b/tests/steps/httpclient_steps.py
@@ -72,6 +72,45 @@
     asyncio.run(_call(context, send))
 
 
+async def _call_twice(context):
+    received = asyncio.Queue()
+
+    async def serve(reader, writer):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                received.put_nowait(await reader.readuntil(b'\r\n\r\n'))
+        writer.close()
+
+    server = await asyncio.start_server(serve, _HOST, 0)
+    port = server.sockets[0].getsockname()[1]
+    client = httpclient.Client(address=f'{_HOST}:{port}', max_conns=1)
+    calls = (
+        client.call('GET', '/', timeout_s=_TIMEOUT_S / 10),
+        client.call('GET', '/', timeout_s=_TIMEOUT_S / 50),
+    )
+    outcomes = await asyncio.gather(*calls, return_exceptions=True)
+    client.close()
+    server.close()
+    await asyncio.sleep(0.01)
+    context.outcomes = outcomes
+    context.received = received.qsize()
+
+
+@behave.when("a second call has to wait for the first one's response")
+def step_second_call(context):
+    asyncio.run(_call_twice(context))
+
+
+@behave.then('the HTTP client\'s second call was not sent, "{start} * {end}"')
+def step_not_sent(context, start, end):
+    first, second = context.outcomes
+    assert type(first) is exceptions.PlatformUncertain, first
+    assert type(second) is exceptions.PlatformError, second
+    assert second.reason.startswith(start), second
+    assert second.reason.endswith(end), second
+    assert context.received == 1, context.received
+
+
 @behave.then('the HTTP client\'s call is uncertain, "{reason}"')
 def step_uncertain(context, reason):
     assert context.outcome == reason, context.outcome
--- a/tests/steps/incarnations_steps.py
+++ b/tests/steps/incarnations_steps.py
@@ -23,6 +23,7 @@
 _RUN_TIMES_S = (0.3, 1.5, 12.0)
 _BACK_S = 3.0
 _MAX_POLLS = 30_000
+_MAX_WARM_UP_JOBS = 10
 _FORMER_CLOCK_MS = 60_000
 
 
@@ -127,6 +128,67 @@
     context.fleet.workers[name].faults.delayed_share = 0.0
 
 
+async def _use_all_workers(fleet):
+    core = fleet.nodes[fleet.leader()].leader.core
+    for number in range(_MAX_WARM_UP_JOBS):
+        job_id = f'warm-up-{number}'
+        fleet.jobs_steps[job_id] = _steps(8, 0.1)
+        await fleet.submit(job_id, fleet.jobs_steps[job_id])
+        await asyncio.sleep(0.2)
+        since_s = fleet.loop.time() - 1.0
+        if all(w.answered_s > since_s for w in core.workers.values()):
+            return
+    raise AssertionError('a worker gets no start')
+
+
+@behave.given('task workers have just answered starts')
+def step_warm_up(context):
+    context.loop.run_until_complete(_use_all_workers(context.fleet))
+
+
+@behave.when('the next start at each task worker waits')
+def step_stall_next(context):
+    for worker in context.fleet.workers.values():
+        worker.faults.stalls_starts = True
+        worker.faults.stalled_starts = 1
+
+
+@behave.when('{count:d} task jobs with steps "1x0.5" are accepted')
+def step_small_jobs(context, count):
+    for number in range(count):
+        steps = _steps(1, 0.5)
+        context.fleet.jobs_steps[f'c{number}'] = steps
+        context.loop.run_until_complete(
+            context.fleet.submit(f'c{number}', steps)
+        )
+
+
+@behave.when('all task workers restart after {seconds:g} s')
+def step_restart_all(context, seconds):
+    workers = list(context.fleet.workers.values())
+    context.loop.run_until_complete(_restart(context, workers, seconds))
+
+
+@behave.then('a task worker has executed a call of a former incarnation')
+def step_any_executed_kept(context):
+    workers = context.fleet.workers.values()
+    assert any(worker.kept_calls_executed for worker in workers)
+
+
+@behave.then('all task jobs are completed')
+def step_all_completed(context):
+    for job_id in context.fleet.jobs:
+        state = context.loop.run_until_complete(
+            context.fleet.query_state(job_id)
+        )
+        assert state is model.JobState.COMPLETED, (job_id, state)
+
+
+@behave.then('the task fleet has left no start unanswered')
+def step_none_unanswered(context):
+    assert not _leader_count(context, 'starts_unanswered')
+
+
 @behave.when('only starts wait at task worker "{name}"')
 def step_stall(context, name):
     context.fleet.workers[name].faults.stalls_starts = True
