Give calls to the adviser the time that they take

Cause: each call named 30 workers and was given up after 3 s, whatever the configuration says of the adviser. It handles the calls of an instance in turn and goes on with one that was given up, so that the next one waited for it.

Jobs of a queue that needs an adviser are refused where the settings name none.

Conclusion: an adviser's times no longer decide whether jobs start; with one call at a time they still decide when.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/configuration_check.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/configuration_check.py
@@ -22,6 +22,7 @@
     'stretch',
     'target_ms',
     'advised',
+    'advice',
 )
 _LIMITS = (
     'max_body_bytes',
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/job_api.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/job_api.py
@@ -42,6 +42,8 @@
 # An append without a response may still take effect within this time.
 _LATE_APPEND_S = 10.0
 _QUERY_RETRY_S = 0.1
+# An operator has to change the settings first.
+_NO_ADVISER_RETRY_MS = 30_000
 # Pause before a service is offered to the leader again, which may be new.
 _ADMISSION_RETRY_S = 0.1
 # How long a query waits for a leader before the caller has to retry.
@@ -107,7 +109,10 @@
 
 
 class JobApi:
-    """Handles jobs for callers of this instance."""
+    """Handles jobs for callers of this instance.
+
+    :param has_adviser: whether jobs of queues that need advice can start.
+    """
 
     def __init__(
         self,
@@ -117,6 +122,7 @@
         clock: clock_lib.Clock,
         meters: metrics.Metrics,
         max_pending_bytes: int,
+        has_adviser: bool,
     ):
         self._store = store
         self._pending = job_memory.PendingJobs(max_bytes=max_pending_bytes)
@@ -124,6 +130,7 @@
         self._leader_access = leader_access
         self._clock = clock
         self._meters = meters
+        self._has_adviser = has_adviser
         self._maybe_stored: dict[ids.JobId, float] = {}
         self._appending: collections.Counter[ids.JobId] = collections.Counter()
 
@@ -142,6 +149,13 @@
         stored, and RequestUncertain if it may be. The caller may submit the
         same job again in all cases.
         """
+        if job.queue.advised and not self._has_adviser:
+            if not self._may_be_stored(job.id):
+                raise exceptions.NotReady(
+                    f'queue {job.queue.id} needs an adviser, and the settings '
+                    f'name none',
+                    retry_after_ms=_NO_ADVISER_RETRY_MS,
+                )
         with self._pending.hold(job):
             await self._submit(job, client_timeout_s)
 
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -9,6 +9,7 @@
 from amaranthflow import ids
 
 from . import admission
+from . import advice
 from . import command_sender
 from . import contacts
 from . import elections
@@ -45,7 +46,9 @@
 _TICK_S = 0.1
 _LOAD_INTERVAL_S = 1.0
 _ADVICE_POLL_S = 0.02
+# Pauses after calls without advice double up to the second value.
 _ADVICE_RETRY_S = 0.1
+_MAX_ADVICE_RETRY_S = 1.0
 _PLAN_DELAY_S = 0.004
 # Pause after a planning pass as a multiple of its duration. It leaves most of
 # the processor to lease renewals and callers while many jobs wait.
@@ -1115,37 +1118,69 @@
 
     async def _advice_loop(self) -> None:
         """Sends the queries for the adviser, one at a time."""
+        pause_s = _ADVICE_RETRY_S
         while True:
-            query = self.core.advice.next_query()
+            query = self.core.advice.next_query(self._clock.monotonic())
             if query is None:
                 await asyncio.sleep(_ADVICE_POLL_S)
                 continue
-            incarnations = {
-                worker_id: self.core.workers[worker_id].born_ms
-                for worker_id in query.workers
-                if worker_id in self.core.workers
-            }
-            asked_s = self._clock.monotonic()
-            step = query.step
-            try:
-                tickets, valid_ms = await self._deps.adviser.advise(
-                    step.job, step.occurrence, step.step, query.workers
-                )
-            except exceptions.AmaranthflowError as exc:
-                logs.event('advice_unanswered', id=step.job, error=str(exc))
-                await asyncio.sleep(_ADVICE_RETRY_S)
-                continue
+            if await self._ask_adviser(query):
+                pause_s = _ADVICE_RETRY_S
+                self.request_plans()
+            else:
+                await asyncio.sleep(pause_s)
+                pause_s = min(2 * pause_s, _MAX_ADVICE_RETRY_S)
+
+    async def _ask_adviser(self, query: advice.Query) -> bool:
+        """Sends a query; returns whether the adviser has answered it."""
+        incarnations = {
+            worker_id: self.core.workers[worker_id].born_ms
+            for worker_id in query.workers
+            if worker_id in self.core.workers
+        }
+        asked_s = self._clock.monotonic()
+        step = query.step
+        try:
+            tickets, valid_ms = await self._deps.adviser.advise(
+                step.job,
+                step.occurrence,
+                step.step,
+                query.workers,
+                limit_s=query.limit_s,
+            )
+        except exceptions.AmaranthflowError as exc:
+            now_s = self._clock.monotonic()
+            if isinstance(exc, exceptions.PlatformUncertain):
+                self.core.advice.on_no_response(query, asked_s, now_s)
+            else:
+                self.core.advice.on_failed()
             logs.event(
-                'advice',
+                'advice_unanswered',
                 id=step.job,
-                step=f'{step.occurrence}.{step.step}',
                 asked=len(query.workers),
-                good=len(tickets),
-                valid_ms=valid_ms,
+                after_ms=round(1000 * (now_s - asked_s)),
+                error=str(exc),
             )
-            until_s = asked_s + valid_ms / 1000
-            self.core.advice.on_response(query, tickets, until_s, incarnations)
-            self.request_plans()
+            return False
+        now_s = self._clock.monotonic()
+        logs.event(
+            'advice',
+            id=step.job,
+            step=f'{step.occurrence}.{step.step}',
+            asked=len(query.workers),
+            good=len(tickets),
+            valid_ms=valid_ms,
+            ms=round(1000 * (now_s - asked_s)),
+        )
+        self.core.advice.on_response(
+            query,
+            tickets,
+            incarnations,
+            sent_s=asked_s,
+            now_s=now_s,
+            valid_ms=valid_ms,
+        )
+        return True
 
     async def _cleanup_loop(self) -> None:
         obsolete: set[ids.JobId] = set()
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/model.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/model.py
@@ -146,6 +146,23 @@
     max_unavailable: int = 0
 
 
+class AdvicePolicy(t.NamedTuple):
+    """What the configuration says of the adviser; 0 where it says nothing.
+
+    :ivar decide_ms: time of a call for advice, beside that for each worker.
+    :ivar each_ms: time for each worker that a call names.
+    :ivar valid_ms: how long its tickets are valid.
+    """
+
+    decide_ms: int = 0
+    each_ms: int = 0
+    valid_ms: int = 0
+
+    def call_ms(self, workers: int) -> int:
+        """Returns how long a call that names some workers takes."""
+        return self.decide_ms + workers * self.each_ms
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Queue:
     """A queue that accepts jobs, and how its jobs are scheduled.
@@ -158,6 +175,7 @@
     :ivar stretch: a job is on time if it completes within this multiple of
         its critical path plus ``target_ms``.
     :ivar advised: tasks may start only with a ticket of the adviser.
+    :ivar advice: how the adviser handles calls for the queue.
     """
 
     id: QueueId
@@ -169,6 +187,7 @@
     stretch: float = 1.0
     target_ms: int = 0
     advised: bool = False
+    advice: AdvicePolicy = AdvicePolicy()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
@@ -113,6 +113,7 @@
             clock=clock,
             meters=meters,
             max_pending_bytes=job_memory.pending_share_of(limits.jobs_bytes),
+            has_adviser=adviser.available,
         )
         self.evacuations = evacuations.Evacuations()
         self._configured = asyncio.Event()
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/placement.py
@@ -184,6 +184,24 @@
     return need.fits(free)
 
 
+def tasks_that_fit(worker: workers.Worker, step: model.Step) -> int:
+    """Returns how many tasks of a step a worker has room for."""
+    if not may_run(worker, step):
+        return 0
+    free = worker.free()
+    amounts = [
+        (step.resources.mem_mb, free.mem_mb),
+        (step.resources.gpu, free.gpu),
+    ]
+    if not step.opportunistic:
+        amounts.append((step.resources.cpu, free.cpu))
+    fit = min(
+        (int(room // need) for need, room in amounts if need),
+        default=step.count,
+    )
+    return min(fit, step.max_per_worker or fit)
+
+
 def choose(
     task: execution.TaskRun,
     candidates: t.Iterable[workers.Worker],
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/ports.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/ports.py
@@ -280,15 +280,28 @@
 
 
 class Adviser(t.Protocol):
-    """Service that decides which workers may run a step."""
+    """Service that decides which workers may run a step.
+
+    :ivar available: the settings name an adviser.
+    """
+
+    available: bool
 
     async def advise(
-        self, job: ids.JobId, occurrence: int, step: int, workers: t.Sequence
+        self,
+        job: ids.JobId,
+        occurrence: int,
+        step: int,
+        workers: t.Sequence,
+        *,
+        limit_s: float,
     ) -> tuple[dict[ids.WorkerId, str], int]:
         """Returns a ticket per permitted worker and their validity in ms.
 
-        Raises PlatformError and PlatformUncertain. The call changes no state
-        in either case.
+        The validity is 0 if the response does not name it. Raises
+        PlatformUncertain if there is no response within ``limit_s`` seconds;
+        the adviser may still be handling the call. Raises PlatformError
+        otherwise. The call changes no state in either case.
         """
 
 
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -928,7 +928,9 @@
             queue = self.queue_of(step_run.job_run.job)
             found = pools[queue.service].for_tasks.for_step(step_run.step)
             if queue.advised:
-                found = self.advice.choose(step_run, found, now_s)
+                found = self.advice.choose(
+                    step_run, found, now_s, queue.advice
+                )
             return placement.Ranking(step_run, found, self.tail_model)
 
         for attempt in relocation.moves(slowed, rank, self.tail_model):
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/step_planner.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/step_planner.py
@@ -92,7 +92,9 @@
         queue = self._state.queue_of(step_run.job_run.job)
         candidates = pool_index.for_step(step)
         if queue.advised:
-            candidates = self._advice.choose(step_run, candidates, now_s)
+            candidates = self._advice.choose(
+                step_run, candidates, now_s, queue.advice
+            )
         if step.gang:
             self._plan_gang(step_run, candidates, now_s)
             return
@@ -286,7 +288,9 @@
             )
         ]
         if queue.advised:
-            found = self._advice.choose(task.step_run, found, now_s)
+            found = self._advice.choose(
+                task.step_run, found, now_s, queue.advice
+            )
         found = self._sampler.sample(found, task.step_run.step)
         return self._reservations.filter_candidates(task.step_run, found)
 
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
@@ -22,6 +22,7 @@
 from amaranthflow_scheduler import scheduler
 
 from . import record_store
+from . import task_adviser
 from . import task_history
 from . import task_worker
 from . import virtual_time
@@ -82,8 +83,16 @@
 
 
 class _UnavailableAdviser:
+    available = False
+
     async def advise(
-        self, job: ids.JobId, occurrence: int, step: int, workers: t.Sequence
+        self,
+        job: ids.JobId,
+        occurrence: int,
+        step: int,
+        workers: t.Sequence,
+        *,
+        limit_s: float,
     ) -> tuple[dict[ids.WorkerId, str], int]:
         raise exceptions.PlatformError('this fleet has no adviser')
 
@@ -189,6 +198,7 @@
     :ivar losing_next_call: names of instances of which the next call to
         another one is lost.
     :ivar clock_offset_ms: error of the wall clock, by instance name.
+    :ivar adviser: of instances that start from now on, if any.
     """
 
     def __init__(
@@ -207,6 +217,7 @@
         self.frozen: set[str] = set()
         self.losing_next_call: set[str] = set()
         self.clock_offset_ms: dict[str, int] = {}
+        self.adviser: task_adviser.TaskAdviser | None = None
         self._plan = plan
         self._heartbeats: list[asyncio.Task] = []
         self._version = 0
@@ -273,7 +284,7 @@
             store=self.store.link(name),
             link_factory=_WorkerLinkFactory(self, name),
             decoder=_Decoder(),
-            adviser=_UnavailableAdviser(),
+            adviser=self.adviser or _UnavailableAdviser(),
             peer_client=_PeerClient(self, name),
             clock=_Clock(self, name),
             limits=LIMITS,
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_worker.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_worker.py
@@ -12,6 +12,7 @@
 from amaranthflow_scheduler import ports
 
 from . import record_store
+from . import task_adviser
 
 _LATENCY_S = 0.002
 _COMMAND_TIMEOUT_S = 0.4
@@ -116,6 +117,7 @@
     :ivar incarnation: number of starts of the worker's process.
     :ivar kept_calls_executed: number of calls that were meant for an earlier
         incarnation.
+    :ivar adviser: gives the tickets that starts need; None if they need none.
     :ivar capacities: each capacity and the time from which it was in effect.
     """
 
@@ -134,6 +136,7 @@
         self.replaced = False
         self.incarnation = 1
         self.kept_calls_executed = 0
+        self.adviser: task_adviser.TaskAdviser | None = None
         self.capacities = [(0.0, entry.capacity)]
         self._plan = plan
         self._rng = rng
@@ -260,6 +263,10 @@
             raise ports.CommandRefused(ports.Refusal.STALE_RUN)
         if command.deadline_ms <= self.clock_ms():
             raise ports.CommandRefused(ports.Refusal.DEADLINE_PASSED)
+        if self.adviser is not None and not self.adviser.permits(
+            command.task, self.id, command.ticket
+        ):
+            raise ports.CommandRefused(ports.Refusal.INVALID_TICKET)
         duration_s = self._plan.duration_s(command.task) * self.faults.slowdown
         run = StandinRun(
             task=command.task,
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -322,6 +322,19 @@
     When a client sends it a request
     Then the response announces that the connection closes
 
+  Scenario Outline: The times of a queue's adviser are decoded: <advice>
+    When a configuration of a queue with advice <advice> is decoded
+    Then the queue needs an adviser that decides in <decide> and <each> ms, for <valid> ms
+
+    Examples:
+      | advice                                           | decide | each | valid |
+      | {"decide_ms":400,"each_ms":100,"valid_ms":60000} | 400    | 100  | 60000 |
+      | {"each_ms":4.6}                                  | 0      | 5    | 0     |
+      | {}                                               | 0      | 0    | 0     |
+      | {"decide_ms":"soon"}                             | 0      | 0    | 0     |
+      | {"decide_ms":-1}                                 | 0      | 0    | 0     |
+      | "later"                                          | 0      | 0    | 0     |
+
   Scenario: Tickets of the adviser are decoded
     Given an adviser that responds 200 with '{"good":[["i-1","c81e"]],"valid_ms":3000}'
     When it is asked about 2 workers
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -805,6 +805,29 @@
     assert b'Connection: close' in context.received, context.received
 
 
+@behave.when('a configuration of a queue with advice {advice} is decoded')
+def step_decode_advice(context, advice):
+    route = {
+        'name': 'q',
+        'hostname': 'jobs.example',
+        'path_prefix': '/',
+        'service': 's',
+        'advice': json.loads(advice),
+    }
+    value = {'version': 1, 'routes': [route], 'services': []}
+    cfg = wire.decode_configuration(json.dumps(value).encode())
+    (context.queue,) = cfg.queues
+
+
+@behave.then(
+    'the queue needs an adviser that decides in {decide:d} and {each:d} ms, '
+    'for {valid:d} ms'
+)
+def step_policy(context, decide, each, valid):
+    assert context.queue.advised
+    assert context.queue.advice == (decide, each, valid), context.queue
+
+
 @behave.given("an adviser that responds {status:d} with '{body}'")
 def step_adviser(context, status, body):
     step_answering(context, status, body)
@@ -816,7 +839,7 @@
         link = adviser.Adviser(address=address)
         workers = [ids.WorkerId('i-1'), ids.WorkerId('i-2')]
         try:
-            return await link.advise(_JOB, 0, 1, workers)
+            return await link.advise(_JOB, 0, 1, workers, limit_s=3.0)
         except exceptions.PlatformError:
             return 'no answer'
 
--- a/tests/steps/scheduler_decisions_steps.py
+++ b/tests/steps/scheduler_decisions_steps.py
@@ -933,7 +933,7 @@
 def step_plan_job(context, count):
     context.core.add_job(_job('j1', _step(count)))
     _plan(context, 0.2)
-    context.query = context.core.advice.next_query()
+    context.query = context.core.advice.next_query(0.2)
 
 
 @behave.then(
@@ -948,7 +948,14 @@
 def step_tickets(context, names):
     tickets = {ids.WorkerId(name): f't-{name}' for name in names.split()}
     incarnations = {worker.id: 1 for worker in context.core.workers.values()}
-    context.core.advice.on_response(context.query, tickets, 5.0, incarnations)
+    context.core.advice.on_response(
+        context.query,
+        tickets,
+        incarnations,
+        sent_s=0.2,
+        now_s=0.2,
+        valid_ms=5_000,
+    )
 
 
 @behave.when('the job is planned again')
@@ -972,7 +979,7 @@
 
 @behave.then('a query to the adviser names workers "{names}"')
 def step_queried_about(context, names):
-    query = context.core.advice.next_query()
+    query = context.core.advice.next_query(6.0)
     assert set(query.workers) == set(names.split()), query
 
 
