Read each job back from the record that is stored of it

Cause: a step that requests no resources was written without them, as a default value, and the decoder required them. The leader could not read the record; the instance that had offered it took the 400 for a leader in trouble, stored the record itself and answered 200.

Change: steps have no resources by default, which reads the records that are stored already, and records name them always, for instances of the version before. A record is read back before it is stored, and a job that differs is refused. A leader that cannot read a record says so, and the instance refuses the job.

Conclusion: no job is acknowledged whose record this version cannot read.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/job_api.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/job_api.py
@@ -337,7 +337,17 @@
         """Stores a job for another instance."""
         job_id = ids.JobId(str(message['id']))
         value = str(message['record']).encode()
-        job = jobrecord.decode(job_id, value)
+        try:
+            job = jobrecord.decode(job_id, value)
+        except exceptions.InvalidRecord as exc:
+            logs.event('record_refused', id=job_id, error=str(exc))
+            return {
+                'stored': False,
+                'certain': not self._may_be_stored(job_id),
+                'reason': str(exc),
+                # No leader of this version could take the job.
+                'retry_after_ms': RETRY_AFTER_MS,
+            }
         try:
             with self._pending.hold(job):
                 await self._store_here(job, value)
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/jobrecord.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/jobrecord.py
@@ -11,11 +11,31 @@
 from . import model
 
 _FORMAT = 1  # increase it when the meaning of a field changes
-_STEP_DEFAULTS = model.Step(count=1, resources=model.Resources())
+_STEP_DEFAULTS = model.Step(count=1)
+# Earlier versions cannot read a step without these.
+_REQUIRED_STEP_FIELDS = frozenset(('count', 'resources'))
 
 
 def encode(job: model.Job) -> bytes:
-    """Returns the record; step fields with default values are left out."""
+    """Returns the record; step fields with default values are left out.
+
+    Raises RequestRefused for a job that could not be read back.
+    """
+    try:
+        value = _encode(job)
+        restored = decode(job.id, value)
+    except (exceptions.InvalidRecord, ValueError, OverflowError) as exc:
+        raise exceptions.RequestRefused(
+            f'job {job.id} cannot be recorded: {exc}'
+        ) from exc
+    if restored != job:
+        raise exceptions.RequestRefused(
+            f'job {job.id} would be read back as another one'
+        )
+    return value
+
+
+def _encode(job: model.Job) -> bytes:
     return msgspec.json.encode(
         {
             'format': _FORMAT,
@@ -34,7 +54,8 @@
     fields = {}
     for name in _STEP_DEFAULTS.__slots__:
         value = getattr(step, name)
-        if name == 'count' or value != getattr(_STEP_DEFAULTS, name):
+        default = getattr(_STEP_DEFAULTS, name)
+        if name in _REQUIRED_STEP_FIELDS or value != default:
             fields[name] = value
     return fields
 
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/model.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/model.py
@@ -129,7 +129,7 @@
     """
 
     count: int
-    resources: Resources
+    resources: Resources = Resources()
     estimate_ms: int = 0
     after: tuple[int, ...] = ()
     checkpoints: bool = False
