Store the progress of a large job in parts, each within a record

Cause: a job's progress was one record without a bound, 458,920 bytes while 10,000 tasks run; the store refused it, and the writer took the refusal for an outage and repeated the append for ever, with the changes of all jobs behind it.

Change: progress that outgrows three quarters of a record is split into parts of tasks in a row, done ones as ranges, of which only those that changed are written. The writer sets the records of a job aside that the store refuses, goes on with the others, and logs sizes and reason. A job whose own record is too large is refused with 400 and the figures. The limits come from the settings.

The form of small records is unchanged.

Conclusion: no job's size or refused record stops other jobs.

--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/execution.py
@@ -1,13 +1,16 @@
 """Execution state of jobs, and the progress records that restore it.
 
 A progress record holds the whole state of one job, so that a new leader
-needs only the newest record of each job.
+needs only the newest record of each job. That of a large job is compact: done
+tasks are given as ranges, and the tasks may be in further records, its parts,
+see ``progress_parts``.
 """
 
 import collections
 import contextlib
 import dataclasses
 import enum
+import types
 import typing as t
 
 import msgspec
@@ -19,6 +22,9 @@
 from . import model
 
 _FORMAT = 1  # increase it when the meaning of a field changes
+_COMPACT_FORMAT = 2
+# A longer checkpoint is not recorded: the task would begin anew.
+_MAX_CHECKPOINT_CHARS = 4_096
 # Range of run numbers reserved for each token. Tokens increase at most twice a
 # second and a task is started a few times a second at most, so that the run
 # numbers of two leaders never overlap.
@@ -320,6 +326,10 @@
     :ivar closed_occurrences: occurrences that are complete.
     :ivar no_worker_s: how long steps have waited because no worker was found
         for a task, in seconds.
+    :ivar parts: number of the first task of each part of the compact record;
+        empty while one record holds all.
+    :ivar stored_parts: what was last written of each part.
+    :ivar part_keys: numbers of all parts that the store may have.
     """
 
     def __init__(self, *, job: model.Job, first_run_number: int = 1):
@@ -332,6 +342,9 @@
         self.open_occurrences: dict[int, list[StepRun]] = {}
         self.closed_occurrences: set[int] = set()
         self.no_worker_s = 0.0
+        self.parts: list[int] = []
+        self.stored_parts: dict[int, bytes] = {}
+        self.part_keys: set[int] = set()
 
     @property
     def ended(self) -> bool:
@@ -463,7 +476,7 @@
 
 
 def encode(job_run: JobRun) -> bytes:
-    """Returns the progress record of a job."""
+    """Returns the progress record of a job, without parts."""
     if job_run.ended and not job_run.has_attempts:
         return _encode_fields(job_run, closed=[], complete_steps=[], tasks=[])
     complete_steps = [
@@ -487,11 +500,73 @@
         suspects=[
             _encode_suspect(task) for task in job_run.tasks() if task.crashes
         ],
-        unconfirmed=_encode_unconfirmed(job_run),
-        unanswered=_encode_unanswered(job_run),
+        unconfirmed=_encode_unconfirmed(job_run.attempts()),
+        unanswered=_encode_unanswered(_unsettled(job_run)),
     )
 
 
+def encode_head(job_run: JobRun) -> bytes:
+    """Returns the compact record of a job, whose tasks are in its parts."""
+    fields = _fields(job_run, _COMPACT_FORMAT)
+    closed = _ranges(sorted(job_run.closed_occurrences))
+    fields += [[], [], [], [], [], [], [], closed, job_run.parts]
+    return msgspec.json.encode(fields)
+
+
+def encode_part(job_run: JobRun, tasks: t.Sequence[TaskRun]) -> bytes:
+    """Returns the record of some tasks of a job."""
+    done: list[list[int]] = []
+    rows = []
+    for task in tasks:
+        if task.done and not task.attempts:
+            _add_done(done, task.key)
+        elif not task.pristine:
+            rows.append(_encode_task(task))
+    attempts = (attempt for task in tasks for attempt in task.attempts)
+    # What holds for the whole job is in its own record.
+    fields = _fields(JobRun(job=job_run.job), _COMPACT_FORMAT)
+    fields += [
+        [],
+        [],
+        rows,
+        [_encode_suspect(task) for task in tasks if task.crashes],
+        _encode_unconfirmed(attempts),
+        _encode_unanswered(task for task in tasks if task.unanswered),
+        done,
+    ]
+    return msgspec.json.encode(fields)
+
+
+def _add_done(ranges: list[list[int]], key: model.TaskKey) -> None:
+    """Adds a task to ranges of occurrence, step, first and last index."""
+    if ranges and ranges[-1][:2] == [key.occurrence, key.step]:
+        if ranges[-1][3] == key.index - 1:
+            ranges[-1][3] = key.index
+            return
+    ranges.append([key.occurrence, key.step, key.index, key.index])
+
+
+def _ranges(numbers: t.Iterable[int]) -> list[list[int]]:
+    """Returns the first and last number of each range."""
+    found: list[list[int]] = []
+    for number in numbers:
+        if found and found[-1][1] == number - 1:
+            found[-1][1] = number
+        else:
+            found.append([number, number])
+    return found
+
+
+def _fields(job_run: JobRun, form: int) -> list:
+    return [
+        form,
+        job_run.state.value,
+        int(job_run.started),
+        job_run.ended_ms,
+        job_run.first_run_number,
+    ]
+
+
 def _encode_fields(
     job_run: JobRun,
     *,
@@ -502,16 +577,7 @@
     unconfirmed: t.Sequence[list] = (),
     unanswered: t.Sequence[list] = (),
 ) -> bytes:
-    fields = [
-        _FORMAT,
-        job_run.state.value,
-        int(job_run.started),
-        job_run.ended_ms,
-        job_run.first_run_number,
-        closed,
-        complete_steps,
-        tasks,
-    ]
+    fields = [*_fields(job_run, _FORMAT), closed, complete_steps, tasks]
     if suspects or unconfirmed or unanswered:
         # Earlier versions cannot read records with these fields.
         fields.append(suspects)
@@ -536,9 +602,9 @@
     ]
 
 
-def _encode_unconfirmed(job_run: JobRun) -> list[list[int]]:
+def _encode_unconfirmed(attempts: t.Iterable[Attempt]) -> list[list[int]]:
     rows = []
-    for attempt in job_run.attempts():
+    for attempt in attempts:
         attempt.recorded_unconfirmed = not attempt.confirmed
         if not attempt.confirmed:
             key = attempt.task.key
@@ -546,26 +612,30 @@
     return rows
 
 
-def _encode_unanswered(job_run: JobRun) -> list[list]:
+def _unsettled(job_run: JobRun) -> t.Iterator[TaskRun]:
+    for step_runs in job_run.open_occurrences.values():
+        for step_run in step_runs:
+            yield from step_run.unsettled.values()
+
+
+def _encode_unanswered(tasks: t.Iterable[TaskRun]) -> list[list]:
     """Returns the unanswered starts, by worker and run.
 
     An attempt that is not confirmed stands for one of its starts.
     """
     rows = []
-    for step_runs in job_run.open_occurrences.values():
-        for step_run in step_runs:
-            for task in step_run.unsettled.values():
-                if task.done:
-                    continue
-                counts = collections.Counter(
-                    (start.worker, start.run) for start in task.unanswered
-                )
-                for (worker, run), count in counts.items():
-                    attempt = task.find_attempt(worker, run)
-                    if attempt is not None and not attempt.confirmed:
-                        count -= 1
-                    if count:
-                        rows.append([*task.key[1:], worker, run])
+    for task in tasks:
+        if task.done:
+            continue
+        counts = collections.Counter(
+            (start.worker, start.run) for start in task.unanswered
+        )
+        for (worker, run), count in counts.items():
+            attempt = task.find_attempt(worker, run)
+            if attempt is not None and not attempt.confirmed:
+                count -= 1
+            if count:
+                rows.append([*task.key[1:], worker, run])
     return rows
 
 
@@ -577,7 +647,9 @@
         int(task.done),
         task.next_run,
         task.failed_runs,
-        task.checkpoint,
+        task.checkpoint
+        if len(task.checkpoint) <= _MAX_CHECKPOINT_CHARS
+        else '',
         [[attempt.worker, attempt.run] for attempt in task.attempts],
     ]
 
@@ -627,6 +699,11 @@
     # Occurrence, step, index, worker and run of starts that may be executed
     # though their attempts have ended.
     unanswered: list[tuple[_Number, _Number, _Number, str, _Number]] = []
+    # Of compact records: occurrence, step, first and last index of tasks that
+    # are done; first and last of the closed occurrences; the parts.
+    done: list[tuple[_Number, _Number, _Number, _Number]] = []
+    closed_ranges: list[tuple[_Number, _Number]] = []
+    parts: list[_Number] = []
 
 
 def decode_ended(job_id: ids.JobId, value: bytes) -> EndedJob:
@@ -645,11 +722,18 @@
     return ended
 
 
-def restore(job_run: JobRun, value: bytes, now_s: float) -> None:
+def restore(
+    job_run: JobRun,
+    value: bytes,
+    now_s: float,
+    parts: t.Mapping[int, bytes] = types.MappingProxyType({}),
+) -> None:
     """Sets the state of a new JobRun from its progress record.
 
     Recorded attempts count as running until their worker reports.
-    Raises InvalidRecord if the record cannot be read.
+    Raises InvalidRecord if the record cannot be read, or a part is missing.
+
+    :param parts: records of the job's parts, by the number of the first task.
     """
     with _raising_invalid_record(job_run.job.id):
         fields = _decode_fields(value)
@@ -660,18 +744,38 @@
             job_run.first_run_number, fields.first_run_number
         )
         job_run.closed_occurrences = set(fields.closed)
+        for first, last in fields.closed_ranges:
+            if last >= job_run.job.occurrence_count:
+                raise IndexError(f'there is no occurrence {last}')
+            job_run.closed_occurrences.update(range(first, last + 1))
         for occurrence, number in fields.complete_steps:
             step_run = _find_or_open_step(job_run, occurrence, number)
             for task in step_run.tasks:
                 step_run.mark_done(task)
-        for row in fields.tasks:
-            _restore_task(job_run, row, now_s)
-        for row in fields.suspects:
-            _restore_suspect(job_run, row)
-        for row in fields.unconfirmed:
-            _restore_unconfirmed(job_run, row, now_s)
-        for row in fields.unanswered:
-            _restore_unanswered(job_run, row, now_s)
+        _restore_tasks(job_run, fields, now_s)
+        job_run.parts = list(fields.parts)
+        job_run.part_keys.update(parts)
+        for first in fields.parts:
+            if first not in parts:
+                raise exceptions.InvalidRecord(f'part {first} is missing')
+            _restore_tasks(job_run, _decode_fields(parts[first]), now_s)
+
+
+def _restore_tasks(job_run: JobRun, fields: _Fields, now_s: float) -> None:
+    for occurrence, number, first, last in fields.done:
+        step_run = _find_or_open_step(job_run, occurrence, number)
+        if last >= len(step_run.tasks):
+            raise IndexError(f'step {number} has no task {last}')
+        for task in step_run.tasks[first : last + 1]:
+            step_run.mark_done(task)
+    for row in fields.tasks:
+        _restore_task(job_run, row, now_s)
+    for row in fields.suspects:
+        _restore_suspect(job_run, row)
+    for row in fields.unconfirmed:
+        _restore_unconfirmed(job_run, row, now_s)
+    for row in fields.unanswered:
+        _restore_unanswered(job_run, row, now_s)
 
 
 @contextlib.contextmanager
@@ -687,7 +791,7 @@
 def _decode_fields(value: bytes) -> _Fields:
     """Raises InvalidRecord."""
     fields = decoding.decode(value, _Fields)
-    if fields.format != _FORMAT:
+    if fields.format not in (_FORMAT, _COMPACT_FORMAT):
         raise exceptions.InvalidRecord(
             f'unknown format {fields.format} of a progress record'
         )
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/job_api.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/job_api.py
@@ -42,6 +42,8 @@
 # An append without a response may still take effect within this time.
 _LATE_APPEND_S = 10.0
 _QUERY_RETRY_S = 0.1
+# What a record has beside its key and its value, and some more.
+_RECORD_HEAD_BYTES = 16
 # An operator has to change the settings first.
 _NO_ADVISER_RETRY_MS = 30_000
 # Pause before a service is offered to the leader again, which may be new.
@@ -112,6 +114,8 @@
     """Handles jobs for callers of this instance.
 
     :param has_adviser: whether jobs of queues that need advice can start.
+    :param max_record_bytes: size of the largest record that the store accepts.
+    :param max_call_bytes: size of the largest append that it accepts.
     """
 
     def __init__(
@@ -123,10 +127,15 @@
         meters: metrics.Metrics,
         max_pending_bytes: int,
         has_adviser: bool,
+        max_record_bytes: int,
+        max_call_bytes: int,
     ):
         self._store = store
         self._pending = job_memory.PendingJobs(max_bytes=max_pending_bytes)
-        self._submissions = submissions.Submissions(store=store)
+        self._submissions = submissions.Submissions(
+            store=store, call_bytes=max_call_bytes
+        )
+        self._max_record_bytes = max_record_bytes
         self._leader_access = leader_access
         self._clock = clock
         self._meters = meters
@@ -161,6 +170,12 @@
 
     async def _submit(self, job: model.Job, client_timeout_s: float) -> None:
         value = jobrecord.encode(job)
+        size = len(job.id) + len(value) + _RECORD_HEAD_BYTES
+        if size > self._max_record_bytes:
+            raise exceptions.RequestRefused(
+                f'the record of the job takes {size} bytes; '
+                f'the maximum is {self._max_record_bytes}'
+            )
         started_s = self._clock.monotonic()
         timeout_s = min(
             _ACCEPT_TIMEOUT_S, _CLIENT_TIMEOUT_SHARE * client_timeout_s
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/leader.py
@@ -24,6 +24,7 @@
 from . import model
 from . import overdue_reports
 from . import ports
+from . import progress_parts
 from . import progress_writer
 from . import report_intervals
 from . import response_limits
@@ -144,6 +145,7 @@
         self._resigning = False
         self._suspended = False
         self._failed_renewals = 0
+        self._orphans: set[bytes] = set()
         self._recovered = False
         self._request_handover = request_handover
         self._store_was_lost = store_was_lost
@@ -161,6 +163,7 @@
             token=term.token,
             meters=deps.meters,
             clock=deps.clock,
+            call_bytes=deps.limits.call_bytes,
         )
         self._load = load_monitor.LoadMonitor(meters=deps.meters)
         self._job_memory = job_memory.JobMemory(
@@ -624,6 +627,7 @@
                 progress_by_key[job_id.encode('latin-1')] = value
         self._restore_tails(progress_by_key.pop(_TAILS_KEY, b''))
         self._restore_histories(progress_by_key.pop(_HISTORIES_KEY, b''))
+        parts = progress_parts.take_parts(progress_by_key)
         self._restore_withdrawals(progress_by_key)
         for record in jobs.records:
             job = self._decode_job(record)
@@ -631,10 +635,14 @@
                 continue
             try:
                 self.core.restore_job(
-                    job, progress_by_key.get(record.key), now_s
+                    job,
+                    progress_by_key.get(record.key),
+                    now_s,
+                    parts.get(record.key, {}),
                 )
             except exceptions.InvalidRecord as exc:
                 logs.event('record_set_aside', id=job.id, error=str(exc))
+        self._orphans = progress_parts.orphans(parts, self.core.jobs)
         listed = {record.key for record in jobs.records}
         for key, value in progress_by_key.items():
             if key in listed:
@@ -1194,9 +1202,12 @@
             obsolete.update(self.core.retire_jobs())
             old = self.core.expired_jobs(self._clock.wall_ms())
             obsolete.update(old)
-            if await self._delete_records(ports.Table.JOBS, obsolete):
+            keys = {job_id.encode() for job_id in obsolete}
+            if await self._delete_records(ports.Table.JOBS, keys):
                 obsolete.clear()
-                if await self._delete_records(ports.Table.PROGRESS, old):
+                keys = self._orphans.union(job_id.encode() for job_id in old)
+                if await self._delete_records(ports.Table.PROGRESS, keys):
+                    self._orphans = set()
                     self.core.forget_jobs(old)
 
     async def _record_lessons(self) -> None:
@@ -1214,15 +1225,15 @@
             logs.event('lessons_not_recorded', error=str(exc))
 
     async def _delete_records(
-        self, table: ports.Table, job_ids: t.Collection[ids.JobId]
+        self, table: ports.Table, keys: t.Collection[bytes]
     ) -> bool:
         """Deletes records.
 
         Returns False if the store may still have them.
         """
-        if not job_ids:
+        if not keys:
             return True
-        items = [(job_id.encode(), b'') for job_id in job_ids]
+        items = [(key, b'') for key in keys]
         try:
             await self._deps.store.append(table, items)
         except exceptions.AmaranthflowError as exc:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/model.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/model.py
@@ -222,6 +222,11 @@
         """Number of occurrences, at least one."""
         return max(1, self.occurrences)
 
+    @property
+    def task_count(self) -> int:
+        """Number of tasks of all occurrences."""
+        return sum(step.count for step in self.steps) * self.occurrence_count
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WorkerEntry:
@@ -283,10 +288,10 @@
         raise exceptions.RequestRefused('a time of the job is out of range')
     if not 0 <= job.occurrences <= _MAX_TASKS_PER_JOB:
         raise exceptions.RequestRefused('too many or too few occurrences')
-    total = sum(step.count for step in job.steps) * job.occurrence_count
-    if total > _MAX_TASKS_PER_JOB:
+    if job.task_count > _MAX_TASKS_PER_JOB:
         reason = (
-            f'the job has {total} tasks; the maximum is {_MAX_TASKS_PER_JOB}'
+            f'the job has {job.task_count} tasks; '
+            f'the maximum is {_MAX_TASKS_PER_JOB}'
         )
         raise exceptions.RequestRefused(reason)
     for number, step in enumerate(job.steps):
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/node.py
@@ -114,6 +114,8 @@
             meters=meters,
             max_pending_bytes=job_memory.pending_share_of(limits.jobs_bytes),
             has_adviser=adviser.available,
+            max_record_bytes=limits.record_bytes,
+            max_call_bytes=limits.call_bytes,
         )
         self.evacuations = evacuations.Evacuations()
         self._configured = asyncio.Event()
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/ports.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/ports.py
@@ -49,6 +49,10 @@
         self.end = end
 
 
+class RecordRefused(exceptions.PlatformError):
+    """The store rejects what an append holds; repeating it does not help."""
+
+
 class ConnectionRefused(exceptions.PlatformError):
     """The address refuses connections, so its process has ended."""
 
@@ -88,7 +92,8 @@
         :param expected_end: required end offset of the table.
 
         Raises ``Conflict`` if the table has another end than
-        ``expected_end`` or a writer with a higher token has written.
+        ``expected_end`` or a writer with a higher token has written, and
+        ``RecordRefused`` if a record or all of them are too large.
         """
 
     async def read(
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/progress_writer.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/progress_writer.py
@@ -1,4 +1,9 @@
-"""Writes the progress records of jobs, batched into few appends."""
+"""Writes the progress records of jobs, batched into few appends.
+
+An append that the store does not answer, or refuses for the time being, is
+repeated. One whose content it refuses is split until the job is found whose
+records are the reason. That job is tried again later, and the others go on.
+"""
 
 import asyncio
 import typing as t
@@ -12,6 +17,7 @@
 from . import metrics
 from . import model
 from . import ports
+from . import progress_parts
 from . import scheduler
 
 # Changes are collected for this long, which keeps the calls to the store few.
@@ -28,10 +34,25 @@
 _TIMEOUT_S = 0.9  # the store's own limit for one call
 _MAX_ITEMS = 400  # keeps an append well below the size limit of a call
 _MAX_BYTES = 500_000
+_MAX_CALL_SHARE = 0.25
+# Pause before records that the store has refused are tried again.
+_REFUSED_RETRY_S = 5.0
+# A failure that lasts is logged again with each of these.
+_LOG_INTERVAL_S = 10.0
+
+
+class _Group(t.NamedTuple):
+    """Records of one job, which are appended together."""
+
+    job_id: ids.JobId
+    items: list[progress_parts.Item]
 
 
 class ProgressWriter:
-    """Appends the records of changed jobs under the token of one leader."""
+    """Appends the records of changed jobs under the token of one leader.
+
+    :param call_bytes: size of the largest append that the store accepts.
+    """
 
     def __init__(
         self,
@@ -41,8 +62,12 @@
         token: model.Token,
         meters: metrics.Metrics,
         clock: clock_lib.Clock,
+        call_bytes: int = 2_097_152,
     ):
         self._store = store
+        self._max_bytes = min(_MAX_BYTES, int(_MAX_CALL_SHARE * call_bytes))
+        self._refused: dict[ids.JobId, float] = {}
+        self._logged_s = float('-inf')
         self._clock = clock
         self._core = core
         self._token = token
@@ -109,21 +134,25 @@
 
     async def _write(self) -> None:
         waiting = len(self._waiting)
+        self._retry_refused()
         ends = self._core.processed_ends()
         states: dict = {}
-        items: list[tuple[bytes, bytes]] = []
+        groups: list[_Group] = []
         for job_id in list(self._core.dirty):
-            value = self._core.progress_record(job_id)
-            if value is not None:
-                items.append((job_id.encode(), value))
+            self._refused.pop(job_id, None)
+            items = self._core.progress_records(job_id)
+            if items:
+                groups.append(_Group(job_id, items))
             job_run = self._core.jobs.get(job_id)
             if job_run is not None:
                 states[job_id] = job_run.state
         self._writing = frozenset(self._core.dirty)
         self._core.dirty.clear()
-        for chunk in _chunks(items):
+        for chunk in _chunks(groups, self._max_bytes):
             await self._append(chunk)
         self._writing = frozenset()
+        for job_id in self._refused:
+            states.pop(job_id, None)
         self._core.on_recorded(states, ends)
         stored, self._waiting = (
             self._waiting[:waiting],
@@ -133,8 +162,48 @@
             if not fut.done():
                 fut.set_result(None)
 
-    async def _append(self, items: list[tuple[bytes, bytes]]) -> None:
-        """Repeats an append under one sequence number until confirmed."""
+    def _retry_refused(self) -> None:
+        """Lets records be written again that were refused for a while."""
+        now_s = self._clock.monotonic()
+        due = [job for job, at_s in self._refused.items() if now_s >= at_s]
+        for job_id in due:
+            del self._refused[job_id]
+            self._core.dirty.add(job_id)
+
+    def _on_refused(self, group: _Group, exc: Exception) -> None:
+        """Sets the records of a job aside that the store has refused."""
+        self._meters.count('progress_refused')
+        self._refused[group.job_id] = (
+            self._clock.monotonic() + _REFUSED_RETRY_S
+        )
+        self._core.on_not_recorded(group.job_id)
+        logs.event(
+            'progress_refused',
+            id=group.job_id,
+            records=len(group.items),
+            bytes=progress_parts.group_bytes(group.items),
+            largest=max(len(value) for _, value in group.items),
+            error=str(exc),
+        )
+
+    async def _append(self, groups: list[_Group]) -> None:
+        """Appends records, without those that the store refuses."""
+        items = [item for group in groups for item in group.items]
+        try:
+            await self._append_items(items)
+        except ports.RecordRefused as exc:
+            if len(groups) == 1:
+                self._on_refused(groups[0], exc)
+                return
+            middle = len(groups) // 2
+            await self._append(groups[:middle])
+            await self._append(groups[middle:])
+
+    async def _append_items(self, items: list[progress_parts.Item]) -> None:
+        """Repeats an append under one sequence number until confirmed.
+
+        Raises RecordRefused.
+        """
         writer = ports.Writer(self._token, self._sequence)
         while True:
             started_s = self._clock.monotonic()
@@ -147,8 +216,10 @@
                     max_attempts=_MAX_ATTEMPTS,
                     timeout_s=_TIMEOUT_S,
                 )
+            except ports.RecordRefused:
+                raise
             except exceptions.AmaranthflowError as exc:
-                self._log_failure(exc, len(items))
+                self._log_failure(exc, items)
                 await asyncio.sleep(_RETRY_S)
                 continue
             self._sequence += 1
@@ -160,11 +231,23 @@
                 self.failing_since_s = None
             return
 
-    def _log_failure(self, exc: Exception, items: int) -> None:
+    def _log_failure(
+        self, exc: Exception, items: list[progress_parts.Item]
+    ) -> None:
         self._meters.count('progress_append_failures')
+        now_s = self._clock.monotonic()
         if self.failing_since_s is None:
-            self.failing_since_s = self._clock.monotonic()
-            logs.event('progress_stalled', items=items, error=str(exc))
+            self.failing_since_s = now_s
+        elif now_s - self._logged_s < _LOG_INTERVAL_S:
+            return
+        self._logged_s = now_s
+        logs.event(
+            'progress_stalled',
+            items=len(items),
+            bytes=progress_parts.group_bytes(items),
+            since_s=round(now_s - self.failing_since_s, 1),
+            error=str(exc),
+        )
 
 
 def _batch_delay_s(took_s: float) -> float:
@@ -172,16 +255,15 @@
     return min(_MAX_BATCH_DELAY_S, max(_BATCH_DELAY_S, _PAUSE_RATIO * took_s))
 
 
-def _chunks(
-    items: list[tuple[bytes, bytes]],
-) -> t.Iterator[list[tuple[bytes, bytes]]]:
-    chunk: list[tuple[bytes, bytes]] = []
-    size = 0
-    for key, value in items:
-        if chunk and (len(chunk) >= _MAX_ITEMS or size > _MAX_BYTES):
+def _chunks(groups: list[_Group], max_bytes: int) -> t.Iterator[list[_Group]]:
+    chunk: list[_Group] = []
+    count = size = 0
+    for group in groups:
+        if chunk and (count >= _MAX_ITEMS or size > max_bytes):
             yield chunk
-            chunk, size = [], 0
-        chunk.append((key, value))
-        size += len(value)
+            chunk, count, size = [], 0, 0
+        chunk.append(group)
+        count += len(group.items)
+        size += progress_parts.group_bytes(group.items)
     if chunk:
         yield chunk
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/scheduler.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+import types
 import typing as t
 
 from amaranthflow import ids
@@ -30,6 +31,7 @@
 from . import pools as pools_lib
 from . import ports
 from . import preemption
+from . import progress_parts
 from . import relocation
 from . import report_intervals
 from . import reservations
@@ -67,12 +69,16 @@
         starts in an evacuated availability zone; None where operators
         evacuate none.
     :ivar jobs_bytes: memory that accepted jobs may take.
+    :ivar record_bytes: size of the largest record that the store accepts.
+    :ivar call_bytes: size of the largest append that the store accepts.
     """
 
     hold_max_s: float
     state_kept_s: float
     evacuate_s: float | None = None
     jobs_bytes: int = job_memory.share_of(200)
+    record_bytes: int = 262_144
+    call_bytes: int = 2_097_152
 
 
 class Counts(t.NamedTuple):
@@ -247,13 +253,20 @@
         return self.admission.refusal(job, pool, now_s, now_ms)
 
     def restore_job(
-        self, job: model.Job, progress: bytes | None, now_s: float
+        self,
+        job: model.Job,
+        progress: bytes | None,
+        now_s: float,
+        parts: t.Mapping[int, bytes] = types.MappingProxyType({}),
     ) -> None:
-        """Adds a job with the progress that an earlier leader recorded."""
+        """Adds a job with the progress that an earlier leader recorded.
+
+        :param parts: records of the parts of its progress, if it has any.
+        """
         if not self.add_job(job) or progress is None:
             return
         job_run = self.jobs[job.id]
-        execution.restore(job_run, progress, now_s)
+        execution.restore(job_run, progress, now_s, parts)
         self._bindings.on_restored(job_run)
         for attempt in list(job_run.attempts()):
             self._attach_restored(attempt, now_s)
@@ -336,12 +349,26 @@
         return False
 
     def progress_record(self, job_id: ids.JobId) -> bytes | None:
-        """Returns what to record of a job, or None for a forgotten one."""
+        """Returns the whole state of a job, or None for a forgotten one."""
         job_run = self.jobs.get(job_id)
         if job_run is None:
             return self.withdrawals.encode(job_id)
         return execution.encode(job_run)
 
+    def progress_records(self, job_id: ids.JobId) -> list[progress_parts.Item]:
+        """Returns what to store of a job; nothing of a forgotten one."""
+        job_run = self.jobs.get(job_id)
+        if job_run is not None:
+            return progress_parts.records(job_run, self._limits.record_bytes)
+        value = self.withdrawals.encode(job_id)
+        return [] if value is None else [(job_id.encode(), value)]
+
+    def on_not_recorded(self, job_id: ids.JobId) -> None:
+        """Notes that the store has refused what was to be stored of a job."""
+        job_run = self.jobs.get(job_id)
+        if job_run is not None:
+            progress_parts.forget_stored(job_run)
+
     def state(self, job_id: ids.JobId) -> model.JobState | None:
         """Returns a job's state as reported to callers, None if unknown.
 
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/store_health.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/store_health.py
@@ -180,7 +180,11 @@
         number = health.on_sent(self._clock.monotonic(), wait_s=wait_s)
         try:
             result = await call
-        except (ports.Conflict, exceptions.OffsetExpired):
+        except (
+            ports.Conflict,
+            ports.RecordRefused,
+            exceptions.OffsetExpired,
+        ):
             health.on_response(number, self._clock.monotonic())
             raise
         except exceptions.PlatformUncertain:
--- a/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/submissions.py
+++ b/packages/amaranthflow-scheduler/src/amaranthflow_scheduler/submissions.py
@@ -16,8 +16,7 @@
 # Callers wait for the append; the timeout is longer only while the store is
 # slow.
 _TIMEOUT_S = 0.7
-
-
+_MAX_CALL_SHARE = 0.5
 # How often a caller whose record is not sent yet looks at the store's health.
 _POLL_S = 0.05
 
@@ -39,10 +38,13 @@
     """Appends records of jobs in batches.
 
     Records that arrive during an append are stored together by the next one.
+
+    :param call_bytes: size of the largest append that the store accepts.
     """
 
-    def __init__(self, *, store: store_health.ObservedStore):
+    def __init__(self, *, store: store_health.ObservedStore, call_bytes: int):
         self._store = store
+        self._max_bytes = int(_MAX_CALL_SHARE * call_bytes)
         self._latency = hedging.LatencyEstimate(min_delay_s=_MIN_HEDGE_DELAY_S)
         self._queue: list[_Submission] = []
         self._task: asyncio.Task | None = None
@@ -81,11 +83,22 @@
                     batch, self._queue = self._queue, []
                     _finish(batch, exc)
                     continue
-                batch, self._queue = self._queue, []
+                batch = self._take_batch()
                 await self._write(batch)
         finally:
             self._task = None
 
+    def _take_batch(self) -> list[_Submission]:
+        """Takes the oldest records that one append may hold, at least one."""
+        size = count = 0
+        for submission in self._queue:
+            size += len(submission.key) + len(submission.value)
+            if count and size > self._max_bytes:
+                break
+            count += 1
+        batch, self._queue = self._queue[:count], self._queue[count:]
+        return batch
+
     async def _write(self, batch: list[_Submission]) -> None:
         items = _mark_sent(batch)
         try:
@@ -96,6 +109,12 @@
                 timeout_s=_TIMEOUT_S,
             )
         except exceptions.AmaranthflowError as exc:
+            if isinstance(exc, ports.RecordRefused) and len(batch) > 1:
+                middle = len(batch) // 2
+                later, batch = batch[middle:], batch[:middle]
+                await self._write(batch)
+                await self._write(later)
+                return
             _finish(batch, exc)
             return
         _finish(batch, None)
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/record_store.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/record_store.py
@@ -29,6 +29,7 @@
         seconds later.
     :ivar slow_s: extra latency of each call.
     :ivar append_s: how long each append occupies its table.
+    :ivar record_bytes: size of the largest record; None for no limit.
     :ivar failing_table_reads: instances whose reads of a whole large table
         time out.
     """
@@ -43,6 +44,7 @@
     delayed_share: float = 0.0
     slow_s: float = 0.0
     append_s: float = 0.0
+    record_bytes: int | None = None
     failing_table_reads: set[str] = dataclasses.field(default_factory=set)
 
 
@@ -106,8 +108,14 @@
 
         :raises ports.Conflict: the table has another end than expected, or
             a writer with a newer token exists.
+        :raises ports.RecordRefused: a record is too large.
         """
         table = self._tables[name]
+        most = self.faults.record_bytes
+        if most is not None:
+            largest = max((1 + len(k) + len(v) for k, v in items), default=0)
+            if largest > most:
+                raise ports.RecordRefused(f'record of {largest} bytes')
         if expected_end is not None and expected_end != table.end:
             raise ports.Conflict('end', end=table.end)
         if writer is not None:
--- a/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
+++ b/packages/amaranthflow-standins/src/amaranthflow_standins/task_fleet.py
@@ -198,6 +198,7 @@
     :ivar losing_next_call: names of instances of which the next call to
         another one is lost.
     :ivar clock_offset_ms: error of the wall clock, by instance name.
+    :ivar limits: of instances that start from now on.
     :ivar adviser: of instances that start from now on, if any.
     """
 
@@ -217,6 +218,7 @@
         self.frozen: set[str] = set()
         self.losing_next_call: set[str] = set()
         self.clock_offset_ms: dict[str, int] = {}
+        self.limits = LIMITS
         self.adviser: task_adviser.TaskAdviser | None = None
         self._plan = plan
         self._heartbeats: list[asyncio.Task] = []
@@ -287,7 +289,7 @@
             adviser=self.adviser or _UnavailableAdviser(),
             peer_client=_PeerClient(self, name),
             clock=_Clock(self, name),
-            limits=LIMITS,
+            limits=self.limits,
             meters=metrics.Metrics(),
         )
         self.nodes[name] = node
--- a/tests/steps/jobrecord_steps.py
+++ b/tests/steps/jobrecord_steps.py
@@ -1,5 +1,6 @@
 """Steps for the scheduler's jobrecord.feature."""
 
+import dataclasses
 import json
 from unittest import mock
 
@@ -14,6 +15,7 @@
 from amaranthflow_scheduler import jobrecord
 from amaranthflow_scheduler import model
 from amaranthflow_scheduler import ports
+from amaranthflow_scheduler import progress_parts
 from amaranthflow_standins import task_fleet
 
 _ID = ids.JobId('5c0e7a21d94b36f8')
@@ -128,8 +130,10 @@
     job_run.open_due_occurrences(draw(strategies.integers(0, 2 * _NOW_MS)))
     for task in list(job_run.tasks()):
         kind = draw(strategies.sampled_from('wait run done fail'.split()))
-        if kind == 'wait':
+        if kind == 'wait' or task.done:
             continue
+        for attempt in list(task.attempts):
+            task.remove_attempt(attempt)
         run = job_run.allocate_run_number(task)
         worker = ids.WorkerId(draw(_TEXTS))
         attempt = execution.Attempt(
@@ -185,6 +189,78 @@
     _SETTINGS(hypothesis.given(_job_runs())(_progress_is_restored))()
 
 
+@strategies.composite
+def _growing_jobs(draw):
+    """Returns a job and how far it is at some points."""
+    job = draw(_jobs())
+    step = dataclasses.replace(
+        job.steps[-1], count=draw(strategies.integers(1, 60)), label=''
+    )
+    job = dataclasses.replace(job, steps=(*job.steps[:-1], step))
+    return execution.JobRun(job=job), draw(strategies.data())
+
+
+def _states(job_run):
+    """Returns what a record has to keep of a job."""
+    tasks = {}
+    for task in job_run.tasks():
+        state = task.done or (
+            task.next_run,
+            task.failed_runs,
+            task.checkpoint,
+            [(attempt.worker, attempt.run) for attempt in task.attempts],
+            sorted(start[:2] for start in task.unanswered),
+        )
+        tasks[task.key] = state, task.crashes
+    left = [
+        [(step_run.tasks_left, step_run.waiting) for step_run in step_runs]
+        for _, step_runs in sorted(job_run.open_occurrences.items())
+    ]
+    return job_run.closed_occurrences, tasks, left
+
+
+def _parts_fit(drawn, max_bytes):
+    job_run, data = drawn
+    stored = {}
+    for _ in range(3):
+        _advance(data.draw, job_run)
+        job_run.close_complete_occurrences()
+        for key, value in progress_parts.records(job_run, max_bytes):
+            assert len(value) <= max_bytes, (key, value)
+            stored[key] = value
+        found = {key: value for key, value in stored.items() if value}
+        parts = progress_parts.take_parts(found)
+        (head,) = found.values()
+        restored = execution.JobRun(job=job_run.job)
+        own = parts.get(job_run.job.id.encode(), {})
+        execution.restore(restored, head, 0.0, own)
+        restored.close_complete_occurrences()
+        # Due occurrences in which nothing has happened are not recorded.
+        for occurrence in job_run.open_occurrences:
+            if occurrence not in restored.open_occurrences:
+                restored.open_occurrence(occurrence)
+        assert _states(restored) == _states(job_run)
+    job_run.state = model.JobState.CANCELLED
+    for task in job_run.tasks():
+        for attempt in list(task.attempts):
+            task.remove_attempt(attempt)
+    for key, value in progress_parts.records(job_run, max_bytes):
+        stored[key] = value
+    assert [value != b'' for value in stored.values()].count(True) == 1, stored
+
+
+@behave.then(
+    'the records of any valid job have up to {count:d} bytes and restore it '
+    'at each point'
+)
+def step_parts(context, count):
+    def check(drawn):
+        _parts_fit(drawn, count)
+
+    settings = hypothesis.settings(_SETTINGS, max_examples=60)
+    settings(hypothesis.given(_growing_jobs())(check))()
+
+
 def _submit(context, name, payload=''):
     job = task_fleet.make_job(
         'a', [model.Step(count=1)], context.loop, payload=payload
@@ -202,6 +278,11 @@
     _submit(context, next(iter(context.fleet.nodes)), '\ud800')
 
 
+@behave.when('a job with a payload of {count:d} bytes is submitted there')
+def step_large_payload(context, count):
+    _submit(context, next(iter(context.fleet.nodes)), 'x' * count)
+
+
 @behave.then('the job is refused as "{text}"')
 def step_refused(context, text):
     assert type(context.refusal) is exceptions.RequestRefused, context.refusal
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -90,6 +90,8 @@
     text = (_ROOT / 'deploy' / 'settings.json').read_text()
     text = _render_section(text, 'advice', '10.200.1.9:8169')
     text = _render_section(text, 'bounds.evacuate_ms', 5000)
+    text = _render_section(text, 'platform.record_bytes', 262_144)
+    text = _render_section(text, 'platform.call_bytes', 2_097_152)
     values = {
         'node_name': 'edge-z-1',
         'listen.front': '10.1.0.13:8161',
