--- a/review/standins-3/platform_3.py
+++ b/review/standins-3/platform_3.py
@@ -671,6 +671,7 @@
         store: str,
         seeds: t.Sequence[str],
         folder: pathlib.Path,
+        adviser: str | None = None,
     ):
         self.name = name
         self.host = host
@@ -693,6 +694,8 @@
             'memory_mb': 300,
             'max_descriptors': 4_100,
         }
+        if adviser is not None:
+            settings['adviser_address'] = adviser
         self._path.write_text(json.dumps(settings))
 
     async def start(self) -> None:
@@ -829,7 +832,13 @@
         await worker.start()
         return worker
 
-    async def add_instances(self, count: int) -> None:
+    def host(self, number: int) -> str:
+        """Returns an address that the test has to itself."""
+        return f'{self._prefix}.{number}'
+
+    async def add_instances(
+        self, count: int, adviser: str | None = None
+    ) -> None:
         """Starts instances and waits until one leads and all are ready."""
         hosts = [f'{self._prefix}.{2 + n}' for n in range(count)]
         self.instances = [
@@ -839,6 +848,7 @@
                 store=self._store_server.address,
                 seeds=hosts[:3],
                 folder=self.folder,
+                adviser=adviser,
             )
             for n, host in enumerate(hosts)
         ]
