review: case 11 judges a job none of whose runs has begun

Rule: LOST, an accepted job is shown as failed without cause. Order of events: three orders for one task, 12 s apart, each reach a worker that has lost power shortly before; each worker is back after 1 s. Code at fault: crashes.on_restart and suspects.examine count attempts that no worker has confirmed; Scheduler._on_crash gives the job up.

--- a/review/standins-3/platform_3.py
+++ b/review/standins-3/platform_3.py
@@ -108,6 +108,8 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._silent = False
         self._silent_socks: list[socket.socket] = []
+        # What came on open connections while it was silent.
+        self.unread: list[tuple[float, bytes]] = []
 
     @property
     def address(self) -> str:
@@ -165,6 +167,7 @@
                 path, _, text = target.partition('?')
                 query = dict(urllib.parse.parse_qsl(text))
                 if self._silent:
+                    self.unread.append((now_s(), body))
                     await asyncio.sleep(_SILENCE_S)
                     return
                 answer = await self._handler(
@@ -475,6 +478,15 @@
         loop = asyncio.get_running_loop()
         loop.call_later(3 * _HEARTBEAT_S, self._expire)
 
+    def unread_order_s(self, job: str) -> float | None:
+        """Returns when a call for a job last came that nobody has read."""
+        found = [
+            at_s
+            for at_s, body in self._server.unread
+            if f'"{job}'.encode() in body
+        ]
+        return found[-1] if found else None
+
     def _expire(self) -> None:
         """Removes the entry unless the worker is back."""
         if not self.up:
