--- a/review/15/case.py
+++ b/review/15/case.py
@@ -69,7 +69,7 @@
             worker.drops_start = loss.drops
             worker.late_s = _LATE_S
     await case.add_instances(_INSTANCES)
-    for number in range(12):
+    for number in range(24):
         if not await case.submit(f'/plans/{number:016x}', _STEPS):
             raise platform_3.CannotRunError('a job is not accepted')
         await asyncio.sleep(0.25)
